--- /dev/null
+++ b/Makefile
@@ -0,0 +1,7 @@
+.PHONY: build demo test
+
+build:
+	go build -o bin/ ./relayd ./relctl ./stand
+
+test:
+	go test -race -timeout 14m ./...
--- /dev/null
+++ b/deps/deps.go
@@ -0,0 +1,35 @@
+// Package deps holds the declared libraries in go.mod until each has its first use.
+package deps
+
+import (
+	// Each library stays declared until its first use.
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/VictoriaMetrics/metrics"
+	_ "github.com/anishathalye/porcupine"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/fxamacker/cbor/v2"
+	_ "github.com/gofrs/flock"
+	_ "github.com/google/uuid"
+	_ "github.com/gravitational/trace"
+	_ "github.com/jessevdk/go-flags"
+	_ "github.com/jonboulle/clockwork"
+	_ "github.com/jsternberg/zap-logfmt"
+	_ "github.com/oklog/run"
+	_ "github.com/quic-go/quic-go"
+	_ "go.opentelemetry.io/otel"
+	_ "go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	_ "go.opentelemetry.io/otel/sdk/trace"
+	_ "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	_ "go.uber.org/zap"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/plot"
+	_ "gonum.org/v1/plot/plotter"
+	_ "gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/draw"
+	_ "gotest.tools/v3/assert"
+	_ "gotest.tools/v3/assert/cmp"
+	_ "gotest.tools/v3/poll"
+	_ "k8s.io/apimachinery/pkg/labels"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/model/config.go
@@ -0,0 +1,184 @@
+package model
+
+import (
+	"maps"
+	"time"
+)
+
+// Section is the part of the configuration that an item belongs to.
+type Section string
+
+// The sections of the configuration.
+const (
+	SectionRule    Section = "rule"    // Rule
+	SectionOverlay Section = "overlay" // Overlay
+	SectionDrain   Section = "drain"   // Drain
+	SectionTeam    Section = "team"    // Team
+	SectionMember  Section = "member"  // Member
+)
+
+// ItemKey names an item of the configuration.
+type ItemKey struct {
+	Section Section `cbor:"1,keyasint" json:"section"`
+	Name    string  `cbor:"2,keyasint" json:"name"`
+}
+
+// Item is one item with the number of accepted changes that made it. A deleted
+// item stays as a tombstone (nil Value), so that its count never goes back.
+type Item struct {
+	Key ItemKey `cbor:"1,keyasint" json:"key"`
+	// Count grows by one with each accepted change of the item.
+	Count uint64 `cbor:"2,keyasint" json:"count"`
+	// Version is the configuration's version at the last change.
+	Version uint64 `cbor:"3,keyasint" json:"version"`
+	// Value is the item as JSON, nil when deleted.
+	Value []byte `cbor:"4,keyasint,omitempty" json:"value,omitempty"`
+	// Operator made the last change, ChangeID identifies it.
+	Operator string `cbor:"5,keyasint,omitempty" json:"operator,omitempty"`
+	ChangeID string `cbor:"6,keyasint,omitempty" json:"changeId,omitempty"`
+}
+
+// Rule says which targets take which work, and at what weight.
+type Rule struct {
+	// Work selects tasks and Targets the targets that may take them; empty selects all.
+	Work    string `json:"work"`
+	Targets string `json:"targets"`
+	// Order decides between rules that select the same work: the lowest wins, then the name.
+	Order int `json:"order"`
+	// Weight is the share of this rule's work against that of others, at least 1.
+	Weight int `json:"weight"`
+	// Urgency replaces the caller's urgency when set.
+	Urgency *int `json:"urgency,omitempty"`
+	// QueueBound bounds the queued tasks at each entry, 0 for the default.
+	QueueBound int `json:"queueBound,omitempty"`
+	// RetryBudget is the allowed retries and hedges per start (0.1 is one in ten).
+	RetryBudget float64 `json:"retryBudget,omitempty"`
+	// Hedge is the quantile of run time after which idempotent work is hedged, 0 for never.
+	Hedge float64 `json:"hedge,omitempty"`
+}
+
+// Overlay sets labels on the targets that a selector selects.
+type Overlay struct {
+	Targets string            `json:"targets"`
+	Set     map[string]string `json:"set,omitempty"`
+	Remove  []string          `json:"remove,omitempty"`
+}
+
+// Drain makes the targets that a selector selects take no new work.
+type Drain struct {
+	Targets string `json:"targets"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// Team bounds what a team may use.
+type Team struct {
+	// Quota is the most slots that the team's tasks hold at once over all targets, 0 for no bound.
+	Quota int `json:"quota"`
+	// Weight is the team's share within a rule, at least 1.
+	Weight int `json:"weight"`
+}
+
+// Member is a keeper that belongs to the cluster.
+type Member struct {
+	// Address is the IP address and UDP port of its links.
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	// Voter is false while the member is a learner.
+	Voter bool `json:"voter"`
+}
+
+// Change asks for one change of the configuration.
+type Change struct {
+	// ID identifies the change; a resend of the same ID gets the first answer.
+	ID       string  `cbor:"1,keyasint" json:"id"`
+	Operator string  `cbor:"2,keyasint" json:"operator"`
+	Key      ItemKey `cbor:"3,keyasint" json:"key"`
+	// Expected is the item's count that the operator saw, 0 for a new item.
+	Expected uint64 `cbor:"4,keyasint" json:"expected"`
+	// Value is the new value as JSON, nil to delete.
+	Value []byte `cbor:"5,keyasint,omitempty" json:"value,omitempty"`
+}
+
+// ChangeResult is the answer to a Change.
+type ChangeResult struct {
+	Accepted bool `cbor:"1,keyasint" json:"accepted"`
+	// Item is the item after the change, or the item that won when not accepted.
+	Item Item `cbor:"2,keyasint" json:"item"`
+	// Version is the configuration's version after the change.
+	Version uint64 `cbor:"3,keyasint" json:"version"`
+	// Reason says why the change was refused.
+	Reason string `cbor:"4,keyasint,omitempty" json:"reason,omitempty"`
+}
+
+// Delta brings a configuration from one version to another.
+type Delta struct {
+	// From is the version that the delta applies to, 0 for a whole configuration.
+	From  uint64 `cbor:"1,keyasint"`
+	To    uint64 `cbor:"2,keyasint"`
+	Items []Item `cbor:"3,keyasint,omitempty"`
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	version uint64
+	items   map[ItemKey]Item
+}
+
+// Version returns the number of accepted changes; it only grows.
+func (c Config) Version() uint64 { return c.version }
+
+// Item returns the item with the key; its Count is 0 when there never was one.
+func (c Config) Item(k ItemKey) Item {
+	i, ok := c.items[k]
+	if !ok {
+		return Item{Key: k}
+	}
+	return i
+}
+
+// Items returns the live items of a section in no order.
+func (c Config) Items(s Section) []Item {
+	var out []Item
+	for k, i := range c.items {
+		if k.Section == s && i.Value != nil {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Since returns the delta from version v to c: only the items changed after v.
+func (c Config) Since(v uint64) Delta {
+	d := Delta{From: v, To: c.version}
+	for _, i := range c.items {
+		if i.Version > v {
+			d.Items = append(d.Items, i)
+		}
+	}
+	return d
+}
+
+// With returns c after d and true, or c itself and false when d does not
+// follow c's version or is not newer.
+func (c Config) With(d Delta) (Config, bool) {
+	if d.To <= c.version || d.From > c.version {
+		return c, false
+	}
+	items := maps.Clone(c.items)
+	if items == nil {
+		items = make(map[ItemKey]Item, len(d.Items))
+	}
+	for _, i := range d.Items {
+		if i.Version > items[i.Key].Version {
+			items[i.Key] = i
+		}
+	}
+	return Config{version: d.To, items: items}, true
+}
+
+// Fresh is a proof of freshness: how long ago a quorum of keepers confirmed
+// that Version was the newest.
+type Fresh struct {
+	Version uint64        `cbor:"1,keyasint"`
+	Age     time.Duration `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/wire/common.go
@@ -0,0 +1,100 @@
+package wire
+
+import "cyclamenrelay.example/model"
+
+// Codes 1 to 19: common messages, configuration and membership.
+var (
+	_ = register(1, Refused{})
+	_ = register(2, Done{})
+	_ = register(3, WatchConfig{})
+	_ = register(4, ConfigUpdate{})
+	_ = register(5, ChangeConfig{})
+	_ = register(6, ChangeAnswer{})
+	_ = register(7, FindNodes{})
+	_ = register(8, Nodes{})
+	_ = register(9, Announce{})
+	_ = register(10, Announced{})
+)
+
+// Refused answers a message that the receiver cannot serve.
+type Refused struct {
+	Reason string `cbor:"1,keyasint"`
+	// Leader is the name of the keeper to ask instead, empty when unknown.
+	Leader string `cbor:"2,keyasint,omitempty"`
+}
+
+// Done answers a message that needs no other answer.
+type Done struct{}
+
+// WatchConfig asks for what has changed since Version; the answer is a
+// ConfigUpdate, after a short wait when there is nothing newer.
+type WatchConfig struct {
+	Version uint64 `cbor:"1,keyasint"`
+}
+
+// ConfigUpdate carries a change of configuration and its freshness.
+type ConfigUpdate struct {
+	Delta model.Delta `cbor:"1,keyasint"`
+	Fresh model.Fresh `cbor:"2,keyasint"`
+}
+
+// ChangeConfig asks a keeper for a change; the answer is a ChangeAnswer or Refused.
+type ChangeConfig struct {
+	Change model.Change `cbor:"1,keyasint"`
+}
+
+// ChangeAnswer is the answer to ChangeConfig.
+type ChangeAnswer struct {
+	Result model.ChangeResult `cbor:"1,keyasint"`
+}
+
+// Node is a process of the system as others reach it.
+type Node struct {
+	Name       string   `cbor:"1,keyasint"`
+	Address    string   `cbor:"2,keyasint"`
+	DataCentre string   `cbor:"3,keyasint"`
+	Roles      []string `cbor:"4,keyasint"`
+	// Incarnation grows at each start of the process.
+	Incarnation uint64 `cbor:"5,keyasint"`
+	// Leaving is set once the process has begun to shut down.
+	Leaving bool `cbor:"6,keyasint,omitempty"`
+}
+
+// FindNodes asks for the live entries and keepers; it also announces the sender.
+type FindNodes struct {
+	Self Node `cbor:"1,keyasint"`
+}
+
+// Nodes answers FindNodes.
+type Nodes struct {
+	Nodes []Node `cbor:"1,keyasint"`
+}
+
+// Announce is sent by an agent to an entry when it starts, when its target
+// changes, and as a heartbeat. The answer is Announced.
+type Announce struct {
+	Self   Node          `cbor:"1,keyasint"`
+	Target *model.Target `cbor:"2,keyasint,omitempty"`
+	Free   int           `cbor:"3,keyasint"`
+	// Version is the configuration that the agent has.
+	Version uint64 `cbor:"4,keyasint"`
+	// Seq orders the announcements of one incarnation.
+	Seq uint64 `cbor:"5,keyasint"`
+}
+
+// Announced answers an Announce.
+type Announced struct {
+	Config ConfigUpdate `cbor:"1,keyasint"`
+	Nodes  []Node       `cbor:"2,keyasint,omitempty"`
+}
+
+func (Refused) message()      {}
+func (Done) message()         {}
+func (WatchConfig) message()  {}
+func (ConfigUpdate) message() {}
+func (ChangeConfig) message() {}
+func (ChangeAnswer) message() {}
+func (FindNodes) message()    {}
+func (Nodes) message()        {}
+func (Announce) message()     {}
+func (Announced) message()    {}
