keys: deployment CA, node certificates and mutual TLS

Cause: links need mutual TLS 1.3 in which an agent can never speak as a keeper, and certificates must be renewed without a restart.

Ruled out: verification by host name, since nodes are addressed by IP numbers that change; crypto/tls's own client verification, since its CA pool is fixed when the configuration is made. A certificate that holds operator and a node's role at once is refused: an operator's file is carried about.

A private key that others can read is refused.

--- /dev/null
+++ b/keys/ca.go
@@ -0,0 +1,190 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	// clockSkew is how far a certificate's validity starts before its making.
+	clockSkew  = time.Hour
+	serialBits = 127
+
+	pemCert = "CERTIFICATE"
+	pemKey  = "PRIVATE KEY"
+)
+
+// CA is the deployment's certificate authority.
+type CA struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pair Pair
+}
+
+// Pair is a certificate with its private key, both as PEM.
+type Pair struct {
+	Cert []byte
+	Key  []byte
+}
+
+// NewCA makes a certificate authority that is valid from now on. The error is
+// a trace.BadParameter for a bad name or validity.
+func NewCA(name string, now time.Time, validity time.Duration) (*CA, error) {
+	if err := checkSubject(name, validity); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	t, err := template(name, now, now.Add(validity))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	t.IsCA, t.BasicConstraintsValid, t.MaxPathLenZero = true, true, true
+	t.KeyUsage = x509.KeyUsageCertSign | x509.KeyUsageCRLSign
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	pair, err := sign(t, t, key, key)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return newCA(pair)
+}
+
+// LoadCA reads a certificate authority from PEM files.
+func LoadCA(certFile, keyFile string) (*CA, error) {
+	pair, err := readPair(certFile, keyFile)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ca, err := newCA(pair)
+	return ca, trace.Wrap(err, "CA of %s and %s", certFile, keyFile)
+}
+
+func newCA(pair Pair) (*CA, error) {
+	certs, err := parseCerts(pair.Cert)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	key, err := parseKey(pair.Key)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if !certs[0].IsCA || !key.PublicKey.Equal(certs[0].PublicKey) {
+		return nil, trace.BadParameter("the certificate is not a CA's or its private key is another's")
+	}
+	return &CA{cert: certs[0], key: key, pair: pair}, nil
+}
+
+// Write writes the CA's PEM files and refuses to replace any that exist.
+func (ca *CA) Write(certFile, keyFile string) error {
+	return trace.Wrap(ca.pair.WriteNew(certFile, keyFile))
+}
+
+// Name returns the CA's name.
+func (ca *CA) Name() string { return ca.cert.Subject.CommonName }
+
+// Node makes a certificate for a node or an operator with the roles. It ends
+// with the CA at the latest. The addresses, IP addresses or host names, are
+// for clients that check them; links verify the role and name. The error is a
+// trace.BadParameter.
+func (ca *CA) Node(name string, roles []Role, now time.Time, validity time.Duration, addresses ...string) (Pair, error) {
+	if err := checkSubject(name, validity); err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	if err := checkRoles(roles); err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	end := now.Add(validity)
+	if end.After(ca.cert.NotAfter) {
+		end = ca.cert.NotAfter
+	}
+	t, err := template(name, now, end)
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	if roles[0] != RoleOperator {
+		t.ExtKeyUsage = append(t.ExtKeyUsage, x509.ExtKeyUsageServerAuth)
+	}
+	for _, r := range roles {
+		t.URIs = append(t.URIs, roleURI(r))
+	}
+	for _, a := range addresses {
+		if ip := net.ParseIP(a); ip != nil {
+			t.IPAddresses = append(t.IPAddresses, ip)
+		} else {
+			t.DNSNames = append(t.DNSNames, a)
+		}
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	return sign(t, ca.cert, key, ca.key)
+}
+
+func checkSubject(name string, validity time.Duration) error {
+	if !validName.MatchString(name) {
+		return trace.BadParameter("name %q is not valid, allowed are 1 to 63 letters, digits and . _ @ -", name)
+	}
+	if validity <= 0 {
+		return trace.BadParameter("validity is %v, it must be positive", validity)
+	}
+	return nil
+}
+
+// checkRoles keeps people and machines apart: an operator's certificate, which
+// is carried about, never opens a link between nodes.
+func checkRoles(roles []Role) error {
+	if len(roles) == 0 {
+		return trace.BadParameter("a certificate needs at least one role")
+	}
+	for _, r := range roles {
+		if _, err := ParseRole(string(r)); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	if len(roles) > 1 && slices.Contains(roles, RoleOperator) {
+		return trace.BadParameter("the role operator stands alone in a certificate")
+	}
+	return nil
+}
+
+func template(name string, now, end time.Time) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     end,
+	}, nil
+}
+
+func sign(t, parent *x509.Certificate, key, parentKey *ecdsa.PrivateKey) (Pair, error) {
+	der, err := x509.CreateCertificate(rand.Reader, t, parent, &key.PublicKey, parentKey)
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	k, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	return Pair{
+		Cert: pem.EncodeToMemory(&pem.Block{Type: pemCert, Bytes: der}),
+		Key:  pem.EncodeToMemory(&pem.Block{Type: pemKey, Bytes: k}),
+	}, nil
+}
--- /dev/null
+++ b/keys/files.go
@@ -0,0 +1,139 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/x509"
+	"encoding/pem"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	maxFile     = 1 << 20 // bytes in a PEM file
+	certMode    = 0o644
+	keyMode     = 0o600
+	othersModes = 0o077
+)
+
+// Write writes the PEM files in place of any that exist, each at once. The key
+// goes first, so that a reader between the two sees a pair that does not match
+// and keeps what it has.
+func (p Pair) Write(certFile, keyFile string) error {
+	if err := replaceFile(keyFile, p.Key, keyMode); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(replaceFile(certFile, p.Cert, certMode))
+}
+
+// WriteNew writes the PEM files; the error is a trace.AlreadyExists when one exists.
+func (p Pair) WriteNew(certFile, keyFile string) error {
+	for _, f := range []string{certFile, keyFile} {
+		if _, err := os.Stat(f); err == nil {
+			return trace.AlreadyExists("%s exists", f)
+		}
+	}
+	return trace.Wrap(p.Write(certFile, keyFile))
+}
+
+func replaceFile(name string, b []byte, mode os.FileMode) error {
+	f, err := os.CreateTemp(filepath.Dir(name), "."+filepath.Base(name)+".*")
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	_, err = f.Write(b)
+	if err == nil {
+		err = f.Chmod(mode)
+	}
+	if err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err == nil {
+		err = os.Rename(f.Name(), name)
+	}
+	if err != nil {
+		_ = os.Remove(f.Name())
+	}
+	return trace.ConvertSystemError(err)
+}
+
+// readPair reads a certificate and its key, which others must not be able to read.
+func readPair(certFile, keyFile string) (Pair, error) {
+	cert, err := readFile(certFile)
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	info, err := os.Stat(keyFile)
+	if err != nil {
+		return Pair{}, trace.ConvertSystemError(err)
+	}
+	if m := info.Mode().Perm(); m&othersModes != 0 {
+		return Pair{}, trace.AccessDenied("%s has mode %04o, a private key must be its owner's alone (0600)", keyFile, m)
+	}
+	key, err := readFile(keyFile)
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	return Pair{Cert: cert, Key: key}, nil
+}
+
+func readFile(name string) ([]byte, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	defer func() { _ = f.Close() }()
+	b, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	if len(b) > maxFile {
+		return nil, trace.LimitExceeded("%s is longer than %d bytes", name, maxFile)
+	}
+	return b, nil
+}
+
+// parseCerts returns the certificates of a PEM file, at least one.
+func parseCerts(b []byte) ([]*x509.Certificate, error) {
+	var out []*x509.Certificate
+	for {
+		var block *pem.Block
+		block, b = pem.Decode(b)
+		if block == nil {
+			break
+		}
+		if block.Type != pemCert {
+			continue
+		}
+		c, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, trace.BadParameter("certificate: %v", err)
+		}
+		out = append(out, c)
+	}
+	if len(out) == 0 {
+		return nil, trace.BadParameter("no PEM certificate found")
+	}
+	return out, nil
+}
+
+func parseKey(b []byte) (*ecdsa.PrivateKey, error) {
+	block, _ := pem.Decode(b)
+	if block == nil || block.Type != pemKey {
+		return nil, trace.BadParameter("no PEM private key found")
+	}
+	k, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return nil, trace.BadParameter("private key: %v", err)
+	}
+	e, ok := k.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, trace.BadParameter("private key is a %T, allowed is ECDSA", k)
+	}
+	return e, nil
+}
