--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,115 @@
+// Package agent runs beside one target: it takes the target's announcements,
+// hands its slots out to entries, and starts tasks on it.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/kernel"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/spread"
+)
+
+// ServiceName is the name that other services find the agent by.
+const ServiceName = "agent"
+
+// Options configure an Agent.
+type Options struct {
+	// Listen is the IP address and TCP port for the target's announcements.
+	Listen string
+	// TargetLease is the longest lease a target may ask for.
+	TargetLease time.Duration
+	Clock       clockwork.Clock
+	Log         *zap.Logger
+	View        *spread.View
+}
+
+// Agent is the service beside a target.
+type Agent struct {
+	opts   Options
+	node   *link.Node
+	finder *member.Finder
+	client *http.Client
+	wake   chan struct{}
+	log    *journal
+
+	mu       sync.Mutex
+	target   *lease
+	steer    steered
+	seq      uint64
+	running  int
+	draining bool
+	idle     chan struct{} // closed when draining and nothing runs
+}
+
+// New returns an agent that has not heard of its target yet.
+func New(opts Options) *Agent {
+	return &Agent{
+		opts:   opts,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}},
+		wake:   make(chan struct{}, 1),
+		log:    newJournal(opts.Clock),
+		idle:   make(chan struct{}),
+	}
+}
+
+// Name implements kernel.Service.
+func (a *Agent) Name() string { return ServiceName }
+
+// Start implements kernel.Starter.
+func (a *Agent) Start(k *kernel.Kernel) (err error) {
+	if a.node, err = kernel.Find[*link.Node](k, link.ServiceName); err != nil {
+		return err
+	}
+	if a.finder, err = kernel.Find[*member.Finder](k, member.ServiceName); err != nil {
+		return err
+	}
+	link.On(a.node.Mux(), a.start, keys.RoleEntry)
+	link.On(a.node.Mux(), a.cancel, keys.RoleEntry)
+	return nil
+}
+
+// Run implements kernel.Service.
+func (a *Agent) Run(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.announceLoop(ctx)
+	}()
+	err := a.serveTarget(ctx)
+	<-done
+	return err
+}
+
+// Drain implements kernel.Drainer: no new task starts, and it returns when the
+// running ones have ended.
+func (a *Agent) Drain(ctx context.Context) {
+	a.mu.Lock()
+	a.draining = true
+	if a.running == 0 {
+		a.closeIdle()
+	}
+	a.mu.Unlock()
+	a.finder.Leave()
+	a.announceSoon()
+	select {
+	case <-a.idle:
+	case <-ctx.Done():
+	}
+}
+
+func (a *Agent) closeIdle() {
+	select {
+	case <-a.idle:
+	default:
+		close(a.idle)
+	}
+}
--- /dev/null
+++ b/agent/announce.go
@@ -0,0 +1,94 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/wire"
+)
+
+const (
+	announceInterval = 500 * time.Millisecond
+	announceTimeout  = 2 * time.Second
+	// maxEntries bounds the entries that one agent serves.
+	maxEntries = 16
+)
+
+func (a *Agent) announceSoon() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// announceLoop announces the target to each entry, at intervals and when it changes.
+func (a *Agent) announceLoop(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	busy := &sync.Map{}
+	for ctx.Err() == nil {
+		entries := a.finder.Nodes(keys.RoleEntry)
+		for _, e := range choose(a.finder.Self().Name, entries, maxEntries) {
+			if _, on := busy.LoadOrStore(e.Address, true); on {
+				continue
+			}
+			wg.Go(func() {
+				defer busy.Delete(e.Address)
+				a.announce(ctx, e.Address)
+			})
+		}
+		select {
+		case <-ctx.Done():
+		case <-a.wake:
+		case <-a.opts.View.Changed():
+		case <-a.opts.Clock.After(announceInterval):
+		}
+	}
+}
+
+func (a *Agent) announce(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	m := a.announcement()
+	sent := a.opts.Clock.Now()
+	r, err := a.node.Call(ctx, link.To{Address: addr, Role: keys.RoleEntry}, m)
+	if err != nil {
+		a.opts.Log.Debug("entry not reached", zap.String("address", addr), zap.Error(err))
+		return
+	}
+	if ok, is := r.(wire.Announced); is {
+		a.opts.View.Apply(ok.Config, sent)
+	}
+}
+
+func (a *Agent) announcement() wire.Announce {
+	cfg := a.opts.View.Config()
+	m := wire.Announce{Self: a.finder.Self(), Free: a.free(), Version: cfg.Version()}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.seq++
+	m.Seq = a.seq
+	m.Self.Leaving = a.draining
+	if l := a.target; l != nil && a.opts.Clock.Now().Before(l.ends) {
+		s := a.steered(cfg)
+		t := s.target
+		m.Target = &t
+		m.Self.Leaving = m.Self.Leaving || s.drained
+	}
+	return m
+}
+
+// choose returns at most n entries, the same ones for one agent while the
+// entries stay, and spread evenly over all agents (rendezvous hashing).
+func choose(agent string, entries []wire.Node, n int) []wire.Node {
+	if len(entries) <= n {
+		return entries
+	}
+	return model.Rendezvous(agent, entries, func(e wire.Node) string { return e.Name })[:n]
+}
--- /dev/null
+++ b/agent/journal.go
@@ -0,0 +1,145 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cyclamenrelay.example/model"
+)
+
+const (
+	// journalWindow is how long the tasks of a job are remembered after its
+	// last message: longer than any job's deadline, so that a start that comes
+	// late is either known here or refused by its deadline.
+	journalWindow = 2 * model.MaxTimeToLive
+	sweepInterval = time.Minute
+	// maxKept bounds the body of an outcome kept for a job's next owner, in bytes.
+	maxKept = 64 << 10
+)
+
+// journal remembers which tasks were started, so that none starts twice, and
+// the outcomes of tasks whose owner may change.
+type journal struct {
+	clock clockwork.Clock
+
+	mu    sync.Mutex
+	jobs  map[string]*jobLog
+	tasks map[string]*record // running tasks, and finished ones of jobs
+	swept time.Time
+}
+
+type jobLog struct {
+	epoch uint64
+	tasks map[string]*record
+	used  time.Time
+}
+
+type record struct {
+	cancel  context.CancelFunc
+	done    chan struct{}
+	outcome model.Outcome
+}
+
+func newJournal(clock clockwork.Clock) *journal {
+	return &journal{clock: clock, jobs: map[string]*jobLog{}, tasks: map[string]*record{}, swept: clock.Now()}
+}
+
+// run runs f for the task unless it was started before or its owner is fenced.
+// A duplicate waits for the first start's outcome.
+func (j *journal) run(ctx context.Context, t model.Task, f func(context.Context) model.Outcome) model.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r, first, refusal := j.begin(t, cancel)
+	if refusal != nil {
+		return *refusal
+	}
+	if !first {
+		select {
+		case <-r.done:
+			return r.outcome
+		case <-ctx.Done():
+			return model.Failed{Reason: "a duplicate start gave up waiting", MayHaveRun: true}
+		}
+	}
+	o := f(ctx)
+	j.end(t, r, o)
+	return o
+}
+
+func (j *journal) begin(t model.Task, cancel context.CancelFunc) (r *record, first bool, refusal *model.NotRun) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.sweep()
+	if t.Job != "" {
+		l := j.job(t.Job)
+		if t.Epoch < l.epoch {
+			return nil, false, &model.NotRun{Code: model.CodeFenced, Reason: "the job has a newer owner"}
+		}
+		l.epoch = t.Epoch
+	}
+	if r, ok := j.tasks[t.ID]; ok {
+		return r, false, nil
+	}
+	r = &record{cancel: cancel, done: make(chan struct{})}
+	j.tasks[t.ID] = r
+	if t.Job != "" {
+		j.jobs[t.Job].tasks[t.ID] = r
+	}
+	return r, true, nil
+}
+
+// end records the outcome. A task that was not run leaves no trace, so that it
+// may be started later.
+func (j *journal) end(t model.Task, r *record, o model.Outcome) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r.outcome = o
+	close(r.done)
+	_, notRun := o.(model.NotRun)
+	if notRun || t.Job == "" {
+		delete(j.tasks, t.ID)
+	}
+	if notRun && t.Job != "" {
+		delete(j.jobs[t.Job].tasks, t.ID)
+	}
+}
+
+func (j *journal) job(key string) *jobLog {
+	l, ok := j.jobs[key]
+	if !ok {
+		l = &jobLog{tasks: map[string]*record{}}
+		j.jobs[key] = l
+	}
+	l.used = j.clock.Now()
+	return l
+}
+
+func (j *journal) cancel(id string) {
+	j.mu.Lock()
+	r := j.tasks[id]
+	j.mu.Unlock()
+	if r != nil {
+		r.cancel()
+	}
+}
+
+// sweep forgets jobs that were not heard of for a window. It is called with mu held.
+func (j *journal) sweep() {
+	now := j.clock.Now()
+	if now.Sub(j.swept) < sweepInterval {
+		return
+	}
+	j.swept = now
+	for key, l := range j.jobs {
+		if now.Sub(l.used) < journalWindow {
+			continue
+		}
+		for id := range l.tasks {
+			delete(j.tasks, id)
+		}
+		delete(j.jobs, key)
+	}
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"go.opentelemetry.io/otel/attribute"
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/label"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/spans"
+)
+
+// request answers POST /v1/requests: one task, answered whole.
+func (e *Entry) request(w http.ResponseWriter, r *http.Request) {
+	if refusal := e.enter(); refusal != nil {
+		writeOutcome(w, *refusal)
+		return
+	}
+	defer e.leave()
+	t, err := e.readTask(w, r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	began := e.opts.Clock.Now()
+	ctx, span := spans.Start(spans.Extract(r.Context(), r.Header.Get("Traceparent")), "entry", attribute.String("task", t.ID))
+	defer span.End()
+	o := e.router.Do(ctx, t)
+	span.SetAttributes(attribute.String("outcome", model.OutcomeName(o)))
+	e.opts.Log.Debug("request answered", zap.String("task", t.ID), zap.String("kind", t.Kind()),
+		zap.String("outcome", model.OutcomeName(o)), zap.Duration("took", e.opts.Clock.Since(began)))
+	w.Header().Set("Relay-Task", t.ID)
+	writeOutcome(w, o)
+}
+
+// readTask reads a task from the headers and body. The error names the header.
+func (e *Entry) readTask(w http.ResponseWriter, r *http.Request) (t model.Task, err error) {
+	p := headerParser{h: r.Header}
+	t = model.Task{
+		ID:         uuid.NewString(),
+		Labels:     p.labels(),
+		Selector:   p.selector(),
+		Urgency:    int(p.number("Relay-Urgency", model.MaxUrgency)),
+		TimeLeft:   p.duration("Relay-Deadline", e.opts.RequestTimeout, model.MaxTimeToLive),
+		Size:       p.number("Relay-Size", 1<<50),
+		RunTime:    p.duration("Relay-Run-Time", 0, model.MaxTimeToLive),
+		Idempotent: p.boolean("Relay-Idempotent", true),
+		Type:       r.Header.Get("Content-Type"),
+	}
+	if err := trace.NewAggregate(p.errs...); err != nil {
+		return t, err
+	}
+	t.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, e.opts.MaxBody))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return t, trace.LimitExceeded("body: more than %d bytes", large.Limit)
+	}
+	if err != nil {
+		return t, trace.BadParameter("body: %v", err)
+	}
+	return t, nil
+}
+
+// headerParser collects every error, so that a caller sees all at once.
+type headerParser struct {
+	h    http.Header
+	errs []error
+}
+
+func (p *headerParser) fail(name, format string, args ...any) {
+	p.errs = append(p.errs, trace.BadParameter(name+": "+format, args...))
+}
+
+func (p *headerParser) labels() model.Labels {
+	l := model.Labels{}
+	for part := range strings.SplitSeq(p.h.Get("Relay-Labels"), ",") {
+		if part = strings.TrimSpace(part); part == "" {
+			continue
+		}
+		k, v, ok := strings.Cut(part, "=")
+		if !ok {
+			p.fail("Relay-Labels", "%q is not of the form name=value", part)
+			continue
+		}
+		l[strings.TrimSpace(k)] = strings.TrimSpace(v)
+	}
+	if err := model.CheckLabels(l); err != nil {
+		p.fail("Relay-Labels", "%v", err)
+	}
+	return l
+}
+
+func (p *headerParser) selector() string {
+	s := p.h.Get("Relay-Selector")
+	if _, err := label.Parse(s); err != nil {
+		p.fail("Relay-Selector", "%v", err)
+	}
+	return s
+}
+
+func (p *headerParser) number(name string, limit int64) int64 {
+	s := p.h.Get(name)
+	if s == "" {
+		return 0
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || n < 0 || n > limit {
+		p.fail(name, "%q is no number from 0 to %d", s, limit)
+	}
+	return n
+}
+
+func (p *headerParser) duration(name string, unset, limit time.Duration) time.Duration {
+	s := p.h.Get(name)
+	if s == "" {
+		return unset
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d <= 0 || d > limit {
+		p.fail(name, "%q is no duration above 0 and up to %s, such as 800ms", s, limit)
+	}
+	return d
+}
+
+func (p *headerParser) boolean(name string, unset bool) bool {
+	switch s := p.h.Get(name); s {
+	case "":
+		return unset
+	case "true":
+		return true
+	case "false":
+		return false
+	default:
+		p.fail(name, "%q is neither true nor false", s)
+		return unset
+	}
+}
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,109 @@
+// Package kernel runs the services of a process. Services find each other by name.
+package kernel
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+)
+
+// Service is one part of a process.
+type Service interface {
+	// Name is the name that other services find it by.
+	Name() string
+	// Run serves until the context ends or the service fails.
+	Run(ctx context.Context) error
+}
+
+// Starter is a Service that looks up others, and opens its files and sockets,
+// before any service runs. Start is called in the order of Add.
+type Starter interface {
+	Start(k *Kernel) error
+}
+
+// Drainer is a Service that takes no new work and ends its work in progress
+// before the process stops. Drain is called in the reverse order of Add.
+type Drainer interface {
+	Drain(ctx context.Context)
+}
+
+// Kernel holds the services of a process.
+type Kernel struct {
+	log      *zap.Logger
+	mu       sync.Mutex
+	services []Service
+	byName   map[string]Service
+}
+
+// New returns a kernel without services.
+func New(log *zap.Logger) *Kernel { return &Kernel{log: log, byName: map[string]Service{}} }
+
+// Add adds a service. Two services of one name are a broken invariant.
+func (k *Kernel) Add(s Service) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, ok := k.byName[s.Name()]; ok {
+		panic("kernel: two services are named " + s.Name())
+	}
+	k.byName[s.Name()] = s
+	k.services = append(k.services, s)
+}
+
+// Find returns the named service as a T. The error is a trace.NotFound when
+// there is none, or a trace.BadParameter when it is no T.
+func Find[T any](k *Kernel, name string) (T, error) {
+	var zero T
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s, ok := k.byName[name]
+	if !ok {
+		return zero, trace.NotFound("service %s is not part of this process", name)
+	}
+	t, ok := s.(T)
+	if !ok {
+		return zero, trace.BadParameter("service %s has another type", name)
+	}
+	return t, nil
+}
+
+// Run starts and runs all services until one fails or ctx ends. When ctx ends,
+// it drains the services for at most the given time before it stops them.
+func (k *Kernel) Run(ctx context.Context, drain time.Duration) error {
+	for _, s := range k.services {
+		if st, ok := s.(Starter); ok {
+			if err := st.Start(k); err != nil {
+				return trace.Wrap(err, "starting service %s", s.Name())
+			}
+		}
+	}
+	var g run.Group
+	for _, s := range k.services {
+		sctx, stop := context.WithCancel(context.Background())
+		g.Add(func() error { return trace.Wrap(s.Run(sctx), "service %s", s.Name()) }, func(error) { stop() })
+	}
+	wctx, wake := context.WithCancel(ctx)
+	g.Add(func() error {
+		<-wctx.Done()
+		if ctx.Err() != nil {
+			k.drain(drain)
+		}
+		return nil
+	}, func(error) { wake() })
+	return trace.Wrap(g.Run())
+}
+
+func (k *Kernel) drain(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for i := len(k.services) - 1; i >= 0; i-- {
+		s := k.services[i]
+		if d, ok := s.(Drainer); ok {
+			k.log.Info("draining", zap.String("service", s.Name()))
+			d.Drain(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/link/call.go
@@ -0,0 +1,193 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/quic-go/quic-go"
+
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/wire"
+)
+
+// To is the destination of a call.
+type To struct {
+	// Address is the peer's IP address and UDP port.
+	Address string
+	// Role is a role that the peer's certificate must hold, empty for any.
+	Role keys.Role
+}
+
+type notSentError struct{ error }
+
+func (e notSentError) Unwrap() error { return e.error }
+
+// NotSent reports whether err says that the peer certainly has not received
+// the message.
+func NotSent(err error) bool {
+	var e notSentError
+	return errors.As(err, &e)
+}
+
+// Call sends m and returns the answer. A Refused answer is returned as a
+// message, not as an error. When the error is not NotSent, the peer may have
+// received m.
+func (n *Node) Call(ctx context.Context, to To, m wire.Message) (wire.Message, error) {
+	c, err := n.dial(ctx, to)
+	if err != nil {
+		return nil, notSentError{err}
+	}
+	return call(ctx, c, m)
+}
+
+// CallPeer is Call over the connection that the named peer has dialled.
+func (n *Node) CallPeer(ctx context.Context, name string, m wire.Message) (wire.Message, error) {
+	n.mu.Lock()
+	c := n.byName[name]
+	n.mu.Unlock()
+	if c == nil {
+		return nil, notSentError{trace.NotFound("peer %s is not connected", name)}
+	}
+	return call(ctx, c, m)
+}
+
+// Post sends m without an answer; it may be lost.
+func (n *Node) Post(ctx context.Context, to To, m wire.Message) error {
+	c, err := n.dial(ctx, to)
+	if err != nil {
+		return notSentError{err}
+	}
+	return post(ctx, c, m)
+}
+
+// PostPeer is Post over the connection that the named peer has dialled.
+func (n *Node) PostPeer(ctx context.Context, name string, m wire.Message) error {
+	n.mu.Lock()
+	c := n.byName[name]
+	n.mu.Unlock()
+	if c == nil {
+		return notSentError{trace.NotFound("peer %s is not connected", name)}
+	}
+	return post(ctx, c, m)
+}
+
+func post(ctx context.Context, c *quic.Conn, m wire.Message) error {
+	s, err := c.OpenUniStreamSync(ctx)
+	if err != nil {
+		return notSentError{trace.Wrap(err)}
+	}
+	return trace.Wrap(writeMessage(s, m))
+}
+
+func call(ctx context.Context, c *quic.Conn, m wire.Message) (wire.Message, error) {
+	s, err := c.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, notSentError{trace.Wrap(err)}
+	}
+	done := context.AfterFunc(ctx, func() {
+		s.CancelWrite(0)
+		s.CancelRead(0)
+	})
+	defer done()
+	if err := writeMessage(s, m); err != nil {
+		s.CancelRead(0)
+		return nil, trace.Wrap(err)
+	}
+	a, err := readMessage(s)
+	if err != nil {
+		s.CancelRead(0)
+		return nil, trace.Wrap(err)
+	}
+	return a, nil
+}
+
+func writeMessage(s io.WriteCloser, m wire.Message) error {
+	b, err := wire.Encode(m)
+	if err != nil {
+		return err
+	}
+	if _, err := s.Write(b); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(s.Close())
+}
+
+func readMessage(r io.Reader) (wire.Message, error) {
+	b, err := io.ReadAll(io.LimitReader(r, wire.MaxMessage+1))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return wire.Decode(b)
+}
+
+// dial returns the live connection to an address, making it when there is none.
+func (n *Node) dial(ctx context.Context, to To) (*quic.Conn, error) {
+	d, mine := n.slot(to.Address)
+	if mine {
+		d.conn, d.peer, d.err = n.connect(to)
+		d.failed = n.opts.Clock.Now()
+		close(d.ready)
+		if d.err == nil {
+			n.wg.Go(func() { n.serve(d.conn, d.peer) })
+		}
+	}
+	select {
+	case <-d.ready:
+	case <-ctx.Done():
+		return nil, trace.Wrap(ctx.Err())
+	}
+	if d.err != nil {
+		return nil, d.err
+	}
+	if to.Role != "" && !d.peer.Has(to.Role) {
+		return nil, trace.AccessDenied("%s at %s does not hold role %s", d.peer.Name, to.Address, to.Role)
+	}
+	return d.conn, nil
+}
+
+func (n *Node) slot(addr string) (d *dialled, mine bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d = n.byAddr[addr]
+	if d != nil && !d.stale(n.opts.Clock.Now()) {
+		return d, false
+	}
+	d = &dialled{ready: make(chan struct{})}
+	n.byAddr[addr] = d
+	return d, true
+}
+
+func (d *dialled) stale(now time.Time) bool {
+	select {
+	case <-d.ready:
+	default:
+		return false
+	}
+	if d.err != nil {
+		return now.Sub(d.failed) >= redialPause
+	}
+	return d.conn.Context().Err() != nil
+}
+
+func (n *Node) connect(to To) (*quic.Conn, Peer, error) {
+	addr, err := net.ResolveUDPAddr("udp", to.Address)
+	if err != nil {
+		return nil, Peer{}, trace.BadParameter("address %q: %v", to.Address, err)
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, dialTimeout)
+	defer cancel()
+	c, err := n.tr.Dial(ctx, addr, n.opts.Keys.ClientConfig(), quicConfig())
+	if err != nil {
+		return nil, Peer{}, trace.ConnectionProblem(err, "dialling %s", to.Address)
+	}
+	p, err := peerOf(c)
+	if err != nil {
+		_ = c.CloseWithError(closeDenied, "certificate refused")
+		return nil, Peer{}, trace.Wrap(err)
+	}
+	return c, p, nil
+}
--- /dev/null
+++ b/link/node.go
@@ -0,0 +1,228 @@
+// Package link carries messages between the system's own processes: QUIC with
+// mutual TLS, one stream an exchange.
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/kernel"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/wire"
+)
+
+const (
+	idleTimeout  = 6 * time.Second
+	keepAlive    = 2 * time.Second
+	dialTimeout  = 2 * time.Second
+	redialPause  = 200 * time.Millisecond
+	maxStreams   = 1 << 14
+	streamWindow = 1 << 20 // bytes
+	connWindow   = 16 << 20
+
+	closeNormal quic.ApplicationErrorCode = 0
+	closeDenied quic.ApplicationErrorCode = 1
+)
+
+// ServiceName is the name that other services find the node by.
+const ServiceName = "link"
+
+// Options configure a Node.
+type Options struct {
+	// Address is the IP address and UDP port to listen on.
+	Address string
+	Keys    *keys.Identity
+	Log     *zap.Logger
+	Clock   clockwork.Clock
+}
+
+// Node is a process's end of all its links: it listens and dials on one UDP socket.
+type Node struct {
+	opts Options
+	mux  *Mux
+	tr   *quic.Transport
+	ln   *quic.Listener
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	mu     sync.Mutex
+	byAddr map[string]*dialled
+	byName map[string]*quic.Conn
+}
+
+type dialled struct {
+	ready  chan struct{}
+	conn   *quic.Conn
+	peer   Peer
+	err    error
+	failed time.Time
+}
+
+// New returns a node that does not listen yet.
+func New(opts Options) *Node {
+	n := &Node{opts: opts, mux: NewMux(), byAddr: map[string]*dialled{}, byName: map[string]*quic.Conn{}}
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	return n
+}
+
+// Name implements kernel.Service.
+func (n *Node) Name() string { return ServiceName }
+
+// Mux returns the node's handlers, to be registered before Start.
+func (n *Node) Mux() *Mux { return n.mux }
+
+// Start implements kernel.Starter: it opens the socket. The error is a
+// trace.BadParameter for a bad address.
+func (n *Node) Start(*kernel.Kernel) error {
+	addr, err := net.ResolveUDPAddr("udp", n.opts.Address)
+	if err != nil {
+		return trace.BadParameter("listen address %q: %v", n.opts.Address, err)
+	}
+	pc, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	n.tr = &quic.Transport{Conn: pc}
+	n.ln, err = n.tr.Listen(n.opts.Keys.ServerConfig(), quicConfig())
+	if err != nil {
+		_ = pc.Close()
+		return trace.Wrap(err)
+	}
+	return nil
+}
+
+// Run implements kernel.Service: it serves peers until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	n.wg.Go(n.accept)
+	<-ctx.Done()
+	return n.Close()
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:       dialTimeout,
+		MaxIdleTimeout:             idleTimeout,
+		KeepAlivePeriod:            keepAlive,
+		MaxIncomingStreams:         maxStreams,
+		MaxIncomingUniStreams:      maxStreams,
+		InitialStreamReceiveWindow: streamWindow,
+		MaxConnectionReceiveWindow: connWindow,
+	}
+}
+
+// Address returns the address that the node listens on.
+func (n *Node) Address() string { return n.tr.Conn.LocalAddr().String() }
+
+// Close ends all links and waits for the handlers.
+func (n *Node) Close() error {
+	n.stop()
+	_ = n.ln.Close()
+	n.mu.Lock()
+	for _, d := range n.byAddr {
+		if d.conn != nil {
+			_ = d.conn.CloseWithError(closeNormal, "closing")
+		}
+	}
+	for _, c := range n.byName {
+		_ = c.CloseWithError(closeNormal, "closing")
+	}
+	n.mu.Unlock()
+	err := n.tr.Close()
+	_ = n.tr.Conn.Close()
+	n.wg.Wait()
+	return trace.Wrap(err)
+}
+
+func (n *Node) accept() {
+	for {
+		c, err := n.ln.Accept(n.ctx)
+		if err != nil {
+			return
+		}
+		p, err := peerOf(c)
+		if err != nil {
+			n.opts.Log.Warn("peer refused", zap.String("address", c.RemoteAddr().String()), zap.Error(err))
+			_ = c.CloseWithError(closeDenied, "certificate refused")
+			continue
+		}
+		n.mu.Lock()
+		n.byName[p.Name] = c
+		n.mu.Unlock()
+		n.wg.Go(func() { n.serve(c, p) })
+	}
+}
+
+func peerOf(c *quic.Conn) (Peer, error) {
+	kp, err := keys.PeerOf(c.ConnectionState().TLS)
+	if err != nil {
+		return Peer{}, trace.Wrap(err)
+	}
+	return Peer{Name: kp.Name, Roles: kp.Roles, Address: c.RemoteAddr().String()}, nil
+}
+
+func (n *Node) serve(c *quic.Conn, p Peer) {
+	n.wg.Go(func() { n.servePosts(c, p) })
+	for {
+		s, err := c.AcceptStream(n.ctx)
+		if err != nil {
+			n.forget(c, p)
+			return
+		}
+		n.wg.Go(func() { n.exchange(s, p) })
+	}
+}
+
+func (n *Node) servePosts(c *quic.Conn, p Peer) {
+	for {
+		s, err := c.AcceptUniStream(n.ctx)
+		if err != nil {
+			return
+		}
+		n.wg.Go(func() {
+			m, err := readMessage(s)
+			if err != nil {
+				n.opts.Log.Debug("bad message", zap.String("peer", p.Name), zap.Error(err))
+				return
+			}
+			n.mux.Serve(n.ctx, p, m)
+		})
+	}
+}
+
+func (n *Node) exchange(s *quic.Stream, p Peer) {
+	m, err := readMessage(s)
+	if err != nil {
+		n.opts.Log.Debug("bad message", zap.String("peer", p.Name), zap.Error(err))
+		n.answer(s, wire.Refused{Reason: err.Error()})
+		return
+	}
+	n.answer(s, n.mux.Serve(s.Context(), p, m))
+}
+
+func (n *Node) answer(s *quic.Stream, m wire.Message) {
+	if err := writeMessage(s, m); err != nil {
+		s.CancelWrite(0)
+		n.opts.Log.Debug("answer not sent", zap.Error(err))
+	}
+}
+
+func (n *Node) forget(c *quic.Conn, p Peer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.byName[p.Name] == c {
+		delete(n.byName, p.Name)
+	}
+	for a, d := range n.byAddr {
+		if d.conn == c {
+			delete(n.byAddr, a)
+		}
+	}
+}
--- /dev/null
+++ b/member/table.go
@@ -0,0 +1,69 @@
+// Package member knows which processes of the system are alive.
+package member
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cyclamenrelay.example/wire"
+)
+
+// Table holds the processes that announced themselves, each until its lease ends.
+type Table struct {
+	clock clockwork.Clock
+	lease time.Duration
+
+	mu    sync.Mutex
+	nodes map[string]row
+}
+
+type row struct {
+	node  wire.Node
+	heard time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable(clock clockwork.Clock, lease time.Duration) *Table {
+	return &Table{clock: clock, lease: lease, nodes: map[string]row{}}
+}
+
+// Heard takes an announcement. One of an earlier incarnation is passed over.
+func (t *Table) Heard(n wire.Node) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old, ok := t.nodes[n.Name]; ok && n.Incarnation < old.node.Incarnation {
+		return
+	}
+	t.nodes[n.Name] = row{node: n, heard: t.clock.Now()}
+}
+
+// Live returns the processes within their lease, by name.
+func (t *Table) Live() []wire.Node {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []wire.Node
+	for name, r := range t.nodes {
+		if t.clock.Since(r.heard) > t.lease {
+			delete(t.nodes, name)
+			continue
+		}
+		out = append(out, r.node)
+	}
+	slices.SortFunc(out, func(a, b wire.Node) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Find returns the live process of the name.
+func (t *Table) Find(name string) (wire.Node, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.nodes[name]
+	if !ok || t.clock.Since(r.heard) > t.lease {
+		return wire.Node{}, false
+	}
+	return r.node, true
+}
--- a/model/task.go
+++ b/model/task.go
@@ -38,6 +38,13 @@
 	return c
 }
 
+// Without returns a copy of l without name.
+func (l Labels) Without(name string) Labels {
+	c := maps.Clone(l)
+	delete(c, name)
+	return c
+}
+
 // Task is one piece of work, from a request or from a job.
 type Task struct {
 	// ID identifies the exchange; it is unique over all tasks.
--- /dev/null
+++ b/system/harness_test.go
@@ -0,0 +1,337 @@
+package system_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"cyclamenrelay.example/keys"
+)
+
+const (
+	startLimit = 30 * time.Second
+	stopLimit  = 20 * time.Second
+	certLife   = 24 * time.Hour
+)
+
+var programs string
+
+func TestMain(m *testing.M) { os.Exit(runMain(m)) }
+
+func runMain(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "relay")
+	if err != nil {
+		fmt.Println(err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	programs = dir
+	for _, p := range []string{"relayd", "relctl", "stand"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, p), "../"+p).CombinedOutput()
+		if err != nil {
+			fmt.Println(string(out), err)
+			return 1
+		}
+	}
+	return m.Run()
+}
+
+// shape is the size of a deployment.
+type shape struct {
+	centres []string
+	keepers int
+	entries int
+	targets int
+	slots   int
+	labels  func(i int) string
+	extra   func(role string, settings map[string]any)
+	args    func(i int) []string // more arguments of target i
+}
+
+// deployment is a whole running system.
+type deployment struct {
+	t     *testing.T
+	dir   string
+	shape shape
+	ca    *keys.CA
+	join  []string
+	init  []map[string]any
+
+	mu    sync.Mutex
+	procs map[string]*proc
+	conf  map[string]map[string]any
+}
+
+type proc struct {
+	name string
+	args []string
+	cmd  *exec.Cmd
+	out  *lockedBuffer
+	done chan struct{}
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// ports hands out ports that were free for both TCP and UDP.
+func ports(t *testing.T, n int) []string {
+	t.Helper()
+	var out []string
+	for len(out) < n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { _ = l.Close() }()
+		u, err := net.ListenPacket("udp", l.Addr().String())
+		if err != nil {
+			continue
+		}
+		defer func() { _ = u.Close() }()
+		out = append(out, l.Addr().String())
+	}
+	return out
+}
+
+func deploy(t *testing.T, s shape) *deployment {
+	t.Helper()
+	d := &deployment{t: t, dir: t.TempDir(), shape: s, procs: map[string]*proc{}, conf: map[string]map[string]any{}}
+	var err error
+	d.ca, err = keys.NewCA("test", time.Now(), certLife)
+	assert.NilError(t, err)
+	assert.NilError(t, d.ca.Write(d.path("ca.pem"), d.path("ca-key.pem")))
+	d.cert("operator", keys.RoleOperator)
+	t.Cleanup(d.stopAll)
+	p := ports(t, 2*s.keepers+4*s.entries+4*s.targets)
+	next := func() string { a := p[0]; p = p[1:]; return a }
+	for i := range s.keepers {
+		addr := next()
+		d.join = append(d.join, addr)
+		d.init = append(d.init, map[string]any{"name": fmt.Sprintf("keeper-%d", i+1), "address": addr, "dataCentre": s.centre(i)})
+	}
+	for i := range s.keepers {
+		d.relayd(fmt.Sprintf("keeper-%d", i+1), "keeper", d.join[i], s.centre(i), next(), map[string]any{
+			"keeper": map[string]any{"initialMembers": d.init},
+		})
+	}
+	for i := range s.entries {
+		d.relayd(fmt.Sprintf("entry-%d", i+1), "entry", next(), s.centre(i), next(), map[string]any{
+			"entry": map[string]any{"callers": next(), "operators": next()},
+		})
+	}
+	for i := range s.targets {
+		agentHTTP, listen := next(), next()
+		d.relayd(fmt.Sprintf("agent-%d", i+1), "agent", next(), s.centre(i), next(), map[string]any{
+			"agent": map[string]any{"targets": agentHTTP, "platform": "http://" + listen},
+		})
+		d.target(i, agentHTTP, listen)
+	}
+	d.ready()
+	return d
+}
+
+func (s shape) centre(i int) string { return s.centres[i%len(s.centres)] }
+
+func (d *deployment) path(name string) string { return filepath.Join(d.dir, name) }
+
+func (d *deployment) cert(name string, role keys.Role) {
+	p, err := d.ca.Node(name, []keys.Role{role}, time.Now(), certLife, "127.0.0.1")
+	assert.NilError(d.t, err)
+	assert.NilError(d.t, p.Write(d.path(name+".pem"), d.path(name+"-key.pem")))
+}
+
+func (d *deployment) relayd(name, role, listen, centre, metrics string, more map[string]any) {
+	d.cert(name, keys.Role(role))
+	settings := map[string]any{
+		"node": map[string]any{
+			"name": name, "dataCentre": centre, "roles": []string{role}, "listen": listen, "dataFolder": d.path(name),
+		},
+		"tls":     map[string]any{"ca": d.path("ca.pem"), "cert": d.path(name + ".pem"), "key": d.path(name + "-key.pem")},
+		"join":    map[string]any{"addresses": d.join},
+		"log":     map[string]any{"level": "debug"},
+		"metrics": map[string]any{"listen": metrics},
+	}
+	for k, v := range more {
+		settings[k] = v
+	}
+	if d.shape.extra != nil {
+		d.shape.extra(role, settings)
+	}
+	b, err := json.MarshalIndent(settings, "", "  ")
+	assert.NilError(d.t, err)
+	assert.NilError(d.t, os.WriteFile(d.path(name+".json"), b, 0o600))
+	d.conf[name] = settings
+	d.start(name, "relayd", "--settings", d.path(name+".json"))
+}
+
+func (d *deployment) target(i int, agentHTTP, listen string) {
+	name := fmt.Sprintf("target-%d", i+1)
+	args := []string{
+		"target", "--agent", "http://" + agentHTTP, "--listen", listen, "--name", name, "--data-centre", d.shape.centre(i),
+		"--slots", fmt.Sprint(d.shape.slots), "--connections", "64", "--start-log", d.path(name + ".starts"),
+		"--label", "rack=r" + fmt.Sprint(i/3),
+	}
+	if d.shape.labels != nil {
+		args = append(args, "--label", d.shape.labels(i))
+	}
+	if d.shape.args != nil {
+		args = append(args, d.shape.args(i)...)
+	}
+	d.start(name, "stand", args...)
+}
+
+func (d *deployment) start(name, program string, args ...string) {
+	p := &proc{name: name, args: append([]string{program}, args...)}
+	d.run(p)
+}
+
+func (d *deployment) run(p *proc) {
+	if p.out == nil {
+		p.out = &lockedBuffer{}
+	}
+	p.cmd = exec.Command(filepath.Join(programs, p.args[0]), p.args[1:]...)
+	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
+	assert.NilError(d.t, p.cmd.Start(), p.name)
+	p.done = make(chan struct{})
+	cmd, done := p.cmd, p.done
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+	}()
+	d.mu.Lock()
+	d.procs[p.name] = p
+	d.mu.Unlock()
+}
+
+// kill ends a process at once and waits for it.
+func (d *deployment) kill(name string) {
+	p := d.procs[name]
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// signal sends a signal to a process.
+func (d *deployment) signal(name string, s syscall.Signal) {
+	assert.NilError(d.t, d.procs[name].cmd.Process.Signal(s))
+}
+
+// restart starts a process that has ended with its old arguments.
+func (d *deployment) restart(name string) { d.run(d.procs[name]) }
+
+func (d *deployment) stopAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.procs {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range d.procs {
+		<-p.done
+		if d.t.Failed() {
+			d.t.Logf("output of %s:\n%s", p.name, lastLines(p.out.String(), 40))
+		}
+	}
+}
+
+func lastLines(s string, n int) string {
+	l := strings.Split(s, "\n")
+	return strings.Join(l[max(0, len(l)-n):], "\n")
+}
+
+func (d *deployment) callers(i int) string {
+	return d.conf[fmt.Sprintf("entry-%d", i)]["entry"].(map[string]any)["callers"].(string)
+}
+
+func (d *deployment) operators(i int) string {
+	return d.conf[fmt.Sprintf("entry-%d", i)]["entry"].(map[string]any)["operators"].(string)
+}
+
+func (d *deployment) metrics(name string) string {
+	return d.conf[name]["metrics"].(map[string]any)["listen"].(string)
+}
+
+// ready waits until each entry answers requests.
+func (d *deployment) ready() {
+	d.t.Helper()
+	for i := 1; i <= d.shape.entries; i++ {
+		poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+			a := d.request(i, "warm", `{"runTime":"1ms"}`, nil)
+			if a.outcome == "complete" {
+				return poll.Success()
+			}
+			return poll.Continue("entry-%d answers %s: %s", i, a.outcome, a.body)
+		}, poll.WithTimeout(startLimit), poll.WithDelay(100*time.Millisecond))
+	}
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status  int
+	outcome string
+	body    string
+	header  http.Header
+	err     error
+}
+
+func (d *deployment) request(entry int, kind, body string, headers map[string]string) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers(entry)+"/v1/requests", strings.NewReader(body))
+	assert.NilError(d.t, err)
+	req.Header.Set("Relay-Labels", "kind="+kind)
+	for k, v := range headers {
+		req.Header.Set(k, v)
+	}
+	return do(req)
+}
+
+func do(req *http.Request) answer {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var b bytes.Buffer
+	_, err = b.ReadFrom(resp.Body)
+	return answer{resp.StatusCode, resp.Header.Get("Relay-Outcome"), b.String(), resp.Header, err}
+}
+
+// relctl runs the operators' command line against an entry.
+func (d *deployment) relctl(entry int, args ...string) (string, int) {
+	all := append([]string{
+		"--server", "https://" + d.operators(entry), "--ca", d.path("ca.pem"),
+		"--cert", d.path("operator.pem"), "--key", d.path("operator-key.pem"),
+	}, args...)
+	cmd := exec.Command(filepath.Join(programs, "relctl"), all...)
+	out, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		d.t.Fatal(err)
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
--- a/wire/task.go
+++ b/wire/task.go
@@ -12,8 +12,6 @@
 // Start asks an agent to run a task now; the answer is a Result.
 type Start struct {
 	Task model.Task `cbor:"1,keyasint"`
-	// Fresh is the entry's freshness, so that an agent cut off from keepers goes on.
-	Fresh model.Fresh `cbor:"2,keyasint"`
 	// Trace is the W3C trace context of the sender's span.
 	Trace string `cbor:"3,keyasint,omitempty"`
 	// Grant is the grant that this start uses, 0 for none.
