--- a/keys/ca.go
+++ b/keys/ca.go
@@ -114,7 +114,7 @@
 	}
 	t.KeyUsage = x509.KeyUsageDigitalSignature
 	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
-	if roles[0] != RoleOperator {
+	if roles[0] != Operator {
 		t.ExtKeyUsage = append(t.ExtKeyUsage, x509.ExtKeyUsageServerAuth)
 	}
 	for _, r := range roles {
@@ -155,7 +155,7 @@
 			return trace.Wrap(err)
 		}
 	}
-	if len(roles) > 1 && slices.Contains(roles, RoleOperator) {
+	if len(roles) > 1 && slices.Contains(roles, Operator) {
 		return trace.BadParameter("the role operator stands alone in a certificate")
 	}
 	return nil
--- a/keys/identity.go
+++ b/keys/identity.go
@@ -104,12 +104,12 @@
 
 // OperatorServerConfig returns the configuration of the operators' HTTPS listener.
 func (id *Identity) OperatorServerConfig() *tls.Config {
-	return id.config("", []Role{RoleOperator}, "h2", "http/1.1")
+	return id.config("", []Role{Operator}, "h2", "http/1.1")
 }
 
 // OperatorClientConfig returns an operator's configuration for HTTPS to an entry.
 func (id *Identity) OperatorClientConfig() *tls.Config {
-	return id.config("", []Role{RoleEntry}, "h2", "http/1.1")
+	return id.config("", []Role{Entry}, "h2", "http/1.1")
 }
 
 // config returns the configuration of either side. The standard verification
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -18,10 +18,10 @@
 
 // The roles of certificates.
 const (
-	RoleEntry    Role = "entry"
-	RoleKeeper   Role = "keeper"
-	RoleAgent    Role = "agent"
-	RoleOperator Role = "operator"
+	Entry    Role = "entry"
+	Keeper   Role = "keeper"
+	Agent    Role = "agent"
+	Operator Role = "operator"
 )
 
 // Protocol is the ALPN name of the links between the system's own processes.
@@ -33,8 +33,8 @@
 )
 
 var (
-	allRoles  = []Role{RoleEntry, RoleKeeper, RoleAgent, RoleOperator}
-	nodeRoles = []Role{RoleEntry, RoleKeeper, RoleAgent}
+	allRoles  = []Role{Entry, Keeper, Agent, Operator}
+	nodeRoles = []Role{Entry, Keeper, Agent}
 	validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._@-]{0,62}$`)
 )
 
--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -79,24 +79,24 @@
 
 func TestMutualHandshake(t *testing.T) {
 	d := deploy(t)
-	k, e := d.node("k1", keys.RoleKeeper), d.node("e1", keys.RoleEntry, keys.RoleAgent)
-	srv, cli, serr, cerr := handshake(t, k.ServerConfig(keys.RoleEntry), e.ClientConfigFor("k1", keys.RoleKeeper))
+	k, e := d.node("k1", keys.Keeper), d.node("e1", keys.Entry, keys.Agent)
+	srv, cli, serr, cerr := handshake(t, k.ServerConfig(keys.Entry), e.ClientConfigFor("k1", keys.Keeper))
 	assert.NilError(t, serr)
 	assert.NilError(t, cerr)
-	assert.DeepEqual(t, srv, keys.Peer{Name: "e1", Roles: []keys.Role{keys.RoleEntry, keys.RoleAgent}})
-	assert.DeepEqual(t, cli, keys.Peer{Name: "k1", Roles: []keys.Role{keys.RoleKeeper}})
+	assert.DeepEqual(t, srv, keys.Peer{Name: "e1", Roles: []keys.Role{keys.Entry, keys.Agent}})
+	assert.DeepEqual(t, cli, keys.Peer{Name: "k1", Roles: []keys.Role{keys.Keeper}})
 }
 
 func TestHandshakeRefusals(t *testing.T) {
 	d, other := deploy(t), deploy(t)
-	k, a, op := d.node("k1", keys.RoleKeeper), d.node("a1", keys.RoleAgent), d.node("aru", keys.RoleOperator)
-	e, stranger := d.node("e1", keys.RoleEntry), other.node("e1", keys.RoleEntry)
+	k, a, op := d.node("k1", keys.Keeper), d.node("a1", keys.Agent), d.node("aru", keys.Operator)
+	e, stranger := d.node("e1", keys.Entry), other.node("e1", keys.Entry)
 	for name, c := range map[string]struct{ server, client *tls.Config }{
 		"client of another CA":       {k.ServerConfig(), stranger.ClientConfig()},
 		"server of another CA":       {stranger.ServerConfig(), e.ClientConfig()},
-		"agent dialling as a keeper": {k.ServerConfig(keys.RoleKeeper), a.ClientConfig()},
-		"agent answering for keeper": {a.ServerConfig(), e.ClientConfig(keys.RoleKeeper)},
-		"keeper of another name":     {k.ServerConfig(), e.ClientConfigFor("k2", keys.RoleKeeper)},
+		"agent dialling as a keeper": {k.ServerConfig(keys.Keeper), a.ClientConfig()},
+		"agent answering for keeper": {a.ServerConfig(), e.ClientConfig(keys.Keeper)},
+		"keeper of another name":     {k.ServerConfig(), e.ClientConfigFor("k2", keys.Keeper)},
 		"operator on a link":         {k.ServerConfig(), op.ClientConfig()},
 		"agent as an operator":       {e.OperatorServerConfig(), a.OperatorClientConfig()},
 		"operators' page of agent":   {a.OperatorServerConfig(), op.OperatorClientConfig()},
@@ -111,15 +111,15 @@
 
 func TestExpiredThenRenewed(t *testing.T) {
 	d := deploy(t)
-	k, e := d.node("k1", keys.RoleKeeper), d.node("e1", keys.RoleEntry)
+	k, e := d.node("k1", keys.Keeper), d.node("e1", keys.Entry)
 	server, client := k.ServerConfig(), e.ClientConfig()
 	d.clock.Advance(31 * day)
 	_, _, serr, cerr := handshake(t, server, client)
 	assert.Assert(t, serr != nil && cerr != nil)
 	assert.ErrorContains(t, e.Reload(), "expired")
 
-	d.node("k1", keys.RoleKeeper)
-	d.node("e1", keys.RoleEntry)
+	d.node("k1", keys.Keeper)
+	d.node("e1", keys.Entry)
 	assert.NilError(t, k.Reload())
 	assert.NilError(t, e.Reload())
 	_, _, serr, cerr = handshake(t, server, client)
@@ -130,11 +130,11 @@
 
 func TestHandshakeOverQUIC(t *testing.T) {
 	d := deploy(t)
-	k, e := d.node("k1", keys.RoleKeeper), d.node("e1", keys.RoleEntry)
-	l, err := quic.ListenAddr("127.0.0.1:0", k.ServerConfig(keys.RoleEntry), nil)
+	k, e := d.node("k1", keys.Keeper), d.node("e1", keys.Entry)
+	l, err := quic.ListenAddr("127.0.0.1:0", k.ServerConfig(keys.Entry), nil)
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
-	for role, ok := range map[keys.Role]bool{keys.RoleKeeper: true, keys.RoleAgent: false} {
+	for role, ok := range map[keys.Role]bool{keys.Keeper: true, keys.Agent: false} {
 		c, err := quic.DialAddr(t.Context(), l.Addr().String(), e.ClientConfig(role), nil)
 		assert.Equal(t, err == nil, ok, "role %s", role)
 		if err == nil {
@@ -147,7 +147,7 @@
 
 func TestFailedReloadKeepsIdentity(t *testing.T) {
 	d := deploy(t)
-	k, e := d.node("k1", keys.RoleKeeper), d.node("e1", keys.RoleEntry)
+	k, e := d.node("k1", keys.Keeper), d.node("e1", keys.Entry)
 	assert.NilError(t, os.WriteFile(d.path("e1.pem"), []byte("torn"), 0o600))
 	assert.Assert(t, e.Reload() != nil)
 	_, _, serr, cerr := handshake(t, k.ServerConfig(), e.ClientConfig())
@@ -158,7 +158,7 @@
 
 func TestFilesOfKeys(t *testing.T) {
 	d := deploy(t)
-	d.node("k1", keys.RoleKeeper)
+	d.node("k1", keys.Keeper)
 	for _, f := range []string{"ca.key", "k1.key"} {
 		info, err := os.Stat(d.path(f))
 		assert.NilError(t, err)
@@ -178,11 +178,11 @@
 func TestBadSubjects(t *testing.T) {
 	d := deploy(t)
 	for name, roles := range map[string][]keys.Role{
-		"":        {keys.RoleAgent},
-		"a/b":     {keys.RoleAgent},
+		"":        {keys.Agent},
+		"a/b":     {keys.Agent},
 		"none":    nil,
 		"unknown": {"root"},
-		"both":    {keys.RoleAgent, keys.RoleOperator},
+		"both":    {keys.Agent, keys.Operator},
 	} {
 		_, err := d.ca.Node(name, roles, start, day)
 		assert.Assert(t, err != nil, "name %q", name)
