--- /dev/null
+++ b/conf/agent.go
@@ -0,0 +1,29 @@
+package conf
+
+import "cyclamenrelay.example/keys"
+
+// Agent are the settings of the role agent.
+type Agent struct {
+	// Targets is the IP address and TCP port where the target announces itself.
+	Targets string `json:"targets"`
+	// Platform is the URL of the platform's interface on this worker, empty for none.
+	Platform string `json:"platform"`
+	// TargetLease is the longest lease that a target may ask for.
+	TargetLease Duration `json:"targetLease"`
+	// RefuseAfter is the time without a fresh configuration after which the
+	// agent refuses new work; at most freshness.lease, 0 for just that.
+	RefuseAfter Duration `json:"refuseAfter"`
+}
+
+func defaultAgent() Agent { return Agent{TargetLease: seconds(5)} }
+
+func (a Agent) check(c *checker, s Settings) {
+	if s.Node.Has(keys.Agent) || a.Targets != "" {
+		c.listen("agent.targets", a.Targets)
+	}
+	if a.Platform != "" {
+		c.httpURL("agent.platform", a.Platform)
+	}
+	c.duration("agent.targetLease", a.TargetLease, millis(200), seconds(60))
+	c.duration("agent.refuseAfter", a.RefuseAfter, 0, s.Freshness.Lease)
+}
--- /dev/null
+++ b/conf/conf.go
@@ -0,0 +1,156 @@
+// Package conf reads the settings of a process: JSON in camel case, with
+// defaults, checked as a whole so that every error is reported at once.
+package conf
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"reflect"
+
+	"github.com/gravitational/trace"
+)
+
+// maxSettings bounds a settings file, in bytes.
+const maxSettings = 1 << 20
+
+// Settings are the settings of one process.
+type Settings struct {
+	Node      Node      `json:"node"`
+	TLS       TLS       `json:"tls"`
+	Join      Join      `json:"join"`
+	Keeper    Keeper    `json:"keeper"`
+	Entry     Entry     `json:"entry"`
+	Agent     Agent     `json:"agent"`
+	Freshness Freshness `json:"freshness"`
+	Log       Log       `json:"log"`
+	Spans     Spans     `json:"spans"`
+	Metrics   Metrics   `json:"metrics"`
+}
+
+// Default returns the settings that a file's fields replace.
+func Default() Settings {
+	return Settings{
+		Keeper:    defaultKeeper(),
+		Entry:     defaultEntry(),
+		Agent:     defaultAgent(),
+		Freshness: defaultFreshness(),
+		Log:       defaultLog(),
+		Spans:     defaultSpans(),
+	}
+}
+
+// Load reads and checks a settings file. Relative paths in it count from the
+// file's folder and are returned joined to it. The error is a trace.NotFound
+// or AccessDenied for the file, or holds Problems.
+func Load(path string) (Settings, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return Settings{}, trace.ConvertSystemError(err)
+	}
+	defer func() { _ = f.Close() }()
+	b, err := io.ReadAll(io.LimitReader(f, maxSettings+1))
+	if err != nil {
+		return Settings{}, trace.ConvertSystemError(err)
+	}
+	s, err := Parse(b)
+	if err != nil {
+		return Settings{}, trace.Wrap(err, "settings %s", path)
+	}
+	return s.within(filepath.Dir(path)), nil
+}
+
+// Parse reads settings and checks them. The error holds Problems.
+func Parse(b []byte) (Settings, error) {
+	s := Default()
+	c := &checker{}
+	c.decode(b, &s)
+	s.Node = s.Node.withDefaults()
+	s.check(c)
+	if err := c.err(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// Validate checks the settings as a whole. The error holds Problems.
+func (s Settings) Validate() error {
+	c := &checker{}
+	s.check(c)
+	return c.err()
+}
+
+func (s Settings) check(c *checker) {
+	s.Node.check(c)
+	s.TLS.check(c)
+	s.Join.check(c, s)
+	s.Keeper.check(c, s.Node)
+	s.Entry.check(c, s.Node)
+	s.Agent.check(c, s)
+	s.Freshness.check(c)
+	s.Log.check(c)
+	s.Spans.check(c)
+	s.Metrics.check(c)
+	s.checkPorts(c)
+}
+
+// checkPorts finds listeners that would take the same TCP address.
+func (s Settings) checkPorts(c *checker) {
+	seen := map[string]string{}
+	for _, l := range []struct{ path, addr string }{
+		{"entry.callers", s.Entry.Callers},
+		{"entry.operators", s.Entry.Operators},
+		{"agent.targets", s.Agent.Targets},
+		{"metrics.listen", s.Metrics.Listen},
+	} {
+		if l.addr == "" {
+			continue
+		}
+		if other, ok := seen[l.addr]; ok {
+			c.add(l.path, l.addr, "an address that "+other+" does not use")
+		}
+		seen[l.addr] = l.path
+	}
+}
+
+// Sparse returns the settings as indented JSON without the fields that have
+// their default.
+func (s Settings) Sparse() ([]byte, error) {
+	own, err := s.sections()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	base, err := Default().sections()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	for name, fields := range own {
+		maps.DeleteFunc(fields, func(f string, v any) bool { return reflect.DeepEqual(v, base[name][f]) })
+		if len(fields) == 0 {
+			delete(own, name)
+		}
+	}
+	b, err := json.MarshalIndent(own, "", "  ")
+	return append(b, '\n'), trace.Wrap(err)
+}
+
+func (s Settings) sections() (map[string]map[string]any, error) {
+	b, err := json.Marshal(s)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var out map[string]map[string]any
+	return out, trace.Wrap(json.Unmarshal(b, &out))
+}
+
+// within returns s with its relative paths joined to the folder.
+func (s Settings) within(dir string) Settings {
+	for _, p := range []*string{&s.Node.DataFolder, &s.TLS.CA, &s.TLS.Cert, &s.TLS.Key} {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(dir, *p)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/conf/entry.go
@@ -0,0 +1,55 @@
+package conf
+
+import (
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/model"
+)
+
+// The placement policies.
+const (
+	PolicyJoinIdle   = "joinIdle"   // an idle target's slot, else queue at the entry until an agent pulls
+	PolicyTwoChoices = "twoChoices" // the less loaded of two random targets
+	PolicyRandom     = "random"     // a random target
+)
+
+// Entry are the settings of the role entry.
+type Entry struct {
+	// Callers is the IP address and TCP port of the callers' HTTP.
+	Callers string `json:"callers"`
+	// Operators is the IP address and TCP port of the operators' HTTPS.
+	Operators string `json:"operators"`
+	// MaxBody bounds a task's body, in bytes.
+	MaxBody int `json:"maxBody"`
+	// Policy is the placement policy: joinIdle, twoChoices or random.
+	Policy string `json:"policy"`
+	// NoTargetWait is how long work waits for a matching target to appear.
+	NoTargetWait Duration `json:"noTargetWait"`
+	// RequestTimeout is the deadline of work that states none.
+	RequestTimeout Duration `json:"requestTimeout"`
+	// DrainTimeout is how long a shutdown waits for requests in progress.
+	DrainTimeout Duration `json:"drainTimeout"`
+}
+
+func defaultEntry() Entry {
+	return Entry{
+		MaxBody:        model.MaxBody,
+		Policy:         PolicyJoinIdle,
+		NoTargetWait:   seconds(2),
+		RequestTimeout: seconds(30),
+		DrainTimeout:   seconds(60),
+	}
+}
+
+func (e Entry) check(c *checker, n Node) {
+	if n.Has(keys.Entry) || e.Callers != "" {
+		c.listen("entry.callers", e.Callers)
+	}
+	if n.Has(keys.Entry) || e.Operators != "" {
+		c.listen("entry.operators", e.Operators)
+	}
+	c.number("entry.maxBody", e.MaxBody, 1, model.MaxBody)
+	c.oneOf("entry.policy", e.Policy, PolicyJoinIdle, PolicyTwoChoices, PolicyRandom)
+	c.duration("entry.noTargetWait", e.NoTargetWait, 0, seconds(60))
+	c.duration("entry.requestTimeout", e.RequestTimeout, millis(10), Duration(model.MaxTimeToLive))
+	c.duration("entry.drainTimeout", e.DrainTimeout, 0, Duration(model.MaxTimeToLive))
+}
--- /dev/null
+++ b/conf/keeper.go
@@ -0,0 +1,69 @@
+package conf
+
+import (
+	"slices"
+	"strings"
+
+	"cyclamenrelay.example/keys"
+)
+
+const (
+	defaultGroups          = 4
+	maxGroups              = 64
+	maxKeepers             = 21
+	defaultSnapshotEntries = 20_000
+	minSnapshotEntries     = 100
+	maxSnapshotEntries     = 10_000_000
+	hour                   = 3600 // seconds
+)
+
+// Keeper are the settings of the role keeper.
+type Keeper struct {
+	// Groups is the number of ledger groups. It is fixed when a cluster starts
+	// and the same at all keepers.
+	Groups int `json:"groups"`
+	// InitialMembers start an empty cluster and are unused from then on. A
+	// keeper that joins a cluster has none.
+	InitialMembers []InitialMember `json:"initialMembers,omitempty"`
+	// SnapshotEntries is how many log entries are written between snapshots.
+	SnapshotEntries int `json:"snapshotEntries"`
+	// Retention is how long the ledger keeps the records of jobs and claims.
+	Retention Duration `json:"retention"`
+}
+
+// InitialMember is a keeper that starts an empty cluster.
+type InitialMember struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+}
+
+func defaultKeeper() Keeper {
+	return Keeper{Groups: defaultGroups, SnapshotEntries: defaultSnapshotEntries, Retention: seconds(24 * hour)}
+}
+
+func (k Keeper) check(c *checker, n Node) {
+	c.number("keeper.groups", k.Groups, 1, maxGroups)
+	c.number("keeper.snapshotEntries", k.SnapshotEntries, minSnapshotEntries, maxSnapshotEntries)
+	c.duration("keeper.retention", k.Retention, seconds(60), seconds(30*24*hour))
+	if len(k.InitialMembers) > maxKeepers {
+		c.add("keeper.initialMembers", len(k.InitialMembers), "at most 21 members")
+	}
+	for i, m := range k.InitialMembers {
+		path := index("keeper.initialMembers", i)
+		c.name(path+".name", m.Name, keys.ValidName)
+		c.name(path+".dataCentre", m.DataCentre, keys.ValidName)
+		c.address(path+".address", m.Address)
+		earlier := k.InitialMembers[:i]
+		if slices.ContainsFunc(earlier, func(o InitialMember) bool { return strings.EqualFold(o.Name, m.Name) }) {
+			c.add(path+".name", m.Name, "each name once")
+		}
+		if slices.ContainsFunc(earlier, func(o InitialMember) bool { return o.Address == m.Address }) {
+			c.add(path+".address", m.Address, "each address once")
+		}
+	}
+	self := InitialMember{Name: n.Name, Address: n.Advertise, DataCentre: n.DataCentre}
+	if n.Has(keys.Keeper) && len(k.InitialMembers) > 0 && !slices.Contains(k.InitialMembers, self) {
+		c.add("keeper.initialMembers", "", "a list with this node's own name, advertised address and data centre, or an empty one")
+	}
+}
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -38,6 +38,10 @@
 	validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._@-]{0,62}$`)
 )
 
+// ValidName reports whether name may stand in a certificate: 1 to 63 letters,
+// digits and . _ @ -, a letter or digit first.
+func ValidName(name string) bool { return validName.MatchString(name) }
+
 // ParseRole returns the role with the name. The error is a trace.BadParameter.
 func ParseRole(name string) (Role, error) {
 	r := Role(name)
