--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -30,6 +29,7 @@
 	Clock       clockwork.Clock
 	Log         *zap.Logger
 	View        *spread.View
+	Platform    Platform
 }
 
 // Agent is the service beside a target.
@@ -37,7 +37,6 @@
 	opts   Options
 	node   *link.Node
 	finder *member.Finder
-	client *http.Client
 	wake   chan struct{}
 	log    *journal
 
@@ -53,11 +52,10 @@
 // New returns an agent that has not heard of its target yet.
 func New(opts Options) *Agent {
 	return &Agent{
-		opts:   opts,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}},
-		wake:   make(chan struct{}, 1),
-		log:    newJournal(opts.Clock),
-		idle:   make(chan struct{}),
+		opts: opts,
+		wake: make(chan struct{}, 1),
+		log:  newJournal(opts.Clock),
+		idle: make(chan struct{}),
 	}
 }
 
@@ -72,20 +70,18 @@
 	if a.finder, err = kernel.Find[*member.Finder](k, member.ServiceName); err != nil {
 		return err
 	}
-	link.On(a.node.Mux(), a.start, keys.RoleEntry)
-	link.On(a.node.Mux(), a.cancel, keys.RoleEntry)
+	link.On(a.node.Mux(), a.start, keys.Entry)
+	link.On(a.node.Mux(), a.cancel, keys.Entry)
 	return nil
 }
 
 // Run implements kernel.Service.
 func (a *Agent) Run(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		a.announceLoop(ctx)
-	}()
+	var wg sync.WaitGroup
+	wg.Go(func() { a.announceLoop(ctx) })
+	wg.Go(func() { a.watchUsage(ctx) })
 	err := a.serveTarget(ctx)
-	<-done
+	wg.Wait()
 	return err
 }
 
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -33,7 +33,7 @@
 	defer wg.Wait()
 	busy := &sync.Map{}
 	for ctx.Err() == nil {
-		entries := a.finder.Nodes(keys.RoleEntry)
+		entries := a.finder.Nodes(keys.Entry)
 		for _, e := range choose(a.finder.Self().Name, entries, maxEntries) {
 			if _, on := busy.LoadOrStore(e.Address, true); on {
 				continue
@@ -57,7 +57,7 @@
 	defer cancel()
 	m := a.announcement()
 	sent := a.opts.Clock.Now()
-	r, err := a.node.Call(ctx, link.To{Address: addr, Role: keys.RoleEntry}, m)
+	r, err := a.node.Call(ctx, link.To{Address: addr, Role: keys.Entry}, m)
 	if err != nil {
 		a.opts.Log.Debug("entry not reached", zap.String("address", addr), zap.Error(err))
 		return
--- a/agent/run.go
+++ b/agent/run.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel/attribute"
@@ -22,8 +21,6 @@
 	"cyclamenrelay.example/wire"
 )
 
-const taskLease = 10 * time.Second
-
 // start serves wire.Start: it runs the task now, or refuses it.
 func (a *Agent) start(ctx context.Context, _ link.Peer, m wire.Start) wire.Message {
 	ctx, span := spans.Start(spans.Extract(ctx, m.Trace), "agent", attribute.String("task", m.Task.ID))
@@ -79,6 +76,7 @@
 	}
 	ctx, span := spans.Start(ctx, "target", attribute.String("target", l.target.Name))
 	defer span.End()
+	defer a.tend(ctx, t.ID)()
 	return a.post(ctx, l, t)
 }
 
--- a/agent/target.go
+++ b/agent/target.go
@@ -11,12 +11,12 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/model"
 )
 
 const (
 	maxAnnouncement = 64 << 10 // bytes
-	maxIdleConns    = 256
 	maxSlots        = 4096
 	minLease        = 200 * time.Millisecond
 	headerTimeout   = 5 * time.Second
@@ -36,13 +36,7 @@
 	mux.HandleFunc("PUT /v1/target", a.putTarget)
 	mux.HandleFunc("DELETE /v1/target", a.deleteTarget)
 	srv := &http.Server{Addr: a.opts.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	err := srv.ListenAndServe()
-	if ctx.Err() != nil {
-		return nil
-	}
-	return trace.Wrap(err)
+	return meter.Serve(ctx, srv)
 }
 
 func (a *Agent) putTarget(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/agent/tend.go
@@ -0,0 +1,73 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+const (
+	// taskLease is the lease that a task starts with and is renewed to.
+	taskLease     = 10 * time.Second
+	renewInterval = taskLease / 3
+	usageInterval = 2 * time.Second
+)
+
+// tend renews the task's lease until the returned function is called, which
+// has the platform stop the task when ctx has ended.
+func (a *Agent) tend(ctx context.Context, id string) (done func()) {
+	over := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-over:
+				return
+			case <-ctx.Done():
+				return
+			case <-a.opts.Clock.After(renewInterval):
+				if err := a.opts.Platform.Renew(ctx, id, taskLease); err != nil {
+					a.opts.Log.Warn("lease not renewed", zap.String("task", id), zap.Error(err))
+				}
+			}
+		}
+	}()
+	return func() {
+		close(over)
+		<-ended
+		if ctx.Err() != nil {
+			a.stop(id)
+		}
+	}
+}
+
+func (a *Agent) stop(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	defer cancel()
+	if err := a.opts.Platform.Stop(ctx, id); err != nil {
+		a.opts.Log.Debug("task not stopped", zap.String("task", id), zap.Error(err))
+	}
+}
+
+// watchUsage keeps the newest usage report of the platform as metrics.
+func (a *Agent) watchUsage(ctx context.Context) {
+	lag := metrics.GetOrCreateFloatCounter("relay_usage_lag_seconds")
+	memory := metrics.GetOrCreateFloatCounter("relay_usage_memory_bytes")
+	for ctx.Err() == nil {
+		if u, err := a.opts.Platform.Usage(ctx); err == nil && !u.At.IsZero() {
+			var sum int64
+			for _, t := range u.Tasks {
+				sum += t.MemoryBytes
+			}
+			lag.Set(a.opts.Clock.Since(u.At).Seconds())
+			memory.Set(float64(sum))
+		}
+		select {
+		case <-ctx.Done():
+		case <-a.opts.Clock.After(usageInterval):
+		}
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,12 +7,12 @@
 	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/route"
 	"cyclamenrelay.example/spread"
@@ -70,13 +70,7 @@
 	mux.HandleFunc("GET /v1/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /v1/ready", e.ready)
 	srv := &http.Server{Addr: e.opts.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	err := srv.ListenAndServe()
-	if ctx.Err() != nil {
-		return nil
-	}
-	return trace.Wrap(err)
+	return meter.Serve(ctx, srv)
 }
 
 // ready tells the platform's balancer whether to send new work here.
--- a/keeper/nodes.go
+++ b/keeper/nodes.go
@@ -16,10 +16,10 @@
 		if m.Self.Name != p.Name {
 			return wire.Refused{Reason: "the announced name is not the certificate's"}
 		}
-		if p.Has(keys.RoleEntry, keys.RoleKeeper) {
+		if p.Has(keys.Entry, keys.Keeper) {
 			t.Heard(m.Self)
 		}
 		t.Heard(self())
 		return wire.Nodes{Nodes: t.Live()}
-	}, keys.RoleEntry, keys.RoleKeeper, keys.RoleAgent)
+	}, keys.Entry, keys.Keeper, keys.Agent)
 }
--- a/keeper/solo.go
+++ b/keeper/solo.go
@@ -42,8 +42,8 @@
 	}
 	s.changed = make(chan struct{})
 	serveNodes(n.Mux(), member.NewTable(s.Clock, member.NodeLease), s.Self)
-	link.On(n.Mux(), s.watch, keys.RoleEntry)
-	link.On(n.Mux(), s.change, keys.RoleEntry)
+	link.On(n.Mux(), s.watch, keys.Entry)
+	link.On(n.Mux(), s.change, keys.Entry)
 	return nil
 }
 
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,205 @@
+package link_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/wire"
+)
+
+type authority struct {
+	t   *testing.T
+	dir string
+	ca  *keys.CA
+}
+
+func newAuthority(t *testing.T) authority {
+	ca, err := keys.NewCA("test", time.Now(), time.Hour)
+	assert.NilError(t, err)
+	a := authority{t, t.TempDir(), ca}
+	assert.NilError(t, ca.Write(a.path("ca.pem"), a.path("ca.key")))
+	return a
+}
+
+func (a authority) path(name string) string { return filepath.Join(a.dir, name) }
+
+func (a authority) identity(name string, roles ...keys.Role) *keys.Identity {
+	p, err := a.ca.Node(name, roles, time.Now(), time.Hour)
+	assert.NilError(a.t, err)
+	assert.NilError(a.t, p.Write(a.path(name+".pem"), a.path(name+".key")))
+	id, err := keys.Load(a.path("ca.pem"), a.path(name+".pem"), a.path(name+".key"))
+	assert.NilError(a.t, err)
+	return id
+}
+
+func start(t *testing.T, id *keys.Identity, register func(*link.Mux)) *link.Node {
+	n := link.New(link.Options{Address: "127.0.0.1:0", Keys: id, Log: zap.NewNop(), Clock: clockwork.NewRealClock()})
+	if register != nil {
+		register(n.Mux())
+	}
+	assert.NilError(t, n.Start(nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = n.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return n
+}
+
+func serveFind(mx *link.Mux) {
+	link.On(mx, func(_ context.Context, p link.Peer, _ wire.FindNodes) wire.Message {
+		return wire.Nodes{Nodes: []wire.Node{{Name: p.Name}}}
+	}, keys.Entry)
+}
+
+func TestCall(t *testing.T) {
+	a := newAuthority(t)
+	server := start(t, a.identity("k1", keys.Keeper), serveFind)
+	client := start(t, a.identity("e1", keys.Entry), nil)
+	m, err := client.Call(t.Context(), link.To{Address: server.Address(), Role: keys.Keeper}, wire.FindNodes{})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, m, wire.Nodes{Nodes: []wire.Node{{Name: "e1"}}})
+}
+
+func TestRolesAreBoundToCertificates(t *testing.T) {
+	a := newAuthority(t)
+	server := start(t, a.identity("k1", keys.Keeper), serveFind)
+	agent := start(t, a.identity("a1", keys.Agent), nil)
+	m, err := agent.Call(t.Context(), link.To{Address: server.Address()}, wire.FindNodes{})
+	assert.NilError(t, err)
+	_, refused := m.(wire.Refused)
+	assert.Assert(t, refused, "an agent's certificate was served as an entry's: %v", m)
+
+	_, err = agent.Call(t.Context(), link.To{Address: server.Address(), Role: keys.Entry}, wire.FindNodes{})
+	assert.Assert(t, link.NotSent(err), "a keeper was taken for an entry: %v", err)
+}
+
+func TestForeignCertificateIsRefused(t *testing.T) {
+	a, b := newAuthority(t), newAuthority(t)
+	server := start(t, a.identity("k1", keys.Keeper), serveFind)
+	stranger := start(t, b.identity("e1", keys.Entry), nil)
+	_, err := stranger.Call(t.Context(), link.To{Address: server.Address()}, wire.FindNodes{})
+	assert.Assert(t, err != nil)
+}
+
+func TestNobodyThereIsNotSent(t *testing.T) {
+	a := newAuthority(t)
+	client := start(t, a.identity("e1", keys.Entry), nil)
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := c.LocalAddr().String()
+	assert.NilError(t, c.Close())
+	_, err = client.Call(t.Context(), link.To{Address: addr}, wire.FindNodes{})
+	assert.Assert(t, link.NotSent(err), "got %v", err)
+}
+
+func TestRandomBytesOnThePort(t *testing.T) {
+	a := newAuthority(t)
+	server := start(t, a.identity("k1", keys.Keeper), serveFind)
+	client := start(t, a.identity("e1", keys.Entry), nil)
+	c, err := net.Dial("udp", server.Address())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 500 {
+		b := make([]byte, 1+rng.IntN(1400))
+		for i := range b {
+			b[i] = byte(rng.Uint32())
+		}
+		_, _ = c.Write(b)
+	}
+	_, err = client.Call(t.Context(), link.To{Address: server.Address()}, wire.FindNodes{})
+	assert.NilError(t, err)
+}
+
+func TestGivingUpEndsTheHandler(t *testing.T) {
+	a := newAuthority(t)
+	entered, ended := make(chan struct{}), make(chan struct{})
+	server := start(t, a.identity("k1", keys.Keeper), func(mx *link.Mux) {
+		link.On(mx, func(ctx context.Context, _ link.Peer, _ wire.FindNodes) wire.Message {
+			close(entered)
+			<-ctx.Done()
+			close(ended)
+			return wire.Done{}
+		}, keys.Entry)
+	})
+	client := start(t, a.identity("e1", keys.Entry), nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-entered
+		cancel()
+	}()
+	_, err := client.Call(ctx, link.To{Address: server.Address()}, wire.FindNodes{})
+	assert.Assert(t, err != nil && !link.NotSent(err), "got %v", err)
+	<-ended
+}
+
+func TestConnectionIsMadeAgain(t *testing.T) {
+	a := newAuthority(t)
+	id := a.identity("k1", keys.Keeper)
+	first := start(t, id, serveFind)
+	client := start(t, a.identity("e1", keys.Entry), nil)
+	to := link.To{Address: first.Address()}
+	_, err := client.Call(t.Context(), to, wire.FindNodes{})
+	assert.NilError(t, err)
+	assert.NilError(t, first.Close())
+	second := link.New(link.Options{Address: to.Address, Keys: id, Log: zap.NewNop(), Clock: clockwork.NewRealClock()})
+	serveFind(second.Mux())
+	assert.NilError(t, second.Start(nil))
+	go func() { _ = second.Run(t.Context()) }()
+	var m wire.Message
+	for range 100 {
+		if m, err = client.Call(t.Context(), to, wire.FindNodes{}); err == nil {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.NilError(t, err)
+	_, ok := m.(wire.Nodes)
+	assert.Assert(t, ok)
+}
+
+func BenchmarkCall(b *testing.B) {
+	dir := b.TempDir()
+	ca, _ := keys.NewCA("bench", time.Now(), time.Hour)
+	_ = ca.Write(filepath.Join(dir, "ca.pem"), filepath.Join(dir, "ca.key"))
+	node := func(name string, role keys.Role, register func(*link.Mux)) *link.Node {
+		p, _ := ca.Node(name, []keys.Role{role}, time.Now(), time.Hour)
+		_ = p.Write(filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"))
+		id, err := keys.Load(filepath.Join(dir, "ca.pem"), filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"))
+		assert.NilError(b, err)
+		n := link.New(link.Options{Address: "127.0.0.1:0", Keys: id, Log: zap.NewNop(), Clock: clockwork.NewRealClock()})
+		if register != nil {
+			register(n.Mux())
+		}
+		assert.NilError(b, n.Start(nil))
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = n.Run(ctx) }()
+		b.Cleanup(cancel)
+		return n
+	}
+	server := node("k1", keys.Keeper, serveFind)
+	client := node("e1", keys.Entry, nil)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			_, err := client.Call(context.Background(), link.To{Address: server.Address()}, wire.FindNodes{})
+			assert.NilError(b, err)
+		}
+	})
+}
--- a/member/finder.go
+++ b/member/finder.go
@@ -106,7 +106,7 @@
 func (f *Finder) round(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	addrs := f.Addresses(keys.RoleKeeper)
+	addrs := f.Addresses(keys.Keeper)
 	for _, a := range f.join {
 		if !slices.Contains(addrs, a) {
 			addrs = append(addrs, a)
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,69 @@
+// Package meter serves a process's metrics and its health.
+package meter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+)
+
+// ServiceName is the name that other services find the server by.
+const ServiceName = "meter"
+
+const headerTimeout = 5 * time.Second
+
+// Wasted counts messages that did not serve a request's one answer, by cause:
+// retry, hedge, bounced, stale or cancelled.
+func Wasted(cause string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`relay_wasted_messages_total{cause="` + cause + `"}`)
+}
+
+// Outcomes counts the outcomes that callers got, by kind of work.
+func Outcomes(kind, outcome string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`relay_outcomes_total{kind="` + kind + `",outcome="` + outcome + `"}`)
+}
+
+// Starts counts the starts sent to agents.
+func Starts() *metrics.Counter { return metrics.GetOrCreateCounter("relay_starts_total") }
+
+// Server serves /metrics, /live and /ready.
+type Server struct {
+	// Listen is an IP address and TCP port, empty for no server.
+	Listen string
+	// Ready reports whether the process takes new work.
+	Ready func() bool
+}
+
+// Name implements kernel.Service.
+func (s *Server) Name() string { return ServiceName }
+
+// Run implements kernel.Service.
+func (s *Server) Run(ctx context.Context) error {
+	if s.Listen == "" {
+		<-ctx.Done()
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !s.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return Serve(ctx, &http.Server{Addr: s.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout})
+}
+
+// Serve runs an HTTP server until ctx ends; the error is nil then.
+func Serve(ctx context.Context, srv *http.Server) error {
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	err := srv.ListenAndServe()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return trace.Wrap(err)
+}
--- /dev/null
+++ b/relayd/build.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/agent"
+	"cyclamenrelay.example/conf"
+	"cyclamenrelay.example/entry"
+	"cyclamenrelay.example/keeper"
+	"cyclamenrelay.example/kernel"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/meter"
+	"cyclamenrelay.example/route"
+	"cyclamenrelay.example/spread"
+	"cyclamenrelay.example/wire"
+)
+
+// builder makes the services of a process from its settings.
+type builder struct {
+	s      conf.Settings
+	clock  clockwork.Clock
+	log    *zap.Logger
+	k      *kernel.Kernel
+	node   *link.Node
+	finder *member.Finder
+	view   *spread.View
+}
+
+func build(s conf.Settings, id *keys.Identity, log *zap.Logger) (*kernel.Kernel, error) {
+	clock := clockwork.NewRealClock()
+	b := &builder{s: s, clock: clock, log: log, k: kernel.New(log)}
+	b.node = link.New(link.Options{Address: s.Node.Listen, Keys: id, Log: log, Clock: clock})
+	self := wire.Node{
+		Name: s.Node.Name, Address: s.Node.Advertise, DataCentre: s.Node.DataCentre, Roles: s.Node.Roles,
+		Incarnation: uint64(clock.Now().UnixNano()),
+	}
+	b.finder = member.NewFinder(b.node, clock, log, self, s.Join.Addresses)
+	b.view = spread.NewView(clock, time.Duration(s.Freshness.Lease))
+	b.k.Add(b.finder)
+	if s.Node.Has(keys.Keeper) {
+		b.keeper()
+	}
+	if s.Node.Has(keys.Entry) {
+		b.entry()
+	}
+	if s.Node.Has(keys.Agent) {
+		b.agent()
+	}
+	b.k.Add(&meter.Server{Listen: s.Metrics.Listen, Ready: b.view.Usable})
+	// The link starts last, when all handlers are registered.
+	b.k.Add(b.node)
+	return b.k, nil
+}
+
+func (b *builder) keeper() {
+	b.k.Add(&keeper.Solo{Clock: b.clock, Self: b.finder.Self})
+}
+
+func (b *builder) entry() {
+	b.k.Add(&spread.Follower{
+		View: b.view, Node: b.node, Clock: b.clock, Log: b.log,
+		Keepers: func() []string { return b.finder.Addresses(keys.Keeper) },
+	})
+	b.k.Add(route.New(route.Options{Clock: b.clock, Log: b.log, View: b.view}))
+	b.k.Add(entry.New(entry.Options{
+		Listen: b.s.Entry.Callers, MaxBody: int64(b.s.Entry.MaxBody), RequestTimeout: time.Duration(b.s.Entry.RequestTimeout),
+		Clock: b.clock, Log: b.log, View: b.view,
+	}))
+}
+
+func (b *builder) agent() {
+	b.k.Add(agent.New(agent.Options{
+		Listen: b.s.Agent.Targets, TargetLease: time.Duration(b.s.Agent.TargetLease), Clock: b.clock, Log: b.log, View: b.view,
+		Platform: agent.NewPlatform(b.s.Agent.Platform),
+	}))
+}
--- /dev/null
+++ b/relayd/main.go
@@ -0,0 +1,112 @@
+// Command relayd is the daemon: an entry, a keeper, an agent, or several of
+// them, by its settings.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/conf"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/logs"
+	"cyclamenrelay.example/spans"
+)
+
+// The exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type options struct {
+	Settings string `long:"settings" short:"s" required:"true" description:"settings file (JSON)"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return 0
+		}
+		return exitSettings
+	}
+	s, err := conf.Load(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
+		return exitSettings
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	if err := serve(s); err != nil {
+		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
+		return exitFailed
+	}
+	return 0
+}
+
+func serve(s conf.Settings) error {
+	log, err := logs.New(os.Stderr, s.Log.Level)
+	if err != nil {
+		return err
+	}
+	log = log.With(zap.String("node", s.Node.Name))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	flush, err := spans.Setup(ctx, s.Node.Name, s.Spans.Collector, s.Spans.Share)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = flush(context.WithoutCancel(ctx)) }()
+	id, err := keys.Load(s.TLS.CA, s.TLS.Cert, s.TLS.Key)
+	if err != nil {
+		return err
+	}
+	if id.Self().Name != s.Node.Name {
+		return trace.BadParameter("node.name %q is not the certificate's name %q", s.Node.Name, id.Self().Name)
+	}
+	go reloadKeys(ctx, id, log)
+	k, err := build(s, id, log)
+	if err != nil {
+		return err
+	}
+	log.Info("starting", zap.Strings("roles", s.Node.Roles), zap.String("dataCentre", s.Node.DataCentre))
+	err = k.Run(ctx, time.Duration(s.Entry.DrainTimeout))
+	if err != nil {
+		log.Error("stopped", zap.Error(err))
+		return err
+	}
+	log.Info("stopped")
+	return nil
+}
+
+// reloadKeys reads the certificates again at each SIGHUP.
+func reloadKeys(ctx context.Context, id *keys.Identity, log *zap.Logger) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	defer signal.Stop(c)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c:
+			if err := id.Reload(); err != nil {
+				log.Error("keys not reloaded", zap.Error(err))
+				continue
+			}
+			log.Info("keys reloaded", zap.Time("notAfter", id.NotAfter()))
+		}
+	}
+}
--- /dev/null
+++ b/relctl/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- a/route/route.go
+++ b/route/route.go
@@ -53,7 +53,7 @@
 	if r.finder, err = kernel.Find[*member.Finder](k, member.ServiceName); err != nil {
 		return err
 	}
-	link.On(r.node.Mux(), r.announce, keys.RoleAgent)
+	link.On(r.node.Mux(), r.announce, keys.Agent)
 	return nil
 }
 
@@ -93,7 +93,7 @@
 func (r *Router) send(ctx context.Context, to wire.Announce, t model.Task) model.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, t.TimeLeft)
 	defer cancel()
-	m, err := r.node.Call(ctx, link.To{Address: to.Self.Address, Role: keys.RoleAgent}, wire.Start{Task: t, Trace: spans.Inject(ctx)})
+	m, err := r.node.Call(ctx, link.To{Address: to.Self.Address, Role: keys.Agent}, wire.Start{Task: t, Trace: spans.Inject(ctx)})
 	if err != nil {
 		if link.NotSent(err) {
 			return model.NotRun{Code: model.CodeNoTarget, Reason: "the agent cannot be reached"}
--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -126,7 +126,7 @@
 	d.ca, err = keys.NewCA("test", time.Now(), certLife)
 	assert.NilError(t, err)
 	assert.NilError(t, d.ca.Write(d.path("ca.pem"), d.path("ca-key.pem")))
-	d.cert("operator", keys.RoleOperator)
+	d.cert("operator", keys.Operator)
 	t.Cleanup(d.stopAll)
 	p := ports(t, 2*s.keepers+4*s.entries+4*s.targets)
 	next := func() string { a := p[0]; p = p[1:]; return a }
