place: decision cores of entry and agent, joined in a model run

Ruled out: a probe before each start (a round trip on every request); idle tokens owned by one entry each (taking one back needs a round trip and can collide with its use). Free slots are estimated from answers and heartbeats instead, and work without one is pulled by demand and grants.

--- /dev/null
+++ b/place/answer.go
@@ -0,0 +1,164 @@
+package place
+
+import (
+	"time"
+
+	"cyclamenrelay.example/model"
+)
+
+// minRetryAfter is the least time that a refused caller is told to wait.
+const minRetryAfter = 50 * time.Millisecond
+
+func retryAfter(d time.Duration) time.Duration { return max(d, minRetryAfter) }
+
+// answer handles the result of a start. A late or unknown one only tells of free slots.
+func (c *Core) answer(in Answer) {
+	t := c.targets[in.Agent]
+	if t == nil {
+		return
+	}
+	t.report(c.now, in.Result.Free, c.set.RoundTrip)
+	if r := c.requests[in.Result.ID]; r != nil {
+		if i := r.attempt(t); i >= 0 {
+			c.answered(r, i, in)
+		}
+	}
+	c.pump(t)
+}
+
+// attempt returns the index of the start at t, or -1.
+func (r *request) attempt(t *target) int {
+	for i, a := range r.attempts {
+		if a.t == t && a.inc == t.incarnation {
+			return i
+		}
+	}
+	return -1
+}
+
+func (c *Core) answered(r *request, i int, in Answer) {
+	a := r.attempts[i]
+	c.drop(r, i)
+	took := c.now.Sub(a.sent)
+	switch res := in.Result; {
+	case res.Complete != nil:
+		c.judge(r, a.t, false)
+		r.kind.add(took, r.task.RunTime)
+		c.queue.Correct(&r.item, took)
+		r.mayHaveRun = true
+		c.resolve(r, *res.Complete)
+	case res.Failed != nil:
+		c.judge(r, a.t, true)
+		c.queue.Correct(&r.item, took)
+		c.again(r, *res.Failed)
+	case res.NotRun != nil:
+		c.bounced(r, a.t, *res.NotRun)
+	default:
+		c.again(r, model.Failed{Reason: "the answer has no outcome", MayHaveRun: true, Target: a.t.info.Name})
+	}
+}
+
+// judge counts an outcome of r for the health of t.
+func (c *Core) judge(r *request, t *target, failed bool) {
+	h := &t.health
+	was := h.probation
+	w := r.kind.seen.note(t, failed)
+	if failed {
+		h.fail(c.now, w, c.ill < len(c.list)/2)
+	} else {
+		h.succeed(t.info.Slots)
+	}
+	switch {
+	case !was && h.probation:
+		c.ill++
+	case was && !h.probation:
+		c.ill--
+	}
+}
+
+// bounced handles an agent's refusal: r did not run there.
+func (c *Core) bounced(r *request, t *target, n model.NotRun) {
+	r.starts--
+	r.bounces++
+	switch n.Code {
+	case model.CodeSeen:
+		c.again(r, model.Failed{Reason: "an earlier start of the task may have run", MayHaveRun: true})
+		return
+	case model.CodeBusy, model.CodeStale:
+		t.free = min(t.free, 0)
+	case model.CodeLeaving:
+		t.leaving = true
+		c.relabel(t)
+	default:
+		r.bounces = maxBounces
+	}
+	switch {
+	case len(r.attempts) > 0:
+		c.schedule(r, c.nextWake(r))
+	case r.bounces >= maxBounces:
+		c.refuse(r, n.Code, n.Reason, retryAfter(n.RetryAfter))
+	default:
+		c.restart(r, Bounced)
+	}
+}
+
+// lost handles a start that will not be answered.
+func (c *Core) lost(in Lost) {
+	t, r := c.targets[in.Agent], c.requests[in.ID]
+	if t == nil || r == nil {
+		return
+	}
+	i := r.attempt(t)
+	if i < 0 {
+		return
+	}
+	t.free = min(t.free, 0)
+	c.drop(r, i)
+	if in.Unsent {
+		c.bounced(r, t, model.NotRun{Reason: "the target cannot be reached", Code: model.CodeBusy})
+		return
+	}
+	c.again(r, model.Failed{Reason: "the link to the target was lost", MayHaveRun: true, Target: t.info.Name})
+}
+
+// again retries r after f where that is allowed, else r fails.
+func (c *Core) again(r *request, f model.Failed) {
+	r.mayHaveRun = true
+	r.last = &f
+	if len(r.attempts) > 0 {
+		c.schedule(r, c.nextWake(r))
+		return
+	}
+	if f.Target != "" {
+		for _, t := range c.list {
+			if t.info.Name == f.Target && len(r.tried) < maxStarts {
+				r.tried = append(r.tried, t)
+			}
+		}
+	}
+	if !r.task.Idempotent || r.starts >= maxStarts || !c.budget(r.item.Share).spend() {
+		c.resolve(r, f)
+		return
+	}
+	c.restart(r, Retry)
+}
+
+// restart starts r again at once, or queues it ahead of later work.
+func (c *Core) restart(r *request, cause Cause) {
+	if err := c.classify(r); err != nil {
+		panic("place: selector of a started request does not parse: " + err.Error())
+	}
+	if cause == Bounced {
+		r.charged = false
+	}
+	c.schedule(r, r.deadline)
+	if t := c.choose(r); t != nil {
+		c.start(r, t, 0, cause)
+		return
+	}
+	if r.mayHaveRun && r.item.Class.size <= len(r.tried) {
+		c.refuse(r, model.CodeNoTarget, "no other target matches", 0)
+		return
+	}
+	c.enqueue(r)
+}
--- /dev/null
+++ b/place/kind.go
@@ -0,0 +1,109 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+// Bounds of the run-time estimation.
+const (
+	maxKinds     = 512  // kinds with their own estimate
+	sketchSize   = 128  // buckets of a sketch
+	sketchRatio  = 1.1  // ratio of neighbouring buckets
+	sketchDecay  = 4096 // samples after which old ones lose weight
+	minSamples   = 8    // samples before an estimate is used
+	estimateStep = 0.05 // weight of the newest sample
+)
+
+// DefaultRunTime is the estimate for work of which nothing is known.
+const DefaultRunTime = 200 * time.Millisecond
+
+// kind estimates the run time of one kind of work in bounded memory.
+type kind struct {
+	counts [sketchSize]uint16
+	total  int
+	n      int
+	mean   float64 // seconds
+	// ratio is measured/declared; the two errors decide which estimate is used.
+	ratio      float64
+	declared   int
+	errMean    float64
+	errDeclare float64
+	seen       evidence
+}
+
+// add records a measured run time and the declared one (0 for none).
+func (k *kind) add(d, declared time.Duration) {
+	s := max(d.Seconds(), 1e-4)
+	if k.n == 0 {
+		k.mean = s
+	}
+	k.n++
+	k.errMean += estimateStep * (math.Abs(k.mean-s)/s - k.errMean)
+	k.mean += max(estimateStep, 1/float64(k.n)) * (s - k.mean)
+	if declared > 0 {
+		r := s / declared.Seconds()
+		if k.declared == 0 {
+			k.ratio = r
+		}
+		k.declared++
+		guess := declared.Seconds() * k.ratio
+		k.errDeclare += estimateStep * (math.Abs(guess-s)/s - k.errDeclare)
+		k.ratio *= math.Pow(r/k.ratio, max(estimateStep, 1/float64(k.declared)))
+	}
+	b := min(max(int(math.Log(s/1e-3)/math.Log(sketchRatio)), 0), sketchSize-1)
+	k.counts[b]++
+	k.total++
+	if k.total >= sketchDecay {
+		k.total = 0
+		for i := range k.counts {
+			k.counts[i] /= 2
+			k.total += int(k.counts[i])
+		}
+	}
+}
+
+// estimate returns the expected run time of work with the declared one.
+func (k *kind) estimate(declared time.Duration) time.Duration {
+	switch {
+	case declared > 0 && k.declared >= minSamples && k.errDeclare <= k.errMean:
+		return time.Duration(float64(declared) * k.ratio)
+	case k.n >= minSamples:
+		return time.Duration(k.mean * float64(time.Second))
+	case declared > 0:
+		return declared
+	}
+	return DefaultRunTime
+}
+
+// quantile returns the measured run time at q and true, or false while too
+// little was measured to know it.
+func (k *kind) quantile(q float64) (time.Duration, bool) {
+	if k.n < minSamples || float64(k.total)*(1-q) < 1 {
+		return 0, false
+	}
+	left := int(q * float64(k.total))
+	for i, c := range k.counts {
+		left -= int(c)
+		if left < 0 {
+			return time.Duration(float64(time.Millisecond) * math.Pow(sketchRatio, float64(i+1))), true
+		}
+	}
+	return 0, false
+}
+
+// budget bounds the retries and hedges of one share.
+type budget struct{ tokens float64 }
+
+// budgetBurst is the most retries in a row.
+const budgetBurst = 10
+
+func (b *budget) earn(ratio float64) { b.tokens = min(budgetBurst, b.tokens+ratio) }
+
+func (b *budget) spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/place/policy.go
@@ -0,0 +1,134 @@
+package place
+
+import "math/rand/v2"
+
+// Policy chooses a target: IdleFirst, TwoChoices, Random, LeastLoaded or Strict.
+type Policy interface{ policy() }
+
+// IdleFirst starts work only on targets believed to have a free slot, the
+// nearest data centre first. Other work waits at the entry until an agent grants a slot.
+type IdleFirst struct{}
+
+// TwoChoices takes the less loaded of two random targets and queues at the agent.
+type TwoChoices struct{}
+
+// Random takes any target and queues at the agent.
+type Random struct{}
+
+// LeastLoaded takes the target believed to be least loaded and queues at the agent.
+type LeastLoaded struct{}
+
+// Strict is IdleFirst, but the most urgent work is always served first.
+type Strict struct{}
+
+func (IdleFirst) policy()   {}
+func (TwoChoices) policy()  {}
+func (Random) policy()      {}
+func (LeastLoaded) policy() {}
+func (Strict) policy()      {}
+
+// Bounds on the targets that are looked at for one start.
+const (
+	scanAll    = 16 // targets in a data centre that are all looked at
+	sampleSize = 8  // targets that are sampled of more
+	scanMost   = 64 // targets that are looked at when the sample had none free
+)
+
+// pulls reports whether work waits at the entry for a free slot.
+func pulls(p Policy) bool {
+	switch p.(type) {
+	case TwoChoices, Random, LeastLoaded:
+		return false
+	}
+	return true
+}
+
+// choose returns a target of the class that ok accepts, or nil.
+func choose(p Policy, c *class, rnd *rand.Rand, ok func(*target) bool) *target {
+	switch p.(type) {
+	case Random:
+		return sample(c, rnd, 1, ok)
+	case TwoChoices:
+		return sample(c, rnd, 2, ok)
+	case LeastLoaded:
+		return leastLoaded(c, ok)
+	}
+	return idle(c, rnd, ok)
+}
+
+// idle returns the nearest target with two free slots or more, else the one
+// with the most. A single free slot may be taken by another entry meanwhile.
+func idle(c *class, rnd *rand.Rand, ok func(*target) bool) *target {
+	var last *target
+	for _, ts := range c.near {
+		best := idleOf(ts, rnd, ok)
+		if best != nil && best.free >= 2 {
+			return best
+		}
+		if last == nil {
+			last = best
+		}
+	}
+	return last
+}
+
+func idleOf(ts []*target, rnd *rand.Rand, ok func(*target) bool) *target {
+	n := len(ts)
+	if n == 0 {
+		return nil
+	}
+	from := rnd.IntN(n)
+	if n <= scanAll {
+		return mostFree(ts, from, n, ok)
+	}
+	var best *target
+	for range sampleSize {
+		t := ts[rnd.IntN(n)]
+		if t.free > 0 && (best == nil || t.free > best.free) && ok(t) {
+			best = t
+		}
+	}
+	if best != nil {
+		return best
+	}
+	return mostFree(ts, from, min(n, scanMost), ok)
+}
+
+func mostFree(ts []*target, from, n int, ok func(*target) bool) *target {
+	var best *target
+	for i := range n {
+		t := ts[(from+i)%len(ts)]
+		if t.free > 0 && (best == nil || t.free > best.free) && ok(t) {
+			best = t
+		}
+	}
+	return best
+}
+
+// sample returns the least loaded of n random targets.
+func sample(c *class, rnd *rand.Rand, n int, ok func(*target) bool) *target {
+	var best *target
+	for try := 0; try < 4*n && n > 0 && c.size > 0; try++ {
+		t := c.at(rnd.IntN(c.size))
+		if !ok(t) {
+			continue
+		}
+		n--
+		if best == nil || t.load() < best.load() {
+			best = t
+		}
+	}
+	return best
+}
+
+func leastLoaded(c *class, ok func(*target) bool) *target {
+	var best *target
+	for _, ts := range c.near {
+		for _, t := range ts {
+			if (best == nil || t.load() < best.load()) && ok(t) {
+				best = t
+			}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/place/request.go
@@ -0,0 +1,304 @@
+package place
+
+import (
+	"container/heap"
+	"time"
+
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/queue"
+)
+
+// Bounds on one request.
+const (
+	maxStarts    = 3 // starts that may have run, hedges included
+	maxBounces   = 8 // refusals by agents
+	defaultLimit = 30 * time.Second
+	timeoutRatio = 10 // multiple of the kind's 99th percentile
+	timeoutRank  = 0.99
+)
+
+// attempt is a start without an answer.
+type attempt struct {
+	t    *target
+	sent time.Time
+	inc  uint64 // the target's incarnation
+}
+
+// request is work without an outcome.
+type request struct {
+	item     queue.Item[*class]
+	task     model.Task
+	kind     *kind
+	arrived  time.Time
+	deadline time.Time
+	attempts []attempt
+	tried    []*target
+	serial   uint64
+	wake     time.Time
+	slot     int // in the timers' heap, -1 when not there
+	starts   int // starts that were not refused
+	bounces  int
+	hedged   bool
+	// mayHaveRun is set once a start was handed to an agent that did not refuse it.
+	mayHaveRun bool
+	last       *model.Failed
+	charged    bool
+}
+
+func (c *Core) arrive(t model.Task) {
+	if c.requests[t.ID] != nil {
+		panic("place: request " + t.ID + " arrives twice")
+	}
+	left := t.TimeLeft
+	if left <= 0 {
+		left = defaultLimit
+	}
+	left = min(left, model.MaxTimeToLive)
+	c.serial++
+	r := &request{
+		task: t, kind: c.kind(t.Kind()), arrived: c.now, deadline: c.now.Add(left), serial: c.serial, slot: -1,
+	}
+	r.item.ID = t.ID
+	c.requests[t.ID] = r
+	if err := c.classify(r); err != nil {
+		c.refuse(r, model.CodeInvalid, err.Error(), 0)
+		return
+	}
+	c.schedule(r, r.deadline)
+	if to := c.choose(r); to != nil {
+		c.start(r, to, 0, First)
+		return
+	}
+	c.admit(r)
+}
+
+// classify sets what the rules say of r, which is not queued.
+func (c *Core) classify(r *request) error {
+	rule := c.rules.Classify(r.task.Labels)
+	k, err := c.class(rule, r.task.Selector)
+	if err != nil {
+		return err
+	}
+	i := &r.item
+	i.Share, i.Weight, i.Class = rule.Name, rule.Weight, k
+	i.Team = r.task.Team()
+	i.TeamWeight = c.rules.Team(i.Team).Weight
+	i.Urgency = rule.UrgencyOf(&r.task)
+	i.Estimate = r.kind.estimate(r.task.RunTime)
+	return nil
+}
+
+// admit queues r, or refuses it when its share's queue is full or its deadline is too near.
+func (c *Core) admit(r *request) {
+	share, k := r.item.Share, r.item.Class
+	n := c.queue.ShareLen(share)
+	wait := c.pace(share).wait(n + 1)
+	if n >= k.rule.QueueBound {
+		c.refuse(r, model.CodeQueueFull, "the queue of this kind of work is full", retryAfter(wait))
+		return
+	}
+	if left := r.deadline.Sub(c.now); wait+r.item.Estimate > left {
+		c.refuse(r, model.CodeDeadline, "the work cannot finish before its deadline", retryAfter(wait+r.item.Estimate-left))
+		return
+	}
+	c.enqueue(r)
+}
+
+func (c *Core) enqueue(r *request) {
+	c.queue.Push(&r.item)
+	r.item.Class.queued++
+	c.teams.wait(r.item.Team, 1)
+}
+
+func (c *Core) unqueue(r *request) {
+	if c.queue.Remove(&r.item) {
+		r.item.Class.queued--
+		c.teams.wait(r.item.Team, -1)
+	}
+}
+
+// choose returns a target for r now, or nil.
+func (c *Core) choose(r *request) *target {
+	if !c.teamOK(r.item.Team) {
+		return nil
+	}
+	fresh := func(t *target) bool {
+		for _, o := range r.tried {
+			if o == t {
+				return false
+			}
+		}
+		return t.health.allow(c.now, t.inflight) && (!t.health.probation || r.task.Idempotent)
+	}
+	return choose(c.set.Policy, r.item.Class, c.rnd, fresh)
+}
+
+// start hands r to t. r is not queued; it was charged when it came from the queue.
+func (c *Core) start(r *request, t *target, grant uint64, cause Cause) {
+	if r.item.Queued() || c.requests[r.item.ID] != r {
+		panic("place: start of request " + r.item.ID + " that is queued or has its outcome")
+	}
+	if cause != Bounced && r.starts > 0 && !r.task.Idempotent {
+		panic("place: second start of non-idempotent request " + r.item.ID)
+	}
+	if !r.charged {
+		r.charged = true
+		c.queue.Charge(&r.item)
+	}
+	if len(r.attempts) == 0 {
+		c.teams.use(r.item.Team, 1)
+	}
+	t.inflight++
+	r.starts++
+	r.attempts = append(r.attempts, attempt{t: t, sent: c.now, inc: t.incarnation})
+	if cause == First {
+		c.budget(r.item.Share).earn(r.item.Class.rule.RetryBudget)
+	}
+	if grant == 0 {
+		t.push(c.now)
+	}
+	c.emit(Start{Agent: t.name, Task: r.task.WithTimeLeft(r.deadline.Sub(c.now)), Grant: grant, Cause: cause})
+	c.schedule(r, c.nextWake(r))
+}
+
+// nextWake returns when a started request is looked at again.
+func (c *Core) nextWake(r *request) time.Time {
+	at := r.deadline
+	bound := c.timeout(r.kind)
+	for _, a := range r.attempts {
+		if end := a.sent.Add(bound); end.Before(at) {
+			at = end
+		}
+	}
+	if h, ok := c.hedgeAt(r); ok && h.Before(at) {
+		at = h
+	}
+	return at
+}
+
+// timeout returns the time after which an unanswered start of the kind is given up.
+func (c *Core) timeout(k *kind) time.Duration {
+	q, ok := k.quantile(timeoutRank)
+	if !ok {
+		return c.set.MaxTimeout
+	}
+	return min(max(timeoutRatio*q, c.set.MinTimeout), c.set.MaxTimeout)
+}
+
+func (c *Core) hedgeAt(r *request) (time.Time, bool) {
+	q := r.item.Class.rule.Hedge
+	if q <= 0 || r.hedged || !r.task.Idempotent || len(r.attempts) != 1 || r.starts >= maxStarts {
+		return time.Time{}, false
+	}
+	d, ok := r.kind.quantile(q)
+	return r.attempts[0].sent.Add(d), ok
+}
+
+// due handles the timer of r.
+func (c *Core) due(r *request) {
+	if !c.now.Before(r.deadline) {
+		c.expire(r)
+		return
+	}
+	if r.item.Queued() {
+		c.schedule(r, r.deadline)
+		return
+	}
+	bound := c.timeout(r.kind)
+	for i := 0; i < len(r.attempts); i++ {
+		a := r.attempts[i]
+		if c.now.Sub(a.sent) < bound {
+			continue
+		}
+		c.judge(r, a.t, true)
+		c.emit(Cancel{Agent: a.t.name, ID: r.item.ID})
+		c.drop(r, i)
+		c.again(r, model.Failed{Reason: "the target did not answer in time", MayHaveRun: true, Target: a.t.info.Name})
+		return
+	}
+	if at, ok := c.hedgeAt(r); ok && !c.now.Before(at) {
+		c.hedge(r)
+	}
+	c.schedule(r, c.nextWake(r))
+}
+
+// hedge starts r on a second target if one is free and the budget allows it.
+func (c *Core) hedge(r *request) {
+	r.hedged = true
+	r.tried = append(r.tried, r.attempts[0].t)
+	if err := c.classify(r); err != nil {
+		panic("place: selector of a started request does not parse: " + err.Error())
+	}
+	if t := c.choose(r); t != nil && t.free > 0 && c.budget(r.item.Share).spend() {
+		c.start(r, t, 0, Hedge)
+	}
+}
+
+// expire ends a request whose deadline has passed.
+func (c *Core) expire(r *request) {
+	if r.mayHaveRun || len(r.attempts) > 0 {
+		c.resolve(r, model.Failed{Reason: "no answer before the deadline", MayHaveRun: true})
+		return
+	}
+	c.refuse(r, model.CodeDeadline, "the deadline passed in the queue", retryAfter(c.pace(r.item.Share).wait(1)))
+}
+
+// refuse ends a request without a start in progress.
+func (c *Core) refuse(r *request, code model.Code, reason string, after time.Duration) {
+	switch {
+	case r.last != nil:
+		c.resolve(r, *r.last)
+	case r.mayHaveRun:
+		c.resolve(r, model.Failed{Reason: reason, MayHaveRun: true})
+	default:
+		c.resolve(r, model.NotRun{Reason: reason, Code: code, RetryAfter: after})
+	}
+}
+
+// resolve gives r its one outcome and cancels what still runs.
+func (c *Core) resolve(r *request, o model.Outcome) {
+	if c.requests[r.item.ID] != r {
+		panic("place: second outcome for request " + r.item.ID)
+	}
+	if _, ok := o.(model.NotRun); ok && (r.mayHaveRun || len(r.attempts) > 0) {
+		panic("place: notRun for request " + r.item.ID + " that may have run")
+	}
+	c.unqueue(r)
+	for len(r.attempts) > 0 {
+		c.emit(Cancel{Agent: r.attempts[0].t.name, ID: r.item.ID})
+		c.drop(r, 0)
+	}
+	if r.slot >= 0 {
+		heap.Remove(&c.timers, r.slot)
+		r.slot = -1
+	}
+	delete(c.requests, r.item.ID)
+	c.emit(Resolve{ID: r.item.ID, Outcome: o})
+}
+
+// drop forgets the i-th attempt.
+func (c *Core) drop(r *request, i int) {
+	t := r.attempts[i].t
+	if r.attempts[i].inc == t.incarnation {
+		t.inflight--
+	}
+	if t.inflight < 0 {
+		panic("place: negative starts in flight at " + t.name)
+	}
+	r.attempts = append(r.attempts[:i], r.attempts[i+1:]...)
+	if len(r.attempts) == 0 {
+		c.teams.use(r.item.Team, -1)
+	}
+}
+
+func (c *Core) cancelled(id string) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	if len(r.attempts) > 0 {
+		c.resolve(r, model.Failed{Reason: "the caller cancelled", MayHaveRun: true})
+		return
+	}
+	c.refuse(r, model.CodeCancelled, "the caller cancelled", 0)
+}
--- /dev/null
+++ b/place/sim_test.go
@@ -0,0 +1,376 @@
+package place_test
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/place"
+	"cyclamenrelay.example/rules"
+	"cyclamenrelay.example/share"
+	"cyclamenrelay.example/wire"
+
+	"gotest.tools/v3/assert"
+)
+
+// The joined model: 3 entries, 11 agents of 8 slots, 3 data centres, and
+// messages that take half a round trip. Its figures are model figures.
+const (
+	simSlots = 8
+	simNear  = 50 * time.Microsecond
+	simFar   = 1500 * time.Microsecond
+)
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	n := len(*h) - 1
+	e := (*h)[n]
+	*h = (*h)[:n]
+	return e
+}
+
+// tally counts what became of one kind of work.
+type tally struct {
+	sent, complete, failed, notRun int
+	codes                          map[model.Code]int
+	ratios                         []float64 // response / ideal
+	times                          []float64 // seconds
+}
+
+type simTask struct {
+	kind    string
+	entry   int
+	arrived time.Duration
+	run     time.Duration
+	ran     int
+	fails   bool
+	done    bool
+}
+
+type simAgent struct {
+	core  *share.Core
+	runs  map[string]bool
+	dead  bool
+	fails bool
+	seq   uint64
+	tick  time.Duration
+	ran   int // starts since the counter was cleared
+}
+
+type sim struct {
+	t       testing.TB
+	rnd     *rand.Rand
+	now     time.Duration
+	seq     int
+	events  events
+	entries []*place.Core
+	ticks   []time.Duration
+	agents  []*simAgent
+	tasks   map[string]*simTask
+	kinds   map[string]*tally
+	from    time.Duration // tasks that arrive earlier are not tallied
+
+	starts, bounces, extra, asks, grants, returns, cancels int
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func compile(t testing.TB, version uint64, items map[model.ItemKey]any) *rules.Set {
+	d := model.Delta{To: version}
+	for k, v := range items {
+		b, err := json.Marshal(v)
+		assert.NilError(t, err)
+		d.Items = append(d.Items, model.Item{Key: k, Count: 1, Version: version, Value: b})
+	}
+	cfg, ok := model.Config{}.With(d)
+	assert.Assert(t, ok)
+	set, errs := rules.Compile(cfg)
+	assert.Equal(t, len(errs), 0)
+	return set
+}
+
+func ruleKey(name string) model.ItemKey { return model.ItemKey{Section: model.SectionRule, Name: name} }
+
+// kindRules gives each kind its own share of the same weight.
+func kindRules(t testing.TB, kinds ...string) *rules.Set {
+	items := map[model.ItemKey]any{}
+	for _, k := range kinds {
+		items[ruleKey(k)] = model.Rule{Work: "kind=" + k, Weight: 1}
+	}
+	return compile(t, 1, items)
+}
+
+func newSim(t testing.TB, seed uint64, p place.Policy, set *rules.Set) *sim {
+	s := &sim{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), tasks: map[string]*simTask{}, kinds: map[string]*tally{}}
+	for i := range 3 {
+		cfg := place.DefaultSettings()
+		cfg.Policy = p
+		cfg.Near = []string{dc(i), dc(i + 1), dc(i + 2)}
+		s.entries = append(s.entries, place.New(cfg, set, rand.New(rand.NewPCG(seed, uint64(i)+2))))
+	}
+	s.ticks = make([]time.Duration, 3)
+	for i := range 11 {
+		cfg := share.DefaultSettings(simSlots)
+		switch p.(type) {
+		case place.TwoChoices, place.Random, place.LeastLoaded:
+			cfg.Buffer = 100_000
+		case place.Strict:
+			cfg.Strict = true
+		}
+		s.agents = append(s.agents, &simAgent{core: share.New(cfg, set), runs: map[string]bool{}})
+		s.heartbeat(i)
+	}
+	return s
+}
+
+func dc(i int) string { return string(rune('a' + i%3)) }
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.events, event{s.now + d, s.seq, do})
+}
+
+func (s *sim) delay(entry, agent int) time.Duration {
+	if entry%3 == agent%3 {
+		return simNear
+	}
+	return simFar
+}
+
+func (s *sim) run(until time.Duration) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = until
+}
+
+func (s *sim) heartbeat(i int) {
+	a := s.agents[i]
+	if !a.dead {
+		a.seq++
+		for e := range s.entries {
+			m := wire.Announce{
+				Self: wire.Node{Name: fmt.Sprint("agent", i), Incarnation: 1}, Free: a.core.Free(), Seq: a.seq,
+				Target: &model.Target{Name: fmt.Sprint("target", i), DataCentre: dc(i), Slots: simSlots},
+			}
+			s.after(s.delay(e, i), func() { s.entry(e, place.Heard{Announce: m}) })
+		}
+	}
+	s.after(500*time.Millisecond, func() { s.heartbeat(i) })
+}
+
+// entry drives an entry core as a shell does.
+func (s *sim) entry(e int, in place.Input) {
+	c := s.entries[e]
+	for _, out := range c.Step(epoch.Add(s.now), in) {
+		var i int
+		switch out := out.(type) {
+		case place.Start:
+			_, _ = fmt.Sscanf(out.Agent, "agent%d", &i)
+			s.starts++
+			if out.Cause == place.Retry || out.Cause == place.Hedge {
+				s.extra++
+			}
+			m := share.Start{Entry: fmt.Sprint(e), Start: wire.Start{Task: out.Task, Grant: out.Grant}}
+			s.after(s.delay(e, i), func() { s.agent(i, m) })
+		case place.Ask:
+			_, _ = fmt.Sscanf(out.Agent, "agent%d", &i)
+			s.asks++
+			m := share.Demanded{Entry: fmt.Sprint(e), Demand: out.Demand}
+			s.after(s.delay(e, i), func() { s.agent(i, m) })
+		case place.GiveBack:
+			_, _ = fmt.Sscanf(out.Agent, "agent%d", &i)
+			s.returns++
+			m := share.Returned{Entry: fmt.Sprint(e), Return: out.Return}
+			s.after(s.delay(e, i), func() { s.agent(i, m) })
+		case place.Cancel:
+			_, _ = fmt.Sscanf(out.Agent, "agent%d", &i)
+			s.cancels++
+			m := share.Cancelled{Entry: fmt.Sprint(e), ID: out.ID}
+			s.after(s.delay(e, i), func() { s.agent(i, m) })
+		case place.Resolve:
+			s.resolve(out)
+		}
+	}
+	if w := c.Wake().Sub(epoch); w != s.ticks[e] {
+		s.ticks[e] = w
+		s.after(max(w-s.now, 0), func() {
+			if s.ticks[e] == w {
+				s.ticks[e] = 0
+				s.entry(e, place.Tick{})
+			}
+		})
+	}
+}
+
+func (s *sim) agent(i int, in share.Input) {
+	a := s.agents[i]
+	if a.dead {
+		return
+	}
+	id := fmt.Sprint("agent", i)
+	for _, out := range a.core.Step(epoch.Add(s.now), in) {
+		switch out := out.(type) {
+		case share.Run:
+			s.execute(i, out)
+		case share.Refuse:
+			s.bounces++
+			m := place.Answer{Agent: id, Result: wire.Result{ID: out.ID, NotRun: &out.NotRun, Free: a.core.Free()}}
+			s.toEntry(i, out.Entry, m)
+		case share.Grant:
+			s.grants++
+			s.toEntry(i, out.Entry, place.Granted{Agent: id, Grant: out.Grant})
+		}
+	}
+	if w := a.core.Wake(); !w.IsZero() && w.Sub(epoch) != a.tick {
+		at := w.Sub(epoch)
+		a.tick = at
+		s.after(max(at-s.now, 0), func() { s.agent(i, share.Tick{}) })
+	}
+}
+
+func (s *sim) toEntry(agent int, entry string, m place.Input) {
+	var e int
+	_, _ = fmt.Sscanf(entry, "%d", &e)
+	s.after(s.delay(e, agent), func() { s.entry(e, m) })
+}
+
+func (s *sim) execute(i int, r share.Run) {
+	a, t := s.agents[i], s.tasks[r.Task.ID]
+	t.ran++
+	a.ran++
+	d := t.run
+	res := wire.Result{ID: r.Task.ID, Complete: &model.Complete{Status: 200}}
+	if a.fails || t.fails {
+		d = time.Millisecond
+		res = wire.Result{ID: r.Task.ID, Failed: &model.Failed{Reason: "status 500", Status: 500, Target: fmt.Sprint("target", i)}}
+	}
+	s.after(d, func() {
+		if a.dead {
+			return
+		}
+		s.agent(i, share.Finished{ID: r.Task.ID})
+		res.Free = a.core.Free()
+		s.toEntry(i, r.Entry, place.Answer{Agent: fmt.Sprint("agent", i), Result: res})
+	})
+}
+
+func (s *sim) resolve(r place.Resolve) {
+	t := s.tasks[r.ID]
+	assert.Assert(s.t, t != nil && !t.done, "second outcome of %s", r.ID)
+	t.done = true
+	if _, ok := r.Outcome.(model.NotRun); ok {
+		assert.Equal(s.t, t.ran, 0, "notRun of %s that ran", r.ID)
+	}
+	k := s.tally(t.kind)
+	if t.arrived < s.from {
+		return
+	}
+	k.sent++
+	switch o := r.Outcome.(type) {
+	case model.Complete:
+		k.complete++
+		took := (s.now - t.arrived).Seconds()
+		k.times = append(k.times, took)
+		k.ratios = append(k.ratios, took/(t.run+2*simNear).Seconds())
+	case model.Failed:
+		k.failed++
+	case model.NotRun:
+		k.notRun++
+		k.codes[o.Code]++
+	}
+}
+
+func (s *sim) tally(kind string) *tally {
+	k := s.kinds[kind]
+	if k == nil {
+		k = &tally{codes: map[model.Code]int{}}
+		s.kinds[kind] = k
+	}
+	return k
+}
+
+// mix is an open stream of Poisson arrivals of one kind over all entries.
+type mix struct {
+	kind       string
+	rate       float64 // tasks a second
+	from, to   time.Duration
+	urgency    int
+	fails, own bool // fails at every target; not idempotent
+}
+
+// runTime draws from 50 ms to 1 s, with 3 % of several seconds; the mean is simMean.
+func (s *sim) runTime() time.Duration {
+	if s.rnd.Float64() < 0.03 {
+		return time.Duration((2 + 3*s.rnd.Float64()) * float64(time.Second))
+	}
+	return time.Duration(50 * math.Pow(20, s.rnd.Float64()) * float64(time.Millisecond))
+}
+
+var (
+	simMean     = 0.97*0.95/math.Log(20) + 0.03*3.5
+	simCapacity = 11 * simSlots / simMean
+)
+
+func (s *sim) feed(m mix) {
+	s.after(m.from, func() { s.arrive(m) })
+}
+
+func (s *sim) arrive(m mix) {
+	if s.now >= m.to {
+		return
+	}
+	id := fmt.Sprint(m.kind, len(s.tasks))
+	e := s.rnd.IntN(len(s.entries))
+	t := &simTask{kind: m.kind, entry: e, arrived: s.now, run: s.runTime(), fails: m.fails}
+	s.tasks[id] = t
+	s.entry(e, place.Arrive{Task: model.Task{
+		ID: id, Labels: model.Labels{model.LabelKind: m.kind}, Urgency: m.urgency, Idempotent: !m.own, TimeLeft: 10 * time.Second,
+	}})
+	s.after(time.Duration(s.rnd.ExpFloat64()/m.rate*float64(time.Second)), func() { s.arrive(m) })
+}
+
+// finish lets all work end and checks that each request has its outcome.
+func (s *sim) finish(until time.Duration) {
+	s.run(until + 15*time.Second)
+	for id, t := range s.tasks {
+		assert.Assert(s.t, t.done, "no outcome for %s", id)
+	}
+	for i, a := range s.agents {
+		assert.Assert(s.t, a.dead || a.core.Free() == simSlots, "agent %d has %d slots free", i, a.core.Free())
+	}
+}
+
+func (s *sim) waste() float64 {
+	used := s.grants - s.returns
+	return float64(2*s.bounces+s.asks+2*(s.grants-used)+2*s.extra) / float64(max(len(s.tasks), 1))
+}
+
+func rank(v []float64, q float64) float64 {
+	if len(v) == 0 {
+		return math.NaN()
+	}
+	v = slices.Sorted(slices.Values(v))
+	return v[min(int(q*float64(len(v))), len(v)-1)]
+}
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,177 @@
+// Package rules compiles a configuration into the rules that entries and
+// agents decide by: which share work belongs to and which targets may take it.
+package rules
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"cyclamenrelay.example/label"
+	"cyclamenrelay.example/model"
+
+	"github.com/gravitational/trace"
+)
+
+// Default is the name of the rule for work that no configured rule selects.
+const Default = "default"
+
+// Defaults of a rule's fields.
+const (
+	DefaultQueueBound  = 1000 // tasks at each entry
+	DefaultRetryBudget = 0.1  // retries and hedges per start
+)
+
+// Rule is a compiled rule. The work that it selects is one share.
+type Rule struct {
+	model.Rule
+	Name    string
+	work    label.Selector
+	targets label.Selector
+}
+
+// Allows reports whether a target with the labels may take the rule's work.
+func (r *Rule) Allows(l model.Labels) bool { return r.targets.Matches(l) }
+
+// UrgencyOf returns the urgency of a task under the rule.
+func (r *Rule) UrgencyOf(t *model.Task) int {
+	u := t.Urgency
+	if r.Urgency != nil {
+		u = *r.Urgency
+	}
+	return min(max(u, 0), model.MaxUrgency)
+}
+
+type overlay struct {
+	model.Overlay
+	targets label.Selector
+}
+
+// Set is one compiled configuration. It is not changed after construction.
+type Set struct {
+	version  uint64
+	rules    []*Rule
+	teams    map[string]model.Team
+	overlays []overlay
+	drains   []label.Selector
+	fallback *Rule
+}
+
+// Compile compiles c. Items that cannot be read are left out and returned as
+// errors (trace.BadParameter), so that one bad item does not stop the others.
+func Compile(c model.Config) (*Set, []error) {
+	s := &Set{version: c.Version(), teams: map[string]model.Team{}, fallback: normal(&Rule{Name: Default})}
+	var errs []error
+	each(c, model.SectionRule, &errs, func(name string, v model.Rule) error {
+		r := normal(&Rule{Rule: v, Name: name})
+		var err error
+		if r.work, err = label.Parse(v.Work); err != nil {
+			return err
+		}
+		if r.targets, err = label.Parse(v.Targets); err != nil {
+			return err
+		}
+		s.rules = append(s.rules, r)
+		return nil
+	})
+	each(c, model.SectionTeam, &errs, func(name string, v model.Team) error {
+		v.Weight = max(v.Weight, 1)
+		s.teams[name] = v
+		return nil
+	})
+	each(c, model.SectionOverlay, &errs, func(_ string, v model.Overlay) error {
+		sel, err := label.Parse(v.Targets)
+		if err == nil {
+			s.overlays = append(s.overlays, overlay{Overlay: v, targets: sel})
+		}
+		return err
+	})
+	each(c, model.SectionDrain, &errs, func(_ string, v model.Drain) error {
+		sel, err := label.Parse(v.Targets)
+		if err == nil {
+			s.drains = append(s.drains, sel)
+		}
+		return err
+	})
+	slices.SortStableFunc(s.rules, func(a, b *Rule) int { return cmp.Compare(a.Order, b.Order) })
+	return s, errs
+}
+
+// each decodes the items of a section in the order of their names.
+func each[T any](c model.Config, sec model.Section, errs *[]error, add func(string, T) error) {
+	items := c.Items(sec)
+	slices.SortFunc(items, func(a, b model.Item) int { return cmp.Compare(a.Key.Name, b.Key.Name) })
+	for _, i := range items {
+		var v T
+		err := json.Unmarshal(i.Value, &v)
+		if err == nil {
+			err = add(i.Key.Name, v)
+		}
+		if err != nil {
+			*errs = append(*errs, trace.BadParameter("%s %q: %v", sec, i.Key.Name, err))
+		}
+	}
+}
+
+func normal(r *Rule) *Rule {
+	r.Weight = max(r.Weight, 1)
+	if r.QueueBound <= 0 {
+		r.QueueBound = DefaultQueueBound
+	}
+	if r.RetryBudget <= 0 {
+		r.RetryBudget = DefaultRetryBudget
+	}
+	return r
+}
+
+// Version returns the configuration's version.
+func (s *Set) Version() uint64 { return s.version }
+
+// Classify returns the rule for work with the labels.
+func (s *Set) Classify(l model.Labels) *Rule {
+	for _, r := range s.rules {
+		if r.work.Matches(l) {
+			return r
+		}
+	}
+	return s.fallback
+}
+
+// Rule returns the rule with the name, or one of weight 1 when there is none.
+func (s *Set) Rule(name string) *Rule {
+	for _, r := range s.rules {
+		if r.Name == name {
+			return r
+		}
+	}
+	return normal(&Rule{Name: name})
+}
+
+// Team returns the team's bounds; an unknown team has weight 1 and no quota.
+func (s *Set) Team(name string) model.Team {
+	t, ok := s.teams[name]
+	if !ok {
+		return model.Team{Weight: 1}
+	}
+	return t
+}
+
+// Target returns t with the overlays applied, and whether it is drained.
+func (s *Set) Target(t model.Target) (model.Target, bool) {
+	l := maps.Clone(t.Labels)
+	if l == nil {
+		l = model.Labels{}
+	}
+	for _, o := range s.overlays {
+		if !o.targets.Matches(l) {
+			continue
+		}
+		maps.Copy(l, o.Set)
+		for _, name := range o.Remove {
+			delete(l, name)
+		}
+	}
+	drained := slices.ContainsFunc(s.drains, func(d label.Selector) bool { return d.Matches(l) })
+	return t.WithLabels(l), drained
+}
--- /dev/null
+++ b/wire/demand.go
@@ -0,0 +1,52 @@
+package wire
+
+import "time"
+
+// Codes 63 to 69: fair share between entries.
+var (
+	_ = register(63, Demand{})
+	_ = register(64, Grant{})
+	_ = register(65, Return{})
+	_ = register(66, TeamUse{})
+)
+
+// Want is an entry's backlog in one share.
+type Want struct {
+	Share string `cbor:"1,keyasint"`
+	// Count is how many slots the entry can use at this agent, 0 for none.
+	Count int `cbor:"2,keyasint"`
+	// Urgency is that of the entry's most urgent queued work in the share.
+	Urgency int `cbor:"3,keyasint,omitempty"`
+}
+
+// Demand tells an agent what an entry has queued. Each Want replaces the
+// earlier one of the share. The answer is Done.
+type Demand struct {
+	Wants []Want `cbor:"1,keyasint"`
+}
+
+// Grant reserves one free slot for an entry. The answer is Done.
+type Grant struct {
+	// ID is unique over the agent's incarnation and never 0.
+	ID    uint64 `cbor:"1,keyasint"`
+	Share string `cbor:"2,keyasint"`
+	// TimeLeft is how long the slot stays reserved.
+	TimeLeft time.Duration `cbor:"3,keyasint"`
+}
+
+// Return gives back a grant that the entry cannot use. The answer is Done.
+type Return struct {
+	ID uint64 `cbor:"1,keyasint"`
+}
+
+// TeamUse tells another entry how many slots each team uses and waits for at
+// the sender, so that the entries divide the teams' quotas by demand. The answer is Done.
+type TeamUse struct {
+	Entry string         `cbor:"1,keyasint"`
+	Teams map[string]int `cbor:"2,keyasint"`
+}
+
+func (Demand) message()  {}
+func (Grant) message()   {}
+func (Return) message()  {}
+func (TeamUse) message() {}
