--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,6 +14,9 @@
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/rules"
+	"cyclamenrelay.example/share"
 	"cyclamenrelay.example/spread"
 )
 
@@ -39,23 +42,31 @@
 	finder *member.Finder
 	wake   chan struct{}
 	log    *journal
+	// stepped tells the slot loop that the core has taken an input.
+	stepped chan struct{}
 
 	mu       sync.Mutex
 	target   *lease
 	steer    steered
 	seq      uint64
-	running  int
+	core     *share.Core
+	slots    int
+	waiting  map[string]chan *model.NotRun
 	draining bool
 	idle     chan struct{} // closed when draining and nothing runs
 }
 
 // New returns an agent that has not heard of its target yet.
 func New(opts Options) *Agent {
+	set, _ := rules.Compile(model.Config{})
 	return &Agent{
-		opts: opts,
-		wake: make(chan struct{}, 1),
-		log:  newJournal(opts.Clock),
-		idle: make(chan struct{}),
+		opts:    opts,
+		wake:    make(chan struct{}, 1),
+		stepped: make(chan struct{}, 1),
+		log:     newJournal(opts.Clock),
+		core:    share.New(share.DefaultSettings(0), set),
+		waiting: map[string]chan *model.NotRun{},
+		idle:    make(chan struct{}),
 	}
 }
 
@@ -72,6 +83,8 @@
 	}
 	link.On(a.node.Mux(), a.start, keys.Entry)
 	link.On(a.node.Mux(), a.cancel, keys.Entry)
+	link.On(a.node.Mux(), a.demand, keys.Entry)
+	link.On(a.node.Mux(), a.giveBack, keys.Entry)
 	return nil
 }
 
@@ -80,6 +93,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { a.announceLoop(ctx) })
 	wg.Go(func() { a.watchUsage(ctx) })
+	wg.Go(func() { a.slotLoop(ctx) })
 	err := a.serveTarget(ctx)
 	wg.Wait()
 	return err
@@ -90,9 +104,7 @@
 func (a *Agent) Drain(ctx context.Context) {
 	a.mu.Lock()
 	a.draining = true
-	if a.running == 0 {
-		a.closeIdle()
-	}
+	a.stepLocked(share.Leave{})
 	a.mu.Unlock()
 	a.finder.Leave()
 	a.announceSoon()
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -68,18 +68,15 @@
 }
 
 func (a *Agent) announcement() wire.Announce {
-	cfg := a.opts.View.Config()
-	m := wire.Announce{Self: a.finder.Self(), Free: a.free(), Version: cfg.Version()}
+	m := wire.Announce{Self: a.finder.Self(), Version: a.opts.View.Config().Version()}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	m.Free = a.core.Free()
 	a.seq++
 	m.Seq = a.seq
 	m.Self.Leaving = a.draining
 	if l := a.target; l != nil && a.opts.Clock.Now().Before(l.ends) {
-		s := a.steered(cfg)
-		t := s.target
-		m.Target = &t
-		m.Self.Leaving = m.Self.Leaving || s.drained
+		m.Target = &l.target
 	}
 	return m
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -16,20 +16,20 @@
 
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/share"
 	"cyclamenrelay.example/spans"
-	"cyclamenrelay.example/spread"
 	"cyclamenrelay.example/wire"
 )
 
 // start serves wire.Start: it runs the task now, or refuses it.
-func (a *Agent) start(ctx context.Context, _ link.Peer, m wire.Start) wire.Message {
+func (a *Agent) start(ctx context.Context, p link.Peer, m wire.Start) wire.Message {
 	ctx, span := spans.Start(spans.Extract(ctx, m.Trace), "agent", attribute.String("task", m.Task.ID))
 	defer span.End()
 	if m.Task.Job != "" {
 		// The owner may die; its successor asks for the outcome.
 		ctx = context.WithoutCancel(ctx)
 	}
-	o := a.log.run(ctx, m.Task, func(ctx context.Context) model.Outcome { return a.run(ctx, m.Task) })
+	o := a.log.run(ctx, m.Task, func(ctx context.Context) model.Outcome { return a.run(ctx, p.Name, m) })
 	span.SetAttributes(attribute.String("outcome", model.OutcomeName(o)))
 	return a.result(m.Task.ID, o)
 }
@@ -52,23 +52,17 @@
 	return wire.Done{}
 }
 
-// free returns how many slots the target has free.
-func (a *Agent) free() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	l := a.target
-	if l == nil || a.draining || !a.opts.Clock.Now().Before(l.ends) {
-		return 0
-	}
-	return max(0, l.target.Slots-a.running)
-}
-
-func (a *Agent) run(ctx context.Context, t model.Task) model.Outcome {
-	l, refusal := a.take()
+// run runs the task once the core has a slot for it.
+func (a *Agent) run(ctx context.Context, entry string, m wire.Start) model.Outcome {
+	l, refusal := a.usable()
 	if refusal != nil {
 		return *refusal
 	}
-	defer a.release()
+	if refusal = a.enter(ctx, entry, m); refusal != nil {
+		return *refusal
+	}
+	t := m.Task
+	defer a.step(share.Finished{ID: t.ID})
 	if t.TimeLeft > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, t.TimeLeft)
@@ -80,25 +74,8 @@
 	return a.post(ctx, l, t)
 }
 
-// steered is what the configuration makes of the target.
-type steered struct {
-	version uint64
-	of      *lease
-	target  model.Target
-	drained bool
-}
-
-// steered is called with mu held and a target present.
-func (a *Agent) steered(cfg model.Config) steered {
-	if a.steer.of != a.target || a.steer.version != cfg.Version() {
-		t := a.target.target
-		a.steer = steered{cfg.Version(), a.target, spread.Effective(cfg, t), spread.Drained(cfg, t)}
-	}
-	return a.steer
-}
-
-// take holds a slot of the target, or says why there is none to hold.
-func (a *Agent) take() (*lease, *model.NotRun) {
+// usable returns the target's lease, or says why no new work may start there.
+func (a *Agent) usable() (*lease, *model.NotRun) {
 	if !a.opts.View.Usable() {
 		return nil, &model.NotRun{Code: model.CodeStale, Reason: "the agent has no fresh configuration"}
 	}
@@ -111,24 +88,26 @@
 		return nil, &model.NotRun{Code: model.CodeLeaving, Reason: "the agent is shutting down"}
 	case l == nil || !a.opts.Clock.Now().Before(l.ends):
 		return nil, &model.NotRun{Code: model.CodeNoTarget, Reason: "the agent's target is gone"}
-	case a.steered(cfg).drained:
+	case a.drained(cfg):
 		return nil, &model.NotRun{Code: model.CodeLeaving, Reason: "the target is drained"}
-	case a.running >= l.target.Slots:
-		return nil, &model.NotRun{Code: model.CodeBusy, Reason: "the target has no free slot"}
 	}
-	a.running++
 	return l, nil
 }
 
-func (a *Agent) release() {
+// enter waits for the core to run or refuse the start.
+func (a *Agent) enter(ctx context.Context, entry string, m wire.Start) *model.NotRun {
+	d := make(chan *model.NotRun, 1)
+	id := m.Task.ID
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.running--
-	if a.running < 0 {
-		panic("agent: more slots released than taken")
-	}
-	if a.draining && a.running == 0 {
-		a.closeIdle()
+	a.waiting[id] = d
+	a.mu.Unlock()
+	a.step(share.Start{Entry: entry, Start: m})
+	select {
+	case refusal := <-d:
+		return refusal
+	case <-ctx.Done():
+		a.step(share.Cancelled{Entry: entry, ID: id})
+		return <-d
 	}
 }
 
--- /dev/null
+++ b/agent/slots.go
@@ -0,0 +1,151 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/rules"
+	"cyclamenrelay.example/share"
+	"cyclamenrelay.example/wire"
+)
+
+const (
+	slotInterval = 100 * time.Millisecond
+	grantTimeout = time.Second
+)
+
+// step passes an input to the core and carries out its effects.
+func (a *Agent) step(in share.Input) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stepLocked(in)
+}
+
+func (a *Agent) stepLocked(in share.Input) {
+	for _, e := range a.core.Step(a.opts.Clock.Now(), in) {
+		switch e := e.(type) {
+		case share.Run:
+			a.decide(e.Task.ID, nil)
+		case share.Refuse:
+			a.decide(e.ID, &e.NotRun)
+		case share.Grant:
+			go a.grant(e.Entry, e.Grant)
+		}
+	}
+	if a.draining && a.core.Running() == 0 {
+		a.closeIdle()
+	}
+	select {
+	case a.stepped <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Agent) decide(id string, refusal *model.NotRun) {
+	a.waiting[id] <- refusal
+	delete(a.waiting, id)
+}
+
+func (a *Agent) grant(entry string, g wire.Grant) {
+	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
+	defer cancel()
+	n, ok := a.entry(entry)
+	if !ok {
+		a.step(share.Gone{Entry: entry})
+		return
+	}
+	if err := a.node.Post(ctx, link.To{Address: n.Address, Role: keys.Entry}, g); err != nil {
+		a.opts.Log.Debug("grant not sent", zap.String("entry", entry), zap.Error(err))
+	}
+}
+
+func (a *Agent) entry(name string) (wire.Node, bool) {
+	for _, n := range a.finder.Nodes(keys.Entry) {
+		if n.Name == name {
+			return n, true
+		}
+	}
+	return wire.Node{}, false
+}
+
+func (a *Agent) demand(_ context.Context, p link.Peer, m wire.Demand) wire.Message {
+	a.step(share.Demanded{Entry: p.Name, Demand: m})
+	return wire.Done{}
+}
+
+func (a *Agent) giveBack(_ context.Context, p link.Peer, m wire.Return) wire.Message {
+	a.step(share.Returned{Entry: p.Name, Return: m})
+	return wire.Done{}
+}
+
+// free returns how many slots the target has free.
+func (a *Agent) free() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.core.Free()
+}
+
+// slotLoop keeps the core's slots, configuration and time up to date.
+func (a *Agent) slotLoop(ctx context.Context) {
+	changed := a.opts.View.Changed()
+	for ctx.Err() == nil {
+		a.resize()
+		select {
+		case <-ctx.Done():
+		case <-a.stepped:
+		case <-changed:
+			changed = a.opts.View.Changed()
+			set, _ := rules.Compile(a.opts.View.Config())
+			a.step(share.Configured{Rules: set})
+		case <-a.opts.Clock.After(a.wait()):
+			a.step(share.Tick{})
+		}
+	}
+}
+
+func (a *Agent) wait() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if at := a.core.Wake(); !at.IsZero() {
+		return min(at.Sub(a.opts.Clock.Now()), slotInterval)
+	}
+	return slotInterval
+}
+
+// resize gives the core as many slots as the target offers now: none while it
+// has no lease, is drained, or the configuration is not fresh.
+func (a *Agent) resize() {
+	n := 0
+	if l, refusal := a.usable(); refusal == nil {
+		n = l.target.Slots
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if n != a.slots {
+		a.slots = n
+		a.stepLocked(share.Resized{Slots: n})
+	}
+}
+
+// steered is what the configuration says of the target.
+type steered struct {
+	version uint64
+	of      *lease
+	drained bool
+}
+
+// drained reports whether the operators drain the target. It is called with mu
+// held and a target present.
+func (a *Agent) drained(cfg model.Config) bool {
+	if a.steer.of != a.target || a.steer.version != cfg.Version() {
+		set, _ := rules.Compile(cfg)
+		_, d := set.Target(a.target.target)
+		a.steer = steered{cfg.Version(), a.target, d}
+	}
+	return a.steer.drained
+}
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -15,6 +15,7 @@
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
 	"cyclamenrelay.example/meter"
+	"cyclamenrelay.example/place"
 	"cyclamenrelay.example/route"
 	"cyclamenrelay.example/spread"
 	"cyclamenrelay.example/wire"
@@ -66,7 +67,10 @@
 		View: b.view, Node: b.node, Clock: b.clock, Log: b.log,
 		Keepers: func() []string { return b.finder.Addresses(keys.Keeper) },
 	})
-	b.k.Add(route.New(route.Options{Clock: b.clock, Log: b.log, View: b.view}))
+	p := place.DefaultSettings()
+	p.Near = []string{b.s.Node.DataCentre}
+	p.NoTargetWait = time.Duration(b.s.Entry.NoTargetWait)
+	b.k.Add(route.New(route.Options{Place: p, Clock: b.clock, Log: b.log, View: b.view}))
 	b.k.Add(entry.New(entry.Options{
 		Listen: b.s.Entry.Callers, MaxBody: int64(b.s.Entry.MaxBody), RequestTimeout: time.Duration(b.s.Entry.RequestTimeout),
 		Clock: b.clock, Log: b.log, View: b.view,
--- /dev/null
+++ b/route/answer.go
@@ -0,0 +1,77 @@
+package route
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/place"
+	"cyclamenrelay.example/wire"
+)
+
+// maxOrdered bounds the messages to one agent that wait to be sent in order.
+const maxOrdered = 256
+
+// call sends a start and returns what became of it.
+func (r *Router) call(ctx context.Context, agent string, m wire.Start) place.Input {
+	lost := place.Lost{Agent: agent, ID: m.Task.ID}
+	a, err := r.node.CallPeer(ctx, agent, m)
+	if err != nil {
+		r.opts.Log.Debug("no answer from the agent", zap.String("agent", agent), zap.String("task", m.Task.ID), zap.Error(err))
+		lost.Unsent = link.NotSent(err)
+		return lost
+	}
+	switch a := a.(type) {
+	case wire.Result:
+		if whole(m.Task.ID, a) {
+			return place.Answer{Agent: agent, Result: a}
+		}
+		r.opts.Log.Warn("damaged answer", zap.String("agent", agent), zap.String("task", m.Task.ID))
+	case wire.Refused:
+		r.opts.Log.Warn("start refused", zap.String("agent", agent), zap.String("reason", a.Reason))
+		lost.Unsent = true
+	}
+	return lost
+}
+
+// whole reports whether the answer belongs to the task and is complete.
+func whole(id string, r wire.Result) bool {
+	if r.ID != id {
+		return false
+	}
+	return r.Complete == nil || xxhash.Sum64(r.Complete.Body) == r.Digest
+}
+
+// inOrder sends messages to one agent one after another, since each replaces
+// what the one before said.
+func (r *Router) inOrder(ctx context.Context, wg *sync.WaitGroup, agent string, m wire.Message) {
+	c := r.asked[agent]
+	if c == nil {
+		c = make(chan wire.Message, maxOrdered)
+		r.asked[agent] = c
+		wg.Go(func() { r.sendInOrder(ctx, agent, c) })
+	}
+	select {
+	case c <- m:
+	default:
+		r.opts.Log.Debug("demand dropped", zap.String("agent", agent))
+	}
+}
+
+func (r *Router) sendInOrder(ctx context.Context, agent string, c <-chan wire.Message) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-c:
+			cctx, cancel := context.WithTimeout(ctx, postTimeout)
+			if _, err := r.node.CallPeer(cctx, agent, m); err != nil {
+				r.opts.Log.Debug("demand not sent", zap.String("agent", agent), zap.Error(err))
+			}
+			cancel()
+		}
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -1,21 +1,24 @@
-// Package route carries tasks from an entry to the agents and their answers back.
+// Package route carries tasks from an entry to the agents and their answers
+// back, as the placement core decides.
 package route
 
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
-	"cyclamenrelay.example/label"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/place"
+	"cyclamenrelay.example/rules"
 	"cyclamenrelay.example/spans"
 	"cyclamenrelay.example/spread"
 	"cyclamenrelay.example/wire"
@@ -24,23 +27,64 @@
 // ServiceName is the name that other services find the router by.
 const ServiceName = "route"
 
+const (
+	maxEvents   = 1 << 14
+	useInterval = time.Second
+	postTimeout = time.Second
+)
+
 // Options configure a Router.
 type Options struct {
+	Place place.Settings
 	Clock clockwork.Clock
 	Log   *zap.Logger
 	View  *spread.View
 }
 
-// Router places tasks on agents.
+// Router places tasks on agents. One goroutine owns the core.
 type Router struct {
 	opts   Options
 	node   *link.Node
 	finder *member.Finder
-	agents *agents
+	core   *place.Core
+	events chan event
+	ended  chan struct{}
+
+	// Owned by the goroutine of Run.
+	waiting map[string]waiter
+	calls   map[callKey]context.CancelFunc
+	asked   map[string]chan wire.Message
+}
+
+// event is an input for the core, with the waiter of an Arrive.
+type event struct {
+	in     place.Input
+	waiter waiter
+	look   func(*place.Core)
+	ended  callKey // the call that the input ends
+}
+
+type waiter struct {
+	ctx   context.Context
+	reply chan model.Outcome
 }
 
+type callKey struct{ agent, id string }
+
 // New returns a router that knows no agents yet.
-func New(opts Options) *Router { return &Router{opts: opts, agents: newAgents(opts.Clock)} }
+func New(opts Options) *Router {
+	set, _ := rules.Compile(model.Config{})
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Router{
+		opts:    opts,
+		core:    place.New(opts.Place, set, rnd),
+		events:  make(chan event, maxEvents),
+		ended:   make(chan struct{}),
+		waiting: map[string]waiter{},
+		calls:   map[callKey]context.CancelFunc{},
+		asked:   map[string]chan wire.Message{},
+	}
+}
 
 // Name implements kernel.Service.
 func (r *Router) Name() string { return ServiceName }
@@ -54,75 +98,209 @@
 		return err
 	}
 	link.On(r.node.Mux(), r.announce, keys.Agent)
+	link.On(r.node.Mux(), r.granted, keys.Agent)
+	link.On(r.node.Mux(), r.teamUse, keys.Entry)
 	return nil
 }
 
-// Run implements kernel.Service.
-func (r *Router) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+// Do runs the task on some target and returns its one outcome. When ctx ends
+// the task is cancelled.
+func (r *Router) Do(ctx context.Context, t model.Task) model.Outcome {
+	w := waiter{ctx: ctx, reply: make(chan model.Outcome, 1)}
+	if !r.send(event{in: place.Arrive{Task: t}, waiter: w}) {
+		return model.NotRun{Code: model.CodeLeaving, Reason: "the entry is shutting down"}
+	}
+	select {
+	case o := <-w.reply:
+		return o
+	case <-ctx.Done():
+		r.send(event{in: place.Cancelled{ID: t.ID}})
+	case <-r.ended:
+	}
+	select {
+	case o := <-w.reply:
+		return o
+	case <-r.ended:
+		return model.Failed{Reason: "the entry stopped", MayHaveRun: true}
+	}
+}
+
+// Look runs f with the core; f must not keep it.
+func (r *Router) Look(f func(*place.Core)) {
+	done := make(chan struct{})
+	if !r.send(event{look: func(c *place.Core) { f(c); close(done) }}) {
+		return
+	}
+	select {
+	case <-done:
+	case <-r.ended:
+	}
+}
+
+// send reports whether the event was taken.
+func (r *Router) send(e event) bool {
+	select {
+	case <-r.ended:
+		return false
+	default:
+	}
+	select {
+	case r.events <- e:
+		return true
+	case <-r.ended:
+		return false
+	}
 }
 
 func (r *Router) announce(_ context.Context, p link.Peer, m wire.Announce) wire.Message {
 	if m.Self.Name != p.Name {
 		return wire.Refused{Reason: "the announced name is not the certificate's"}
 	}
-	r.agents.heard(m)
+	r.send(event{in: place.Heard{Announce: m}})
 	return wire.Announced{Config: r.opts.View.Update(m.Version)}
 }
 
-// Do runs the task on some target and returns its one outcome.
-func (r *Router) Do(ctx context.Context, t model.Task) model.Outcome {
-	sel, err := label.Parse(t.Selector)
-	if err != nil {
-		return model.NotRun{Code: model.CodeInvalid, Reason: err.Error()}
-	}
-	rule := classify(r.opts.View.Config(), t)
-	var fit []wire.Announce
-	for _, a := range r.agents.live() {
-		if a.Target != nil && !a.Self.Leaving && sel.Matches(a.Target.Labels) && rule.Matches(a.Target.Labels) {
-			fit = append(fit, a)
+func (r *Router) granted(_ context.Context, p link.Peer, m wire.Grant) wire.Message {
+	r.send(event{in: place.Granted{Agent: p.Name, Grant: m}})
+	return wire.Done{}
+}
+
+func (r *Router) teamUse(_ context.Context, p link.Peer, m wire.TeamUse) wire.Message {
+	if m.Entry != p.Name {
+		return wire.Refused{Reason: "the sender's name is not the certificate's"}
+	}
+	r.send(event{in: place.PeerUse{Use: m}})
+	return wire.Done{}
+}
+
+// Run implements kernel.Service: it is the one goroutine that owns the core.
+func (r *Router) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer close(r.ended)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	changed := r.opts.View.Changed()
+	r.configure(ctx, &wg)
+	reported := r.opts.Clock.Now()
+	for {
+		now := r.opts.Clock.Now()
+		if now.Sub(reported) >= useInterval {
+			reported = now
+			r.reportUse(ctx, &wg)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-r.events:
+			r.take(ctx, &wg, e)
+		case <-changed:
+			changed = r.opts.View.Changed()
+			r.configure(ctx, &wg)
+		case <-r.opts.Clock.After(r.core.Wake().Sub(now)):
+			r.step(ctx, &wg, place.Tick{})
 		}
 	}
-	if len(fit) == 0 {
-		return model.NotRun{Code: model.CodeNoTarget, Reason: "no target matches", RetryAfter: time.Second}
+}
+
+func (r *Router) take(ctx context.Context, wg *sync.WaitGroup, e event) {
+	if e.look != nil {
+		e.look(r.core)
+		return
+	}
+	if a, ok := e.in.(place.Arrive); ok {
+		r.waiting[a.Task.ID] = e.waiter
+	}
+	delete(r.calls, e.ended)
+	if c, ok := e.in.(place.Cancelled); ok {
+		if _, live := r.waiting[c.ID]; !live {
+			return
+		}
 	}
-	return r.send(ctx, fit[rand.IntN(len(fit))], t)
+	r.step(ctx, wg, e.in)
 }
 
-func (r *Router) send(ctx context.Context, to wire.Announce, t model.Task) model.Outcome {
-	ctx, cancel := context.WithTimeout(ctx, t.TimeLeft)
-	defer cancel()
-	m, err := r.node.Call(ctx, link.To{Address: to.Self.Address, Role: keys.Agent}, wire.Start{Task: t, Trace: spans.Inject(ctx)})
-	if err != nil {
-		if link.NotSent(err) {
-			return model.NotRun{Code: model.CodeNoTarget, Reason: "the agent cannot be reached"}
+func (r *Router) configure(ctx context.Context, wg *sync.WaitGroup) {
+	set, errs := rules.Compile(r.opts.View.Config())
+	for _, err := range errs {
+		r.opts.Log.Warn("item of the configuration left out", zap.Error(err))
+	}
+	r.step(ctx, wg, place.Configured{Rules: set})
+}
+
+// reportUse tells the other entries what the teams use here, while a team has a quota.
+func (r *Router) reportUse(ctx context.Context, wg *sync.WaitGroup) {
+	if len(r.opts.View.Config().Items(model.SectionTeam)) == 0 {
+		return
+	}
+	use := r.core.TeamUse(r.finder.Self().Name)
+	for _, e := range r.finder.Nodes(keys.Entry) {
+		if e.Name != use.Entry {
+			r.post(ctx, wg, func(ctx context.Context) error {
+				return r.node.Post(ctx, link.To{Address: e.Address, Role: keys.Entry}, use)
+			})
 		}
-		return model.Failed{Reason: "no answer from the agent: " + err.Error(), MayHaveRun: true}
 	}
-	return outcome(t, m)
 }
 
-// outcome checks that the answer is whole and belongs to the task.
-func outcome(t model.Task, m wire.Message) model.Outcome {
-	res, ok := m.(wire.Result)
-	if !ok {
-		if ref, is := m.(wire.Refused); is {
-			return model.NotRun{Code: model.CodeInvalid, Reason: ref.Reason}
+func (r *Router) post(ctx context.Context, wg *sync.WaitGroup, f func(context.Context) error) {
+	wg.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, postTimeout)
+		defer cancel()
+		if err := f(ctx); err != nil {
+			r.opts.Log.Debug("message not sent", zap.Error(err))
 		}
-		return model.Failed{Reason: "unexpected answer", MayHaveRun: true}
-	}
-	switch {
-	case res.ID != t.ID:
-		return model.Failed{Reason: "answer to another task", MayHaveRun: true}
-	case res.Complete != nil && xxhash.Sum64(res.Complete.Body) != res.Digest:
-		return model.Failed{Reason: "the answer is damaged", MayHaveRun: true}
-	case res.Complete != nil:
-		return *res.Complete
-	case res.Failed != nil:
-		return *res.Failed
-	case res.NotRun != nil:
-		return *res.NotRun
-	}
-	return model.Failed{Reason: "empty answer", MayHaveRun: true}
+	})
+}
+
+func (r *Router) step(ctx context.Context, wg *sync.WaitGroup, in place.Input) {
+	for _, e := range r.core.Step(r.opts.Clock.Now(), in) {
+		r.do(ctx, wg, e)
+	}
+}
+
+// do carries out one effect; what may block runs in a goroutine of its own.
+func (r *Router) do(ctx context.Context, wg *sync.WaitGroup, e place.Effect) {
+	switch e := e.(type) {
+	case place.Start:
+		r.start(ctx, wg, e)
+	case place.Cancel:
+		meter.Wasted("cancelled").Inc()
+		if cancel := r.calls[callKey{e.Agent, e.ID}]; cancel != nil {
+			cancel()
+		}
+		r.post(ctx, wg, func(ctx context.Context) error { return r.node.PostPeer(ctx, e.Agent, wire.Cancel{ID: e.ID}) })
+	case place.Ask:
+		meter.Wasted("demand").Inc()
+		r.inOrder(ctx, wg, e.Agent, e.Demand)
+	case place.GiveBack:
+		meter.Wasted("stale").Inc()
+		r.post(ctx, wg, func(ctx context.Context) error { return r.node.PostPeer(ctx, e.Agent, e.Return) })
+	case place.Resolve:
+		w := r.waiting[e.ID]
+		delete(r.waiting, e.ID)
+		w.reply <- e.Outcome
+	}
+}
+
+func (r *Router) start(ctx context.Context, wg *sync.WaitGroup, e place.Start) {
+	meter.Starts().Inc()
+	switch e.Cause {
+	case place.Bounced:
+		meter.Wasted("bounced").Inc()
+	case place.Retry:
+		meter.Wasted("retry").Inc()
+	case place.Hedge:
+		meter.Wasted("hedge").Inc()
+	}
+	parent := r.waiting[e.Task.ID].ctx
+	m := wire.Start{Task: e.Task, Trace: spans.Inject(parent), Grant: e.Grant}
+	cctx, cancel := context.WithCancel(ctx)
+	key := callKey{e.Agent, e.Task.ID}
+	r.calls[key] = cancel
+	wg.Go(func() {
+		defer cancel()
+		in := r.call(cctx, e.Agent, m)
+		r.send(event{in: in, ended: key})
+	})
 }
