files: take files, frames and identity out of disk

Change: the file system interface, whole-file writes, frames and the folder's identity are a package of their own; no change of format or behaviour. Conclusion: the tests of disk pass unchanged but for the names.

--- a/disk/commit.go
+++ b/disk/commit.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 
+	"cyclamenrelay.example/files"
+
 	"github.com/gravitational/trace"
 )
 
@@ -108,7 +110,7 @@
 	s.lastSnap++
 	ref := snapRef{At: position{snap.Index, snap.Term}, File: s.lastSnap}
 	s.mu.Unlock()
-	if err := writeSnapshot(s.fs, salt{s.identity.Incarnation, ref.File}, group, snap); err != nil {
+	if err := writeSnapshot(s.fs, files.Salt{Incarnation: s.identity.Incarnation, File: ref.File}, group, snap); err != nil {
 		return snapRef{}, s.fail(err)
 	}
 	return ref, nil
@@ -208,7 +210,7 @@
 
 // commit writes and syncs one frame, then removes what it made unnecessary.
 func (s *Store) commit(records []record) error {
-	b, err := appendFrame(nil, salt{s.identity.Incarnation, s.segment}, s.seq+1, records)
+	b, err := appendRecords(nil, files.Salt{Incarnation: s.identity.Incarnation, File: s.segment}, s.seq+1, records)
 	if err != nil {
 		return err
 	}
--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -13,6 +13,7 @@
 	"testing"
 
 	"cyclamenrelay.example/disk"
+	"cyclamenrelay.example/files"
 
 	"github.com/gravitational/trace"
 	"gotest.tools/v3/assert"
@@ -171,7 +172,7 @@
 				assert.DeepEqual(t, contents(t, s), want)
 				continue
 			}
-			var d disk.Damage
+			var d files.Damage
 			assert.Assert(t, errors.As(err, &d), "%s %d: %v", name, at, err)
 			assert.Equal(t, d.File, name)
 			assert.Assert(t, d.Offset <= int64(at))
--- a/disk/memory_test.go
+++ b/disk/memory_test.go
@@ -8,7 +8,7 @@
 	"slices"
 	"sync"
 
-	"cyclamenrelay.example/disk"
+	"cyclamenrelay.example/files"
 )
 
 var errInjected = errors.New("injected failure")
@@ -96,12 +96,12 @@
 	return nil, fs.ErrNotExist
 }
 
-func (m *memory) Create(name string) (disk.File, error) {
+func (m *memory) Create(name string) (files.File, error) {
 	i := &inode{}
 	return memoryFile{m, i}, m.rename(func() { m.names[name] = i })
 }
 
-func (m *memory) Append(name string) (disk.File, error) { return memoryFile{m, m.names[name]}, nil }
+func (m *memory) Append(name string) (files.File, error) { return memoryFile{m, m.names[name]}, nil }
 
 func (m *memory) Rename(from, to string) error {
 	return m.rename(func() { m.names[to] = m.names[from]; delete(m.names, from) })
--- a/disk/replay.go
+++ b/disk/replay.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"cyclamenrelay.example/files"
 	"cyclamenrelay.example/wire"
 
 	"github.com/gravitational/trace"
@@ -12,21 +13,7 @@
 
 const segmentPrefix = "log-"
 
-// Damage is the error for bytes that were durable once and are no longer
-// readable. The folder must not be used: what it answered before is lost.
-type Damage struct {
-	File string
-	// Offset is where the damage starts, in bytes from the file's start.
-	Offset int64
-	Reason string
-}
-
-// Error describes the damage.
-func (d Damage) Error() string {
-	return fmt.Sprintf("damaged file %s at offset %d: %s", d.File, d.Offset, d.Reason)
-}
-
-func segmentName(n uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, n) }
+func segmentName(n uint64) string { return files.Name(segmentPrefix, n) }
 
 // listing is what a folder holds.
 type listing struct {
@@ -36,20 +23,20 @@
 	temps     []string
 }
 
-func list(fs FS) (listing, error) {
+func list(fs files.FS) (listing, error) {
 	names, err := fs.List()
 	if err != nil {
 		return listing{}, trace.Wrap(err)
 	}
 	var l listing
 	for _, name := range names {
-		if n, ok := fileNumber(name, segmentPrefix); ok {
+		if n, ok := files.Number(name, segmentPrefix); ok {
 			l.segments = append(l.segments, n)
-		} else if n, ok := snapNumber(name); ok {
+		} else if n, ok := files.Number(name, snapPrefix); ok {
 			l.snapshots = append(l.snapshots, n)
-		} else if strings.HasSuffix(name, tempSuffix) {
+		} else if strings.HasSuffix(name, files.TempSuffix) {
 			l.temps = append(l.temps, name)
-		} else if name == identityFile {
+		} else if name == files.IdentityFile {
 			l.identity = true
 		}
 	}
@@ -62,7 +49,7 @@
 func (s *Store) replay(segments []uint64) error {
 	for i, n := range segments {
 		if n != segments[0]+uint64(i) {
-			return trace.Wrap(Damage{File: segmentName(segments[0] + uint64(i)), Reason: "the file is missing"})
+			return trace.Wrap(files.Damage{File: segmentName(segments[0] + uint64(i)), Reason: "the file is missing"})
 		}
 		if err := s.replaySegment(n, i == 0, i == len(segments)-1); err != nil {
 			return err
@@ -71,7 +58,7 @@
 	for id, g := range s.groups {
 		if g.gap {
 			reason := fmt.Sprintf("the entries of group %d before %d are missing", id, g.prev.Index+1)
-			return trace.Wrap(Damage{File: segmentName(segments[0]), Reason: reason})
+			return trace.Wrap(files.Damage{File: segmentName(segments[0]), Reason: reason})
 		}
 	}
 	return nil
@@ -83,14 +70,14 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	key := salt{s.identity.Incarnation, n}
-	seq, ok := readHeader(b, key)
+	key := files.Salt{Incarnation: s.identity.Incarnation, File: n}
+	seq, ok := files.ReadHeader(b, key)
 	if !ok {
-		return trace.Wrap(Damage{File: name, Reason: "the header is not valid"})
+		return trace.Wrap(files.Damage{File: name, Reason: "the header is not valid"})
 	}
 	if !first && seq != s.seq+1 {
 		reason := fmt.Sprintf("it starts at frame %d, the one before ends at %d", seq, s.seq)
-		return trace.Wrap(Damage{File: name, Reason: reason})
+		return trace.Wrap(files.Damage{File: name, Reason: reason})
 	}
 	end, err := s.replayFrames(b, key, seq, last)
 	if err != nil || !last {
@@ -98,42 +85,33 @@
 	}
 	// What an earlier process wrote may be in the page cache only, even after
 	// a failed sync. Writing it anew makes it durable and cuts the torn tail.
-	return writeFile(s.fs, name, b[:end])
+	return files.Write(s.fs, name, b[:end])
 }
 
 // replayFrames applies the frames of the segment b and returns where they end.
-func (s *Store) replayFrames(b []byte, key salt, seq uint64, last bool) (int, error) {
-	name := segmentName(key.segment)
-	at := headerSize
+func (s *Store) replayFrames(b []byte, key files.Salt, seq uint64, last bool) (int, error) {
+	name := segmentName(key.File)
+	at := files.HeaderSize
 	for ; at < len(b); seq++ {
-		payload, got, ok := readFrame(b[at:], key)
+		payload, got, ok := files.ReadFrame(b[at:], key)
 		if !ok {
-			return at, checkTail(b, at, key, seq, last)
+			return at, files.CheckTail(name, b, at, key, seq, last)
 		}
 		if got != seq {
-			return 0, trace.Wrap(Damage{File: name, Offset: int64(at), Reason: fmt.Sprintf("frame %d instead of %d", got, seq)})
+			return 0, trace.Wrap(files.Damage{File: name, Offset: int64(at), Reason: fmt.Sprintf("frame %d instead of %d", got, seq)})
 		}
 		var records []record
 		if err := wire.UnmarshalValue(payload, &records); err != nil {
-			return 0, trace.Wrap(Damage{File: name, Offset: int64(at), Reason: err.Error()})
+			return 0, trace.Wrap(files.Damage{File: name, Offset: int64(at), Reason: err.Error()})
 		}
 		for _, r := range records {
-			s.group(r.Group).apply(r, key.segment)
+			s.group(r.Group).apply(r, key.File)
 		}
 		s.seq = seq
-		at += frameHeader + len(payload)
+		at += files.FrameHeader + len(payload)
 	}
-	if at == headerSize {
-		return 0, checkTail(b, at, key, seq, last)
+	if at == files.HeaderSize {
+		return 0, files.CheckTail(name, b, at, key, seq, last)
 	}
 	return at, nil
 }
-
-// checkTail says whether the bytes from at on can be an unfinished write. The
-// first frame of a segment is durable before the segment has its name.
-func checkTail(b []byte, at int, key salt, seq uint64, last bool) error {
-	if last && at > headerSize && !frameAfter(b[at:], key, seq) {
-		return nil
-	}
-	return trace.Wrap(Damage{File: segmentName(key.segment), Offset: int64(at), Reason: "the checksum does not match"})
-}
--- a/disk/rotate.go
+++ b/disk/rotate.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 
+	"cyclamenrelay.example/files"
+
 	"github.com/gravitational/trace"
 )
 
@@ -19,14 +21,14 @@
 	records := s.carry(next)
 	s.mu.Unlock()
 
-	key := salt{s.identity.Incarnation, next}
-	b := appendHeader(nil, key, s.seq+1)
-	b, err := appendFrame(b, key, s.seq+1, records)
+	key := files.Salt{Incarnation: s.identity.Incarnation, File: next}
+	b := files.AppendHeader(nil, key, s.seq+1)
+	b, err := appendRecords(b, key, s.seq+1, records)
 	if err != nil {
 		return err
 	}
 	name := segmentName(next)
-	if err := writeFile(s.fs, name, b); err != nil {
+	if err := files.Write(s.fs, name, b); err != nil {
 		return err
 	}
 	if err := s.closeFile(); err != nil {
--- a/disk/store.go
+++ b/disk/store.go
@@ -13,6 +13,8 @@
 	"slices"
 	"sync"
 
+	"cyclamenrelay.example/files"
+
 	"github.com/gravitational/trace"
 )
 
@@ -38,7 +40,7 @@
 	// Random gives the incarnation of a new folder, nil for crypto/rand.
 	Random io.Reader
 	// FS replaces the file system of the folder.
-	FS FS
+	FS files.FS
 }
 
 // Update is what one batch changes in one group, applied in the order of the fields.
@@ -68,8 +70,8 @@
 
 // Store is an open folder. Its methods may be called concurrently.
 type Store struct {
-	fs       FS
-	identity Identity
+	fs       files.FS
+	identity files.Identity
 	created  bool
 	size     int
 	unlock   func() error
@@ -87,7 +89,7 @@
 	seq      uint64
 	segment  uint64
 	oldest   uint64
-	file     File
+	file     files.File
 	written  int
 	obsolete []uint64
 }
@@ -103,7 +105,7 @@
 		o.Random = rand.Reader
 	}
 	if o.FS == nil {
-		fs, err := Folder(folder)
+		fs, err := files.Folder(folder)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
@@ -157,16 +159,16 @@
 func (s *Store) identify(l listing, o Options) (err error) {
 	if len(l.segments) == 0 {
 		if len(l.snapshots) > 0 {
-			return trace.Wrap(Damage{File: segmentName(1), Reason: "there are snapshots but no segments"})
+			return trace.Wrap(files.Damage{File: segmentName(1), Reason: "there are snapshots but no segments"})
 		}
 		s.created = true
-		s.identity, err = makeIdentity(s.fs, o)
+		s.identity, err = files.MakeIdentity(s.fs, o.Cluster, o.Node, o.Random)
 		return trace.Wrap(err)
 	}
 	if !l.identity {
-		return trace.Wrap(Damage{File: identityFile, Reason: "the file is missing"})
+		return trace.Wrap(files.Damage{File: files.IdentityFile, Reason: "the file is missing"})
 	}
-	if s.identity, err = readIdentity(s.fs); err != nil {
+	if s.identity, err = files.ReadIdentity(s.fs); err != nil {
 		return trace.Wrap(err)
 	}
 	if s.identity.Cluster != o.Cluster || s.identity.Node != o.Node {
@@ -202,11 +204,11 @@
 }
 
 func (s *Store) readSnapshot(group uint32, ref snapRef) (Snapshot, error) {
-	return readSnapshot(s.fs, salt{s.identity.Incarnation, ref.File}, group, ref)
+	return readSnapshot(s.fs, files.Salt{Incarnation: s.identity.Incarnation, File: ref.File}, group, ref)
 }
 
 // Identity returns whose folder it is, and whether this Open made it.
-func (s *Store) Identity() (id Identity, created bool) { return s.identity, s.created }
+func (s *Store) Identity() (id files.Identity, created bool) { return s.identity, s.created }
 
 // Groups returns the groups that were ever written, in order.
 func (s *Store) Groups() []uint32 {
--- a/disk/fs.go
+++ b/files/fs.go
@@ -1,4 +1,7 @@
-package disk
+// Package files holds what durable files are made of: the file system of one
+// folder behind an interface, whole-file writes, checksummed frames and the
+// identity of a folder.
+package files
 
 import (
 	"os"
--- a/disk/ident.go
+++ b/files/ident.go
@@ -1,4 +1,4 @@
-package disk
+package files
 
 import (
 	"encoding/binary"
@@ -9,10 +9,8 @@
 	"github.com/gravitational/trace"
 )
 
-const (
-	identityFile = "identity.json"
-	tempSuffix   = ".tmp"
-)
+// IdentityFile is the name of the file of the identity.
+const IdentityFile = "identity.json"
 
 // Identity says whose folder it is.
 type Identity struct {
@@ -36,45 +34,31 @@
 	return crc32.Checksum(b, castagnoli)
 }
 
-func readIdentity(fs FS) (Identity, error) {
-	b, err := fs.ReadFile(identityFile)
+// ReadIdentity reads the identity of the folder. The error is a Damage when it
+// is not whole.
+func ReadIdentity(fs FS) (Identity, error) {
+	b, err := fs.ReadFile(IdentityFile)
 	if err != nil {
 		return Identity{}, trace.Wrap(err)
 	}
 	var r identityRecord
 	if err := json.Unmarshal(b, &r); err != nil || r.Checksum != r.checksum() {
-		return Identity{}, trace.Wrap(Damage{File: identityFile, Reason: "the checksum does not match"})
+		return Identity{}, trace.Wrap(Damage{File: IdentityFile, Reason: "the checksum does not match"})
 	}
 	return r.Identity, nil
 }
 
-func makeIdentity(fs FS, o Options) (Identity, error) {
+// MakeIdentity makes the identity of a new folder, with an incarnation read
+// from random.
+func MakeIdentity(fs FS, cluster, node string, random io.Reader) (Identity, error) {
 	var b [8]byte
-	if _, err := io.ReadFull(o.Random, b[:]); err != nil {
+	if _, err := io.ReadFull(random, b[:]); err != nil {
 		return Identity{}, trace.Wrap(err)
 	}
-	i := Identity{Cluster: o.Cluster, Node: o.Node, Incarnation: binary.BigEndian.Uint64(b[:])}
+	i := Identity{Cluster: cluster, Node: node, Incarnation: binary.BigEndian.Uint64(b[:])}
 	text, err := json.Marshal(identityRecord{i, i.checksum()})
 	if err != nil {
 		return Identity{}, trace.Wrap(err)
 	}
-	return i, trace.Wrap(writeFile(fs, identityFile, text))
-}
-
-// writeFile makes a file durable under its name, whole or not at all.
-func writeFile(fs FS, name string, b []byte) error {
-	f, err := fs.Create(name + tempSuffix)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	if _, err = f.Write(b); err == nil {
-		err = f.Sync()
-	}
-	if err := trace.NewAggregate(err, f.Close()); err != nil {
-		return err
-	}
-	if err := fs.Rename(name+tempSuffix, name); err != nil {
-		return trace.Wrap(err)
-	}
-	return trace.Wrap(fs.SyncDir())
+	return i, trace.Wrap(Write(fs, IdentityFile, text))
 }
