--- /dev/null
+++ b/fault/fault.go
@@ -0,0 +1,275 @@
+// Package fault relays UDP and TCP between loopback ports and injects faults:
+// delay, loss, duplication, reordering, silent cuts and freezes.
+package fault
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"cyclamenrelay.example/units"
+
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+)
+
+// Rule says what happens to the traffic of one direction. Loss, duplication
+// and reordering act on UDP only, since TCP hides them.
+type Rule struct {
+	// Delay is added to each packet, and a random part of Jitter besides.
+	Delay  units.Duration `json:"delay,omitempty"`
+	Jitter units.Duration `json:"jitter,omitempty"`
+	// Loss, Duplicate and Reorder are probabilities for each packet.
+	Loss      float64 `json:"loss,omitempty"`
+	Duplicate float64 `json:"duplicate,omitempty"`
+	Reorder   float64 `json:"reorder,omitempty"`
+	// Cut drops all UDP packets silently and holds TCP back without closing it.
+	Cut bool `json:"cut,omitempty"`
+	// Freeze holds everything back and delivers it after the thaw.
+	Freeze bool `json:"freeze,omitempty"`
+}
+
+// Check returns a trace.BadParameter that names the first bad field.
+func (r Rule) Check() error {
+	for _, p := range []struct {
+		name  string
+		value float64
+	}{{"loss", r.Loss}, {"duplicate", r.Duplicate}, {"reorder", r.Reorder}} {
+		if p.value < 0 || p.value > 1 {
+			return trace.BadParameter("%s %v is not within 0 to 1", p.name, p.value)
+		}
+	}
+	return nil
+}
+
+// Rules are the rules of a link's two directions.
+type Rules struct {
+	// Forward acts towards the address To, Back on what comes from it.
+	Forward Rule `json:"forward"`
+	Back    Rule `json:"back"`
+}
+
+// Link relays from a listening address to another.
+type Link struct {
+	Name string `json:"name"`
+	// Network is udp or tcp.
+	Network string `json:"network"`
+	// Listen and To are IP addresses with ports.
+	Listen string `json:"listen"`
+	To     string `json:"to"`
+	Rules
+}
+
+// ReadLinks reads a JSON file of the form {"links":[...]}. The error is a
+// trace.BadParameter.
+func ReadLinks(r io.Reader) ([]Link, error) {
+	var file struct {
+		Links []Link `json:"links"`
+	}
+	dec := json.NewDecoder(r)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&file); err != nil {
+		return nil, trace.BadParameter("links: %v", err)
+	}
+	return file.Links, nil
+}
+
+// Relay is a set of running links.
+type Relay struct {
+	links map[string]*link
+}
+
+// New opens the links. The error is a trace.BadParameter or from the network.
+func New(links []Link, c clockwork.Clock, seed uint64) (*Relay, error) {
+	r := &Relay{links: map[string]*link{}}
+	for i, cfg := range links {
+		l, err := r.open(cfg, c, rand.New(rand.NewPCG(seed, uint64(i))))
+		if err != nil {
+			r.Close()
+			return nil, trace.Wrap(err, "link %q", cfg.Name)
+		}
+		r.links[cfg.Name] = l
+	}
+	return r, nil
+}
+
+func (r *Relay) open(cfg Link, c clockwork.Clock, rnd *rand.Rand) (*link, error) {
+	if _, ok := r.links[cfg.Name]; ok || cfg.Name == "" {
+		return nil, trace.BadParameter("name is empty or taken")
+	}
+	l := &link{
+		cfg: cfg, clock: c, rand: rnd,
+		changed: make(chan struct{}), closed: make(chan struct{}), open: map[io.Closer]bool{},
+	}
+	if err := l.set(cfg.Rules); err != nil {
+		return nil, err
+	}
+	switch cfg.Network {
+	case "tcp":
+		return l, l.listenTCP()
+	case "udp":
+		return l, l.listenUDP()
+	}
+	return nil, trace.BadParameter("network %q is neither udp nor tcp", cfg.Network)
+}
+
+// Set changes the rules of a link. The error is a trace.NotFound or a
+// trace.BadParameter.
+func (r *Relay) Set(name string, rules Rules) error {
+	l, ok := r.links[name]
+	if !ok {
+		return trace.NotFound("link %q is unknown", name)
+	}
+	return l.set(rules)
+}
+
+// Addr returns the address that a link listens on, nil when it is unknown.
+func (r *Relay) Addr(name string) net.Addr {
+	if l, ok := r.links[name]; ok {
+		return l.addr
+	}
+	return nil
+}
+
+// Close closes all links and their connections.
+func (r *Relay) Close() {
+	for _, l := range r.links {
+		l.close()
+	}
+	for _, l := range r.links {
+		l.wg.Wait()
+	}
+}
+
+// Handler serves GET /v1/links and PUT /v1/links/{name} with Rules as JSON.
+func (r *Relay) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/links", func(w http.ResponseWriter, _ *http.Request) {
+		out := []Link{}
+		for _, name := range slices.Sorted(maps.Keys(r.links)) {
+			l := r.links[name]
+			cfg := l.cfg
+			cfg.Listen, cfg.Rules = l.addr.String(), l.current()
+			out = append(out, cfg)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(out)
+	})
+	mux.HandleFunc("PUT /v1/links/{name}", func(w http.ResponseWriter, req *http.Request) {
+		var rules Rules
+		dec := json.NewDecoder(http.MaxBytesReader(w, req.Body, 1<<16))
+		dec.DisallowUnknownFields()
+		err := dec.Decode(&rules)
+		if err != nil {
+			err = trace.BadParameter("rules: %v", err)
+		} else {
+			err = r.Set(req.PathValue("name"), rules)
+		}
+		if err != nil {
+			http.Error(w, trace.UserMessage(err), trace.ErrorToCode(err))
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+// link is one running link.
+type link struct {
+	cfg   Link
+	clock clockwork.Clock
+	addr  net.Addr
+	wg    sync.WaitGroup
+
+	mu      sync.Mutex
+	rand    *rand.Rand
+	rules   Rules
+	changed chan struct{} // closed when the rules change
+	closed  chan struct{}
+	done    bool
+	open    map[io.Closer]bool
+}
+
+func (l *link) set(r Rules) error {
+	if err := r.Forward.Check(); err != nil {
+		return err
+	}
+	if err := r.Back.Check(); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rules = r
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return nil
+}
+
+func (l *link) current() Rules {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rules
+}
+
+// rule returns the rule of a direction and the channel of its next change.
+func (l *link) rule(back bool) (Rule, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if back {
+		return l.rules.Back, l.changed
+	}
+	return l.rules.Forward, l.changed
+}
+
+// chance returns true with probability p.
+func (l *link) chance(p float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rand.Float64() < p
+}
+
+// delay returns the delay of one packet under the rule.
+func (l *link) delay(r Rule) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return r.Delay.Std() + time.Duration(l.rand.Float64()*float64(r.Jitter))
+}
+
+// keep registers c to be closed with the link; it returns false and closes c
+// when the link is closed already.
+func (l *link) keep(c io.Closer) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.done {
+		_ = c.Close()
+		return false
+	}
+	l.open[c] = true
+	return true
+}
+
+func (l *link) drop(c io.Closer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+	_ = c.Close()
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.done {
+		return
+	}
+	l.done = true
+	close(l.closed)
+	for c := range l.open {
+		_ = c.Close()
+	}
+}
