--- a/keys/ca.go
+++ b/keys/ca.go
@@ -134,6 +134,33 @@
 	return sign(t, ca.cert, key, ca.key)
 }
 
+// Renew makes a certificate with a new key and the name, roles and addresses
+// of the PEM certificate, which this CA must have signed; it may have expired.
+// The error is a trace.BadParameter or AccessDenied.
+func (ca *CA) Renew(certFile string, now time.Time, validity time.Duration) (Pair, error) {
+	b, err := readFile(certFile)
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	certs, err := parseCerts(b)
+	if err != nil {
+		return Pair{}, trace.Wrap(err, "file %s", certFile)
+	}
+	old := certs[0]
+	if err := old.CheckSignatureFrom(ca.cert); err != nil {
+		return Pair{}, trace.AccessDenied("%s is not signed by the CA %s: %v", certFile, ca.Name(), err)
+	}
+	p, err := peerOf(old)
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	addresses := slices.Clone(old.DNSNames)
+	for _, ip := range old.IPAddresses {
+		addresses = append(addresses, ip.String())
+	}
+	return ca.Node(p.Name, p.Roles, now, validity, addresses...)
+}
+
 func checkSubject(name string, validity time.Duration) error {
 	if !validName.MatchString(name) {
 		return trace.BadParameter("name %q is not valid, allowed are 1 to 63 letters, digits and . _ @ -", name)
--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -118,8 +118,13 @@
 	assert.Assert(t, serr != nil && cerr != nil)
 	assert.ErrorContains(t, e.Reload(), "expired")
 
-	d.node("k1", keys.Keeper)
-	d.node("e1", keys.Entry)
+	for _, name := range []string{"k1", "e1"} {
+		p, err := d.ca.Renew(d.path(name+".pem"), d.clock.Now(), 30*day)
+		assert.NilError(t, err)
+		assert.NilError(t, p.Write(d.path(name+".pem"), d.path(name+".key")))
+	}
+	_, err := deploy(t).ca.Renew(d.path("k1.pem"), d.clock.Now(), day)
+	assert.ErrorContains(t, err, "not signed")
 	assert.NilError(t, k.Reload())
 	assert.NilError(t, e.Reload())
 	_, _, serr, cerr = handshake(t, server, client)
