--- /dev/null
+++ b/relctl/keys.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/layout"
+)
+
+const day = 24 * time.Hour
+
+func init() {
+	register("keys ca", "Make the deployment's CA", "Writes ca.pem and ca.key and refuses to replace them. Keep ca.key off the hosts. "+
+		"Example: relctl keys ca tengri --folder tls", func(a *app) any { return &makeCA{a: a} })
+	register("keys node", "Make a node's certificate", "Writes NAME.pem and NAME.key. Example: relctl keys node k1 --role keeper",
+		func(a *app) any { return &makeNode{a: a} })
+	register("keys operator", "Make an operator's certificate", "Writes NAME.pem and NAME.key. Example: relctl keys operator aigerim --days 30",
+		func(a *app) any { return &makeOperator{a: a} })
+	register("keys renew", "Renew certificates", "Replaces each certificate and its key by new ones with the same name and roles. "+
+		"A node reads them again on SIGHUP. Example: relctl keys renew tls/k1.pem tls/k2.pem",
+		func(a *app) any { return &renewKeys{a: a} })
+	register("keys deployment", "Make all certificates of a deployment's folder", "Makes the CA, a certificate for each settings file "+
+		"in the folder and one for an operator. Example: relctl keys deployment deploy/tengri",
+		func(a *app) any { return &makeDeployment{a: a} })
+}
+
+// caFlags say where the CA's files are and for how long a certificate holds.
+type caFlags struct {
+	Folder string `long:"folder" value-name:"FOLDER" default:"tls" description:"the folder of ca.pem, ca.key and the new files"`
+	Days   int    `long:"days" value-name:"N" default:"365" description:"days until the certificate expires"`
+}
+
+func (f caFlags) folder() keys.Folder { return keys.Folder(f.Folder) }
+
+func (f caFlags) validity() time.Duration { return time.Duration(f.Days) * day }
+
+// issue makes a certificate and writes it, in place of none.
+func (f caFlags) issue(a *app, name string, roles []keys.Role, addresses ...string) error {
+	ca, err := f.folder().CA()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := f.folder().Issue(ca, name, roles, a.clock.Now(), f.validity(), addresses...); err != nil {
+		return trace.Wrap(err)
+	}
+	a.note("%s written", f.folder().Cert(name))
+	return nil
+}
+
+type makeCA struct {
+	CA   caFlags  `group:"CA options"`
+	Args nameArgs `positional-args:"yes" required:"yes"`
+
+	a *app
+}
+
+// Execute implements flags.Commander.
+func (c *makeCA) Execute([]string) error {
+	if _, err := c.CA.folder().NewCA(c.Args.Name, c.a.clock.Now(), c.CA.validity()); err != nil {
+		return trace.Wrap(err)
+	}
+	c.a.note("%s written", c.CA.folder().Cert("ca"))
+	return nil
+}
+
+type makeNode struct {
+	CA        caFlags  `group:"CA options"`
+	Roles     []string `long:"role" value-name:"ROLE" required:"yes" choice:"entry" choice:"keeper" choice:"agent" description:"what the node may speak as; repeat it for more"`
+	Addresses []string `long:"address" value-name:"IP" description:"an address of the node, for clients that check it"`
+	Args      nameArgs `positional-args:"yes" required:"yes"`
+
+	a *app
+}
+
+// Execute implements flags.Commander.
+func (c *makeNode) Execute([]string) error {
+	var roles []keys.Role
+	for _, r := range c.Roles {
+		roles = append(roles, keys.Role(r))
+	}
+	return c.CA.issue(c.a, c.Args.Name, roles, c.Addresses...)
+}
+
+type makeOperator struct {
+	CA   caFlags  `group:"CA options"`
+	Args nameArgs `positional-args:"yes" required:"yes"`
+
+	a *app
+}
+
+// Execute implements flags.Commander.
+func (c *makeOperator) Execute([]string) error {
+	return c.CA.issue(c.a, c.Args.Name, []keys.Role{keys.Operator})
+}
+
+type renewKeys struct {
+	CA   caFlags `group:"CA options"`
+	Args struct {
+		Files []string `positional-arg-name:"CERT" required:"1"`
+	} `positional-args:"yes"`
+
+	a *app
+}
+
+// Execute implements flags.Commander.
+func (c *renewKeys) Execute([]string) error {
+	ca, err := c.CA.folder().CA()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, cert := range c.Args.Files {
+		pair, err := ca.Renew(cert, c.a.clock.Now(), c.CA.validity())
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if err := pair.Write(cert, strings.TrimSuffix(cert, ".pem")+".key"); err != nil {
+			return trace.Wrap(err)
+		}
+		c.a.note("%s renewed", cert)
+	}
+	return nil
+}
+
+type makeDeployment struct {
+	Days     int    `long:"days" value-name:"N" default:"365" description:"days until the certificates expire"`
+	Operator string `long:"operator" value-name:"NAME" default:"operator" description:"the operator's name"`
+	Args     struct {
+		Folder string `positional-arg-name:"FOLDER"`
+	} `positional-args:"yes" required:"yes"`
+
+	a *app
+}
+
+// Execute implements flags.Commander.
+func (c *makeDeployment) Execute([]string) error {
+	validity := time.Duration(c.Days) * day
+	n, err := layout.Issue(c.Args.Folder, c.Operator, c.a.clock.Now(), validity)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.a.note("%d certificates written in %s/tls", n, c.Args.Folder)
+	return nil
+}
