--- a/admin/serve.go
+++ b/admin/serve.go
@@ -114,7 +114,7 @@
 }
 
 func (s *service) answerError(w http.ResponseWriter, r *http.Request, err error) {
-	a := ErrorAnswer{Error: trace.Unwrap(err).Error()}
+	a := ErrorAnswer{Error: trace.UserMessage(err)}
 	var field *FieldError
 	if errors.As(err, &field) {
 		a = ErrorAnswer{Error: field.Message, Field: field.Field}
--- a/conf/check.go
+++ b/conf/check.go
@@ -92,6 +92,9 @@
 	if err != nil {
 		return fmt.Sprintf("%T", value)
 	}
+	if value != nil && string(b) == "null" {
+		return "" // a list that is not there
+	}
 	return cut(string(b))
 }
 
--- a/relctl/app.go
+++ b/relctl/app.go
@@ -124,7 +124,7 @@
 		_, _ = fmt.Fprintln(a.out, usage.Message)
 		return exitDone
 	}
-	_, _ = fmt.Fprintln(a.err, "relctl: "+trace.Unwrap(err).Error())
+	_, _ = fmt.Fprintln(a.err, "relctl: "+trace.UserMessage(err))
 	switch {
 	case usage != nil || trace.IsBadParameter(err):
 		return exitUsage
