relctl: silent servers, CA's own validity, readable settings

Cause: a server cut off silently held one try for 20 s of the 30 s that an operation has; a CA made with the default ended with its first certificates; generated settings began with entry and ended with tls, by alphabet; the HTTP library's lines went past the log.

Conclusion: a test with a server that never answers is done by the next one, the change sent once.

--- a/admin/serve.go
+++ b/admin/serve.go
@@ -22,6 +22,9 @@
 
 const (
 	requestTimeout = 15 * time.Second
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = time.Minute
+	maxHeader      = 16 << 10 // bytes
 	defaultLimit   = 1000
 	maxLimit       = 50_000
 	defaultHistory = 50
@@ -340,3 +343,22 @@
 	}
 	return n, nil
 }
+
+// NewServer returns the operators' HTTPS server, to be run by ServeTLS without
+// files. What the HTTP library logs becomes events of log.
+func NewServer(b Backend, id *keys.Identity, clock clockwork.Clock, log *zap.Logger) *http.Server {
+	errorLog, err := zap.NewStdLogAt(log.Named("operators"), zap.DebugLevel)
+	if err != nil {
+		panic(err) // only for a level that does not exist
+	}
+	return &http.Server{
+		Handler:           NewHandler(b, clock, log),
+		TLSConfig:         id.OperatorServerConfig(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       requestTimeout,
+		WriteTimeout:      2 * requestTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          errorLog,
+	}
+}
--- a/client/client.go
+++ b/client/client.go
@@ -25,10 +25,9 @@
 )
 
 const (
-	maxAnswer      = 64 << 20 // bytes
-	attemptTimeout = 20 * time.Second
-	firstPause     = 100 * time.Millisecond
-	maxPause       = 2 * time.Second
+	maxAnswer  = 64 << 20 // bytes
+	firstPause = 100 * time.Millisecond
+	maxPause   = 2 * time.Second
 )
 
 // Client speaks to the operators' listeners of a deployment's entries.
@@ -47,7 +46,10 @@
 	Identity *keys.Identity
 	// Attempts bounds the tries of one operation over all servers.
 	Attempts int
-	Clock    clockwork.Clock
+	// AttemptTimeout bounds one try, so that a server that is cut off silently
+	// leaves time for the next.
+	AttemptTimeout time.Duration
+	Clock          clockwork.Clock
 	// OnRetry is told of each failed try that another follows; it may be nil.
 	OnRetry func(server string, err error)
 }
@@ -66,7 +68,7 @@
 		c.servers = append(c.servers, strings.TrimRight(s, "/"))
 	}
 	c.http = &http.Client{
-		Timeout:   attemptTimeout,
+		Timeout:   o.AttemptTimeout,
 		Transport: &http.Transport{TLSClientConfig: o.Identity.OperatorClientConfig(), ForceAttemptHTTP2: true},
 	}
 	return c, nil
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -3,12 +3,13 @@
 package conf
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
-	"maps"
 	"os"
 	"path/filepath"
 	"reflect"
+	"strconv"
 
 	"github.com/gravitational/trace"
 )
@@ -118,31 +119,45 @@
 // Sparse returns the settings as indented JSON without the fields that have
 // their default.
 func (s Settings) Sparse() ([]byte, error) {
-	own, err := s.sections()
-	if err != nil {
+	var b, out bytes.Buffer
+	if err := writeSparse(&b, reflect.ValueOf(s), reflect.ValueOf(Default())); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	base, err := Default().sections()
-	if err != nil {
+	if err := json.Indent(&out, b.Bytes(), "", "  "); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	for name, fields := range own {
-		maps.DeleteFunc(fields, func(f string, v any) bool { return reflect.DeepEqual(v, base[name][f]) })
-		if len(fields) == 0 {
-			delete(own, name)
-		}
-	}
-	b, err := json.MarshalIndent(own, "", "  ")
-	return append(b, '\n'), trace.Wrap(err)
+	out.WriteByte('\n')
+	return out.Bytes(), nil
 }
 
-func (s Settings) sections() (map[string]map[string]any, error) {
-	b, err := json.Marshal(s)
-	if err != nil {
-		return nil, trace.Wrap(err)
+// writeSparse writes the fields of the struct that differ from base, in their order.
+func writeSparse(b *bytes.Buffer, own, base reflect.Value) error {
+	separator := byte('{')
+	for i, name := range fieldNames(own.Type()) {
+		f, d := own.Field(i), base.Field(i)
+		if reflect.DeepEqual(f.Interface(), d.Interface()) {
+			continue
+		}
+		b.WriteByte(separator)
+		b.WriteString(strconv.Quote(name) + ":")
+		separator = ','
+		if f.Kind() == reflect.Struct {
+			if err := writeSparse(b, f, d); err != nil {
+				return err
+			}
+			continue
+		}
+		v, err := json.Marshal(f.Interface())
+		if err != nil {
+			return err
+		}
+		b.Write(v)
+	}
+	if separator == '{' {
+		b.WriteByte(separator)
 	}
-	var out map[string]map[string]any
-	return out, trace.Wrap(json.Unmarshal(b, &out))
+	b.WriteByte('}')
+	return nil
 }
 
 // within returns s with its relative paths joined to the folder.
--- a/keys/ca.go
+++ b/keys/ca.go
@@ -15,6 +15,9 @@
 	"github.com/gravitational/trace"
 )
 
+// CAValidity is how long a CA is usually valid: its end ends all certificates.
+const CAValidity = 10 * 365 * 24 * time.Hour
+
 const (
 	// clockSkew is how far a certificate's validity starts before its making.
 	clockSkew  = time.Hour
--- a/layout/folder.go
+++ b/layout/folder.go
@@ -44,7 +44,7 @@
 		return 0, trace.NotFound("no settings in %s", folder)
 	}
 	f := keys.Folder(filepath.Join(folder, "tls"))
-	ca, err := f.NewCA(filepath.Base(folder), now, validity)
+	ca, err := f.NewCA(filepath.Base(folder), now, max(validity, keys.CAValidity))
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
--- a/relctl/app.go
+++ b/relctl/app.go
@@ -31,6 +31,9 @@
 
 const indent = "  "
 
+// triesPerTimeout is how many servers in a row may be silent before --timeout ends.
+const triesPerTimeout = 4
+
 // options are the global flags.
 type options struct {
 	Servers  []string      `long:"server" value-name:"URL" env:"RELCTL_SERVER" env-delim:"," description:"an entry's operators' URL; repeat it for more, the next is tried when one is down"`
@@ -39,7 +42,7 @@
 	Key      string        `long:"key" value-name:"FILE" env:"RELCTL_KEY" default:"tls/operator.key" description:"its private key"`
 	JSON     bool          `long:"json" description:"print JSON"`
 	Attempts int           `long:"attempts" value-name:"N" default:"6" description:"the most tries of one operation over all servers"`
-	Timeout  time.Duration `long:"timeout" value-name:"TIME" default:"30s" description:"the most time for one operation"`
+	Timeout  time.Duration `long:"timeout" value-name:"TIME" default:"30s" description:"the most time for one operation; a try has a quarter of it"`
 }
 
 // app is what the commands share.
@@ -146,7 +149,8 @@
 	}
 	c, err := client.New(client.Options{
 		Servers: a.opts.Servers, Identity: id, Attempts: a.opts.Attempts, Clock: a.clock,
-		OnRetry: func(server string, err error) { a.note("%s: %v; trying again", server, trace.Unwrap(err)) },
+		AttemptTimeout: a.opts.Timeout / triesPerTimeout,
+		OnRetry:        func(server string, err error) { a.note("%s: %v; trying again", server, trace.Unwrap(err)) },
 	})
 	if err != nil {
 		return nil, nil, nil, trace.Wrap(err)
--- a/relctl/keys.go
+++ b/relctl/keys.go
@@ -10,7 +10,10 @@
 	"cyclamenrelay.example/layout"
 )
 
-const day = 24 * time.Hour
+const (
+	day  = 24 * time.Hour
+	year = 365 * day
+)
 
 func init() {
 	register("keys ca", "Make the deployment's CA", "Writes ca.pem and ca.key and refuses to replace them. Keep ca.key off the hosts. "+
@@ -30,12 +33,18 @@
 // caFlags say where the CA's files are and for how long a certificate holds.
 type caFlags struct {
 	Folder string `long:"folder" value-name:"FOLDER" default:"tls" description:"the folder of ca.pem, ca.key and the new files"`
-	Days   int    `long:"days" value-name:"N" default:"365" description:"days until the certificate expires"`
+	Days   int    `long:"days" value-name:"N" description:"days until the certificate expires, by default 365 and for a CA 3650"`
 }
 
 func (f caFlags) folder() keys.Folder { return keys.Folder(f.Folder) }
 
-func (f caFlags) validity() time.Duration { return time.Duration(f.Days) * day }
+// validity returns --days, or the default when it is not given.
+func (f caFlags) validity(usual time.Duration) time.Duration {
+	if f.Days == 0 {
+		return usual
+	}
+	return time.Duration(f.Days) * day
+}
 
 // issue makes a certificate and writes it, in place of none.
 func (f caFlags) issue(a *app, name string, roles []keys.Role, addresses ...string) error {
@@ -43,7 +52,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := f.folder().Issue(ca, name, roles, a.clock.Now(), f.validity(), addresses...); err != nil {
+	if err := f.folder().Issue(ca, name, roles, a.clock.Now(), f.validity(year), addresses...); err != nil {
 		return trace.Wrap(err)
 	}
 	a.note("%s written", f.folder().Cert(name))
@@ -59,7 +68,7 @@
 
 // Execute implements flags.Commander.
 func (c *makeCA) Execute([]string) error {
-	if _, err := c.CA.folder().NewCA(c.Args.Name, c.a.clock.Now(), c.CA.validity()); err != nil {
+	if _, err := c.CA.folder().NewCA(c.Args.Name, c.a.clock.Now(), c.CA.validity(keys.CAValidity)); err != nil {
 		return trace.Wrap(err)
 	}
 	c.a.note("%s written", c.CA.folder().Cert("ca"))
@@ -112,7 +121,7 @@
 		return trace.Wrap(err)
 	}
 	for _, cert := range c.Args.Files {
-		pair, err := ca.Renew(cert, c.a.clock.Now(), c.CA.validity())
+		pair, err := ca.Renew(cert, c.a.clock.Now(), c.CA.validity(year))
 		if err != nil {
 			return trace.Wrap(err)
 		}
--- a/relctl/relctl_test.go
+++ b/relctl/relctl_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -134,14 +133,15 @@
 	assert.NilError(b.t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b.t, err)
-	h := admin.NewHandler(b.backend, clockwork.NewRealClock(), zap.NewNop())
-	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	srv := admin.NewServer(b.backend, id, clockwork.NewRealClock(), zap.NewNop())
+	h := srv.Handler
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.ServeHTTP(w, r)
 		if r.Method == http.MethodPost && b.lose.Add(-1) >= 0 {
 			panic(http.ErrAbortHandler)
 		}
-	})}
-	go func() { _ = srv.Serve(tls.NewListener(l, id.OperatorServerConfig())) }()
+	})
+	go func() { _ = srv.ServeTLS(l, "", "") }()
 	b.t.Cleanup(func() { _ = srv.Close() })
 	return "https://" + l.Addr().String()
 }
@@ -233,6 +233,17 @@
 	assert.Equal(t, code, done, out)
 }
 
+func TestNextServerWhenOneIsSilent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }() // it never accepts
+	b := newBench(t, 0)
+	b.flags = append(b.flags, "--timeout", "4s", "--server", "https://"+l.Addr().String(), "--server", b.serve())
+	code, out := b.run("drains set r1 --targets rack=r1")
+	assert.Equal(t, code, done, out)
+	assert.Equal(t, len(b.ids), 1)
+}
+
 func TestUsage(t *testing.T) {
 	b := newBench(t, 1)
 	for _, line := range []string{
