--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,123 @@
+// Package agent runs beside one target: it takes the target's announcements,
+// hands its slots out to entries, and starts tasks on it.
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/kernel"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/rules"
+	"cyclamenrelay.example/share"
+	"cyclamenrelay.example/spread"
+)
+
+// ServiceName is the name that other services find the agent by.
+const ServiceName = "agent"
+
+// Options configure an Agent.
+type Options struct {
+	// Listen is the IP address and TCP port for the target's announcements.
+	Listen string
+	// TargetLease is the longest lease a target may ask for.
+	TargetLease time.Duration
+	Clock       clockwork.Clock
+	Log         *zap.Logger
+	View        *spread.View
+	Platform    Platform
+}
+
+// Agent is the service beside a target.
+type Agent struct {
+	opts   Options
+	node   *link.Node
+	finder *member.Finder
+	wake   chan struct{}
+	log    *journal
+	// stepped tells the slot loop that the core has taken an input.
+	stepped chan struct{}
+
+	mu       sync.Mutex
+	target   *lease
+	steer    steered
+	seq      uint64
+	core     *share.Core
+	slots    int
+	waiting  map[string]chan *model.NotRun
+	draining bool
+	idle     chan struct{} // closed when draining and nothing runs
+}
+
+// New returns an agent that has not heard of its target yet.
+func New(opts Options) *Agent {
+	set, _ := rules.Compile(model.Config{})
+	return &Agent{
+		opts:    opts,
+		wake:    make(chan struct{}, 1),
+		stepped: make(chan struct{}, 1),
+		log:     newJournal(opts.Clock),
+		core:    share.New(share.DefaultSettings(0), set),
+		waiting: map[string]chan *model.NotRun{},
+		idle:    make(chan struct{}),
+	}
+}
+
+// Name implements kernel.Service.
+func (a *Agent) Name() string { return ServiceName }
+
+// Start implements kernel.Starter.
+func (a *Agent) Start(k *kernel.Kernel) (err error) {
+	if a.node, err = kernel.Find[*link.Node](k, link.ServiceName); err != nil {
+		return err
+	}
+	if a.finder, err = kernel.Find[*member.Finder](k, member.ServiceName); err != nil {
+		return err
+	}
+	link.On(a.node.Mux(), a.start, keys.Entry)
+	link.On(a.node.Mux(), a.cancel, keys.Entry)
+	link.On(a.node.Mux(), a.demand, keys.Entry)
+	link.On(a.node.Mux(), a.giveBack, keys.Entry)
+	return nil
+}
+
+// Run implements kernel.Service.
+func (a *Agent) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { a.announceLoop(ctx) })
+	wg.Go(func() { a.watchUsage(ctx) })
+	wg.Go(func() { a.slotLoop(ctx) })
+	err := a.serveTarget(ctx)
+	wg.Wait()
+	return err
+}
+
+// Drain implements kernel.Drainer: no new task starts, and it returns when the
+// running ones have ended.
+func (a *Agent) Drain(ctx context.Context) {
+	a.mu.Lock()
+	a.draining = true
+	a.stepLocked(share.Leave{})
+	a.mu.Unlock()
+	a.finder.Leave()
+	a.announceSoon()
+	select {
+	case <-a.idle:
+	case <-ctx.Done():
+	}
+}
+
+func (a *Agent) closeIdle() {
+	select {
+	case <-a.idle:
+	default:
+		close(a.idle)
+	}
+}
--- /dev/null
+++ b/disk/replay.go
@@ -0,0 +1,117 @@
+package disk
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"cyclamenrelay.example/files"
+	"cyclamenrelay.example/wire"
+
+	"github.com/gravitational/trace"
+)
+
+const segmentPrefix = "log-"
+
+func segmentName(n uint64) string { return files.Name(segmentPrefix, n) }
+
+// listing is what a folder holds.
+type listing struct {
+	identity  bool
+	segments  []uint64
+	snapshots []uint64
+	temps     []string
+}
+
+func list(fs files.FS) (listing, error) {
+	names, err := fs.List()
+	if err != nil {
+		return listing{}, trace.Wrap(err)
+	}
+	var l listing
+	for _, name := range names {
+		if n, ok := files.Number(name, segmentPrefix); ok {
+			l.segments = append(l.segments, n)
+		} else if n, ok := files.Number(name, snapPrefix); ok {
+			l.snapshots = append(l.snapshots, n)
+		} else if strings.HasSuffix(name, files.TempSuffix) {
+			l.temps = append(l.temps, name)
+		} else if name == files.IdentityFile {
+			l.identity = true
+		}
+	}
+	slices.Sort(l.segments)
+	slices.Sort(l.snapshots)
+	return l, nil
+}
+
+// replay reads all segments into the groups and cuts the torn tail of the last.
+func (s *Store) replay(segments []uint64) error {
+	for i, n := range segments {
+		if n != segments[0]+uint64(i) {
+			return trace.Wrap(files.Damage{File: segmentName(segments[0] + uint64(i)), Reason: "the file is missing"})
+		}
+		if err := s.replaySegment(n, i == 0, i == len(segments)-1); err != nil {
+			return err
+		}
+	}
+	for id, g := range s.groups {
+		if g.gap {
+			reason := fmt.Sprintf("the entries of group %d before %d are missing", id, g.prev.Index+1)
+			return trace.Wrap(files.Damage{File: segmentName(segments[0]), Reason: reason})
+		}
+	}
+	return nil
+}
+
+func (s *Store) replaySegment(n uint64, first, last bool) error {
+	name := segmentName(n)
+	b, err := s.fs.ReadFile(name)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	key := files.Salt{Incarnation: s.identity.Incarnation, File: n}
+	seq, ok := files.ReadHeader(b, key)
+	if !ok {
+		return trace.Wrap(files.Damage{File: name, Reason: "the header is not valid"})
+	}
+	if !first && seq != s.seq+1 {
+		reason := fmt.Sprintf("it starts at frame %d, the one before ends at %d", seq, s.seq)
+		return trace.Wrap(files.Damage{File: name, Reason: reason})
+	}
+	end, err := s.replayFrames(b, key, seq, last)
+	if err != nil || !last {
+		return err
+	}
+	// What an earlier process wrote may be in the page cache only, even after
+	// a failed sync. Writing it anew makes it durable and cuts the torn tail.
+	return files.Write(s.fs, name, b[:end])
+}
+
+// replayFrames applies the frames of the segment b and returns where they end.
+func (s *Store) replayFrames(b []byte, key files.Salt, seq uint64, last bool) (int, error) {
+	name := segmentName(key.File)
+	at := files.HeaderSize
+	for ; at < len(b); seq++ {
+		payload, got, ok := files.ReadFrame(b[at:], key)
+		if !ok {
+			return at, files.CheckTail(name, b, at, key, seq, last)
+		}
+		if got != seq {
+			return 0, trace.Wrap(files.Damage{File: name, Offset: int64(at), Reason: fmt.Sprintf("frame %d instead of %d", got, seq)})
+		}
+		var records []record
+		if err := wire.UnmarshalValue(payload, &records); err != nil {
+			return 0, trace.Wrap(files.Damage{File: name, Offset: int64(at), Reason: err.Error()})
+		}
+		for _, r := range records {
+			s.group(r.Group).apply(r, key.File)
+		}
+		s.seq = seq
+		at += files.FrameHeader + len(payload)
+	}
+	if at == files.HeaderSize {
+		return 0, files.CheckTail(name, b, at, key, seq, last)
+	}
+	return at, nil
+}
