--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,223 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"cyclamenrelay.example/label"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/rules"
+	"cyclamenrelay.example/wire"
+)
+
+// forgetAfter is how long silent targets and unused classes are remembered.
+const forgetAfter = time.Minute
+
+// Settings are the settings of a Fleet.
+type Settings struct {
+	// Near lists the data centres, the entry's own first. Others count as equally far.
+	Near []string
+	// Silence is the time without a heartbeat after which a target counts as dead.
+	Silence time.Duration
+	// RoundTrip is the longest usual time from a start to the agent and back.
+	RoundTrip time.Duration
+}
+
+// Fleet is what an entry knows of its targets.
+type Fleet struct {
+	set     Settings
+	rules   *rules.Set
+	targets map[string]*Target
+	list    []*Target // in the order of their arrival
+	classes map[classKey]*Class
+	ordered []*Class // in the order of their first use
+	ill     int      // targets on probation
+}
+
+// New returns a fleet without targets.
+func New(s Settings, r *rules.Set) *Fleet {
+	return &Fleet{set: s, rules: r, targets: map[string]*Target{}, classes: map[classKey]*Class{}}
+}
+
+// Target returns the target of an agent, or nil.
+func (f *Fleet) Target(agent string) *Target { return f.targets[agent] }
+
+// Targets returns the targets in the order of their arrival. The slice is not changed by the caller.
+func (f *Fleet) Targets() []*Target { return f.list }
+
+// Classes returns the classes in the order of their first use. The slice is not changed by the caller.
+func (f *Fleet) Classes() []*Class { return f.ordered }
+
+// Heard takes over an announcement. It returns the target, or nil when the
+// announcement is an old one, and whether the agent has started anew.
+func (f *Fleet) Heard(now time.Time, a wire.Announce) (t *Target, anew bool) {
+	t = f.targets[a.Self.Name]
+	if t == nil {
+		if a.Target == nil {
+			return nil, false
+		}
+		t = &Target{Name: a.Self.Name, incarnation: a.Self.Incarnation}
+		f.targets[t.Name] = t
+		f.list = append(f.list, t)
+	}
+	old, info, ill := t.incarnation, t.info, t.health.probation
+	leaving, usable := t.leaving, t.usable
+	if !t.announce(now, a, f.set.RoundTrip) {
+		return nil, false
+	}
+	if ill && !t.health.probation {
+		f.ill--
+	}
+	if !usable || leaving != t.leaving || !sameTarget(info, t.info) {
+		f.relabel(now, t)
+	}
+	return t, old != t.incarnation
+}
+
+func sameTarget(a, b model.Target) bool {
+	if a.Name != b.Name || a.DataCentre != b.DataCentre || len(a.Labels) != len(b.Labels) {
+		return false
+	}
+	for k, v := range a.Labels {
+		if w, ok := b.Labels[k]; !ok || v != w {
+			return false
+		}
+	}
+	return true
+}
+
+// Answered takes over the free slots that an answer reports.
+func (f *Fleet) Answered(now time.Time, t *Target, free int) { t.report(now, free, f.set.RoundTrip) }
+
+// Leaving takes t out of use until it announces itself anew.
+func (f *Fleet) Leaving(now time.Time, t *Target) {
+	t.leaving = true
+	f.relabel(now, t)
+}
+
+// Judge counts an outcome at t; weight (0 to 1) is how much a failure says of t itself.
+func (f *Fleet) Judge(now time.Time, t *Target, failed bool, weight float64) {
+	h := &t.health
+	was := h.probation
+	if failed {
+		// At most half of the targets are on probation at once.
+		h.fail(now, weight, f.ill < len(f.list)/2)
+	} else {
+		h.succeed(t.info.Slots)
+	}
+	switch {
+	case !was && h.probation:
+		f.ill++
+	case was && !h.probation:
+		f.ill--
+	}
+}
+
+// relabel applies the configuration to t and updates the classes that it belongs to.
+func (f *Fleet) relabel(now time.Time, t *Target) {
+	eff, drained := f.rules.Target(t.info)
+	t.labels = eff.Labels
+	near := slices.Index(f.set.Near, t.info.DataCentre)
+	if near < 0 {
+		near = len(f.set.Near)
+	}
+	if near != t.near {
+		t.usable = false
+		f.join(now, t)
+		t.near = near
+	}
+	t.usable = !drained && !t.leaving && now.Sub(t.heard) <= f.set.Silence
+	f.join(now, t)
+}
+
+func (f *Fleet) join(now time.Time, t *Target) {
+	for _, k := range f.ordered {
+		k.update(now, t)
+	}
+}
+
+// Sweep takes silent targets out of use, forgets old targets and classes, and
+// returns the silent targets with starts in flight.
+func (f *Fleet) Sweep(now time.Time) map[*Target]bool {
+	dead := map[*Target]bool{}
+	f.list = slices.DeleteFunc(f.list, func(t *Target) bool {
+		quiet := now.Sub(t.heard)
+		if t.usable && quiet > f.set.Silence {
+			f.relabel(now, t)
+		}
+		if quiet > f.set.Silence && t.Inflight > 0 {
+			dead[t] = true
+		}
+		old := quiet > forgetAfter && t.Inflight == 0
+		if old {
+			delete(f.targets, t.Name)
+			if t.health.probation {
+				f.ill--
+			}
+		}
+		return old
+	})
+	f.ordered = slices.DeleteFunc(f.ordered, func(k *Class) bool {
+		old := k.Queued == 0 && now.Sub(k.used) > forgetAfter
+		if old {
+			delete(f.classes, k.key)
+		}
+		return old
+	})
+	return dead
+}
+
+// Class returns the class of work under a rule; the error is a trace.BadParameter.
+func (f *Fleet) Class(now time.Time, rule *rules.Rule, selector string) (*Class, error) {
+	key := classKey{share: rule.Name, selector: selector}
+	if k := f.classes[key]; k != nil {
+		k.used = now
+		return k, nil
+	}
+	sel, err := label.Parse(selector)
+	if err != nil {
+		return nil, err
+	}
+	k := &Class{
+		Rule: rule, key: key, sel: sel, used: now, EmptySince: now,
+		member: map[*Target]bool{}, asked: map[*Target]int{},
+	}
+	for _, t := range f.list {
+		k.update(now, t)
+	}
+	f.classes[key] = k
+	f.ordered = append(f.ordered, k)
+	return k, nil
+}
+
+// Configure makes a new configuration hold for the targets and starts anew with
+// classes. It returns the old ones, to be passed to Carry when the new ones are in use.
+func (f *Fleet) Configure(now time.Time, r *rules.Set) []*Class {
+	f.rules = r
+	for _, t := range f.list {
+		f.relabel(now, t)
+	}
+	old := f.ordered
+	f.classes, f.ordered = map[classKey]*Class{}, nil
+	return old
+}
+
+// Carry takes over from the old classes what was asked of targets.
+func (f *Fleet) Carry(old []*Class) {
+	for _, k := range old {
+		n := f.classes[k.key]
+		if n == nil {
+			continue
+		}
+		for t, asked := range k.asked {
+			if n.member[t] {
+				n.asked[t] = asked
+				n.outstanding += asked
+			}
+		}
+		n.asking = k.asking
+		if n.size == 0 && k.size == 0 {
+			n.EmptySince = k.EmptySince
+		}
+	}
+}
--- a/place/health.go
+++ b/fleet/health.go
@@ -1,4 +1,4 @@
-package place
+package fleet
 
 import "time"
 
@@ -8,7 +8,6 @@
 	scoreLimit   = 0.5                    // score that starts probation
 	minProbation = 500 * time.Millisecond // to the first trial
 	maxProbation = 10 * time.Second       // between trials
-	evidenceSize = 16                     // targets remembered for each kind
 )
 
 // health judges a target by its outcomes. On probation it gets one trial at a
@@ -66,39 +65,3 @@
 	h.pause = min(max(2*h.pause, minProbation), maxProbation)
 	h.next = now.Add(h.pause)
 }
-
-// evidence remembers the last outcome of a kind of work at each of a few targets.
-type evidence struct {
-	last [evidenceSize]struct {
-		t      *target
-		failed bool
-	}
-	next int
-}
-
-// note records an outcome and returns how much a failure at t says of t itself:
-// little when the same kind fails at other targets too.
-func (e *evidence) note(t *target, failed bool) float64 {
-	others, bad, at := 0, 0, -1
-	for i := range e.last {
-		switch l := &e.last[i]; {
-		case l.t == t:
-			at = i
-		case l.t != nil:
-			others++
-			if l.failed {
-				bad++
-			}
-		}
-	}
-	if at < 0 {
-		at = e.next
-		e.next = (e.next + 1) % evidenceSize
-	}
-	e.last[at].t, e.last[at].failed = t, failed
-	if others == 0 {
-		return 1
-	}
-	w := 1 - float64(bad)/float64(others)
-	return w * w
-}
--- a/place/policy.go
+++ b/fleet/policy.go
@@ -1,4 +1,4 @@
-package place
+package fleet
 
 import "math/rand/v2"
 
@@ -34,8 +34,8 @@
 	scanMost   = 64 // targets that are looked at when the sample had none free
 )
 
-// pulls reports whether work waits at the entry for a free slot.
-func pulls(p Policy) bool {
+// Pulls reports whether work waits at the entry for a free slot.
+func Pulls(p Policy) bool {
 	switch p.(type) {
 	case TwoChoices, Random, LeastLoaded:
 		return false
@@ -43,8 +43,8 @@
 	return true
 }
 
-// choose returns a target of the class that ok accepts, or nil.
-func choose(p Policy, c *class, rnd *rand.Rand, ok func(*target) bool) *target {
+// Choose returns a target of the class that ok accepts, or nil.
+func Choose(p Policy, c *Class, rnd *rand.Rand, ok func(*Target) bool) *Target {
 	switch p.(type) {
 	case Random:
 		return sample(c, rnd, 1, ok)
@@ -58,11 +58,11 @@
 
 // idle returns the nearest target with two free slots or more, else the one
 // with the most. A single free slot may be taken by another entry meanwhile.
-func idle(c *class, rnd *rand.Rand, ok func(*target) bool) *target {
-	var last *target
+func idle(c *Class, rnd *rand.Rand, ok func(*Target) bool) *Target {
+	var last *Target
 	for _, ts := range c.near {
 		best := idleOf(ts, rnd, ok)
-		if best != nil && best.free >= 2 {
+		if best != nil && best.Free >= 2 {
 			return best
 		}
 		if last == nil {
@@ -72,7 +72,7 @@
 	return last
 }
 
-func idleOf(ts []*target, rnd *rand.Rand, ok func(*target) bool) *target {
+func idleOf(ts []*Target, rnd *rand.Rand, ok func(*Target) bool) *Target {
 	n := len(ts)
 	if n == 0 {
 		return nil
@@ -81,10 +81,10 @@
 	if n <= scanAll {
 		return mostFree(ts, from, n, ok)
 	}
-	var best *target
+	var best *Target
 	for range sampleSize {
 		t := ts[rnd.IntN(n)]
-		if t.free > 0 && (best == nil || t.free > best.free) && ok(t) {
+		if t.Free > 0 && (best == nil || t.Free > best.Free) && ok(t) {
 			best = t
 		}
 	}
@@ -94,11 +94,11 @@
 	return mostFree(ts, from, min(n, scanMost), ok)
 }
 
-func mostFree(ts []*target, from, n int, ok func(*target) bool) *target {
-	var best *target
+func mostFree(ts []*Target, from, n int, ok func(*Target) bool) *Target {
+	var best *Target
 	for i := range n {
 		t := ts[(from+i)%len(ts)]
-		if t.free > 0 && (best == nil || t.free > best.free) && ok(t) {
+		if t.Free > 0 && (best == nil || t.Free > best.Free) && ok(t) {
 			best = t
 		}
 	}
@@ -106,8 +106,8 @@
 }
 
 // sample returns the least loaded of n random targets.
-func sample(c *class, rnd *rand.Rand, n int, ok func(*target) bool) *target {
-	var best *target
+func sample(c *Class, rnd *rand.Rand, n int, ok func(*Target) bool) *Target {
+	var best *Target
 	for try := 0; try < 4*n && n > 0 && c.size > 0; try++ {
 		t := c.at(rnd.IntN(c.size))
 		if !ok(t) {
@@ -121,8 +121,8 @@
 	return best
 }
 
-func leastLoaded(c *class, ok func(*target) bool) *target {
-	var best *target
+func leastLoaded(c *Class, ok func(*Target) bool) *Target {
+	var best *Target
 	for _, ts := range c.near {
 		for _, t := range ts {
 			if (best == nil || t.load() < best.load()) && ok(t) {
--- a/place/kind.go
+++ b/gauge/kind.go
@@ -1,4 +1,6 @@
-package place
+// Package gauge holds the measurements that an entry decides by, each in bounded
+// memory: run times, outcomes, budgets, rates of service and use of quotas.
+package gauge
 
 import (
 	"math"
@@ -7,7 +9,6 @@
 
 // Bounds of the run-time estimation.
 const (
-	maxKinds     = 512  // kinds with their own estimate
 	sketchSize   = 128  // buckets of a sketch
 	sketchRatio  = 1.1  // ratio of neighbouring buckets
 	sketchDecay  = 4096 // samples after which old ones lose weight
@@ -18,8 +19,8 @@
 // DefaultRunTime is the estimate for work of which nothing is known.
 const DefaultRunTime = 200 * time.Millisecond
 
-// kind estimates the run time of one kind of work in bounded memory.
-type kind struct {
+// Kind estimates the run time of one kind of work. The zero value knows nothing.
+type Kind struct {
 	counts [sketchSize]uint16
 	total  int
 	n      int
@@ -29,11 +30,10 @@
 	declared   int
 	errMean    float64
 	errDeclare float64
-	seen       evidence
 }
 
-// add records a measured run time and the declared one (0 for none).
-func (k *kind) add(d, declared time.Duration) {
+// Add records a measured run time and the declared one (0 for none).
+func (k *Kind) Add(d, declared time.Duration) {
 	s := max(d.Seconds(), 1e-4)
 	if k.n == 0 {
 		k.mean = s
@@ -63,8 +63,8 @@
 	}
 }
 
-// estimate returns the expected run time of work with the declared one.
-func (k *kind) estimate(declared time.Duration) time.Duration {
+// Estimate returns the expected run time of work with the declared one.
+func (k *Kind) Estimate(declared time.Duration) time.Duration {
 	switch {
 	case declared > 0 && k.declared >= minSamples && k.errDeclare <= k.errMean:
 		return time.Duration(float64(declared) * k.ratio)
@@ -76,9 +76,9 @@
 	return DefaultRunTime
 }
 
-// quantile returns the measured run time at q and true, or false while too
+// Quantile returns the measured run time at q and true, or false while too
 // little was measured to know it.
-func (k *kind) quantile(q float64) (time.Duration, bool) {
+func (k *Kind) Quantile(q float64) (time.Duration, bool) {
 	if k.n < minSamples || float64(k.total)*(1-q) < 1 {
 		return 0, false
 	}
@@ -91,19 +91,3 @@
 	}
 	return 0, false
 }
-
-// budget bounds the retries and hedges of one share.
-type budget struct{ tokens float64 }
-
-// budgetBurst is the most retries in a row.
-const budgetBurst = 10
-
-func (b *budget) earn(ratio float64) { b.tokens = min(budgetBurst, b.tokens+ratio) }
-
-func (b *budget) spend() bool {
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
--- a/place/answer.go
+++ b/place/answer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cyclamenrelay.example/fleet"
 	"cyclamenrelay.example/model"
 )
 
@@ -13,11 +14,11 @@
 
 // answer handles the result of a start. A late or unknown one only tells of free slots.
 func (c *Core) answer(in Answer) {
-	t := c.targets[in.Agent]
+	t := c.fleet.Target(in.Agent)
 	if t == nil {
 		return
 	}
-	t.report(c.now, in.Result.Free, c.set.RoundTrip)
+	c.fleet.Answered(c.now, t, in.Result.Free)
 	if r := c.requests[in.Result.ID]; r != nil {
 		if i := r.attempt(t); i >= 0 {
 			c.answered(r, i, in)
@@ -27,9 +28,9 @@
 }
 
 // attempt returns the index of the start at t, or -1.
-func (r *request) attempt(t *target) int {
+func (r *request) attempt(t *fleet.Target) int {
 	for i, a := range r.attempts {
-		if a.t == t && a.inc == t.incarnation {
+		if a.t == t && a.inc == t.Incarnation() {
 			return i
 		}
 	}
@@ -43,7 +44,7 @@
 	switch res := in.Result; {
 	case res.Complete != nil:
 		c.judge(r, a.t, false)
-		r.kind.add(took, r.task.RunTime)
+		r.kind.Add(took, r.task.RunTime)
 		c.queue.Correct(&r.item, took)
 		r.mayHaveRun = true
 		c.resolve(r, *res.Complete)
@@ -54,30 +55,17 @@
 	case res.NotRun != nil:
 		c.bounced(r, a.t, *res.NotRun)
 	default:
-		c.again(r, model.Failed{Reason: "the answer has no outcome", MayHaveRun: true, Target: a.t.info.Name})
+		c.again(r, model.Failed{Reason: "the answer has no outcome", MayHaveRun: true, Target: a.t.TargetName()})
 	}
 }
 
 // judge counts an outcome of r for the health of t.
-func (c *Core) judge(r *request, t *target, failed bool) {
-	h := &t.health
-	was := h.probation
-	w := r.kind.seen.note(t, failed)
-	if failed {
-		h.fail(c.now, w, c.ill < len(c.list)/2)
-	} else {
-		h.succeed(t.info.Slots)
-	}
-	switch {
-	case !was && h.probation:
-		c.ill++
-	case was && !h.probation:
-		c.ill--
-	}
+func (c *Core) judge(r *request, t *fleet.Target, failed bool) {
+	c.fleet.Judge(c.now, t, failed, r.kind.seen.Note(t, failed))
 }
 
 // bounced handles an agent's refusal: r did not run there.
-func (c *Core) bounced(r *request, t *target, n model.NotRun) {
+func (c *Core) bounced(r *request, t *fleet.Target, n model.NotRun) {
 	r.starts--
 	r.bounces++
 	switch n.Code {
@@ -85,10 +73,9 @@
 		c.again(r, model.Failed{Reason: "an earlier start of the task may have run", MayHaveRun: true})
 		return
 	case model.CodeBusy, model.CodeStale:
-		t.free = min(t.free, 0)
+		t.Free = min(t.Free, 0)
 	case model.CodeLeaving:
-		t.leaving = true
-		c.relabel(t)
+		c.fleet.Leaving(c.now, t)
 	default:
 		r.bounces = maxBounces
 	}
@@ -104,7 +91,7 @@
 
 // lost handles a start that will not be answered.
 func (c *Core) lost(in Lost) {
-	t, r := c.targets[in.Agent], c.requests[in.ID]
+	t, r := c.fleet.Target(in.Agent), c.requests[in.ID]
 	if t == nil || r == nil {
 		return
 	}
@@ -112,13 +99,13 @@
 	if i < 0 {
 		return
 	}
-	t.free = min(t.free, 0)
+	t.Free = min(t.Free, 0)
 	c.drop(r, i)
 	if in.Unsent {
 		c.bounced(r, t, model.NotRun{Reason: "the target cannot be reached", Code: model.CodeBusy})
 		return
 	}
-	c.again(r, model.Failed{Reason: "the link to the target was lost", MayHaveRun: true, Target: t.info.Name})
+	c.again(r, model.Failed{Reason: "the link to the target was lost", MayHaveRun: true, Target: t.TargetName()})
 }
 
 // again retries r after f where that is allowed, else r fails.
@@ -130,13 +117,13 @@
 		return
 	}
 	if f.Target != "" {
-		for _, t := range c.list {
-			if t.info.Name == f.Target && len(r.tried) < maxStarts {
+		for _, t := range c.fleet.Targets() {
+			if t.TargetName() == f.Target && len(r.tried) < maxStarts {
 				r.tried = append(r.tried, t)
 			}
 		}
 	}
-	if !r.task.Idempotent || r.starts >= maxStarts || !c.budget(r.item.Share).spend() {
+	if !r.task.Idempotent || r.starts >= maxStarts || !c.budgets.Of(r.item.Share).Spend() {
 		c.resolve(r, f)
 		return
 	}
@@ -156,7 +143,7 @@
 		c.start(r, t, 0, cause)
 		return
 	}
-	if r.mayHaveRun && r.item.Class.size <= len(r.tried) {
+	if r.mayHaveRun && r.item.Class.Size() <= len(r.tried) {
 		c.refuse(r, model.CodeNoTarget, "no other target matches", 0)
 		return
 	}
--- a/place/compare_test.go
+++ b/place/compare_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
-	"cyclamenrelay.example/place"
+	"cyclamenrelay.example/fleet"
 )
 
-var policies = []place.Policy{place.IdleFirst{}, place.TwoChoices{}, place.Random{}, place.LeastLoaded{}, place.Strict{}}
+var policies = []fleet.Policy{fleet.IdleFirst{}, fleet.TwoChoices{}, fleet.Random{}, fleet.LeastLoaded{}, fleet.Strict{}}
 
 // TestCompare prints the policies side by side at four loads; seed 1. The runs
 // are short unless the table is asked for with -v.
--- a/place/core.go
+++ b/place/core.go
@@ -2,24 +2,30 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"cyclamenrelay.example/label"
+	"cyclamenrelay.example/fleet"
+	"cyclamenrelay.example/gauge"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/queue"
 	"cyclamenrelay.example/rules"
+	"cyclamenrelay.example/wire"
 )
 
 // Intervals of the core's own work.
-const (
-	sweepEvery  = 100 * time.Millisecond
-	forgetAfter = time.Minute // unused classes, silent targets, peers' reports
-	maxClasses  = 4096
-)
+const sweepEvery = 100 * time.Millisecond
+
+// maxKinds is how many kinds have measurements of their own.
+const maxKinds = 512
+
+// kind is what was measured of one kind of work.
+type kind struct {
+	gauge.Kind
+	seen gauge.Evidence[*fleet.Target]
+}
 
 // Core decides for one entry. It is not safe for concurrent use: one goroutine
 // owns it, calls Step for each event and does the effects in their order.
@@ -27,18 +33,14 @@
 	set      Settings
 	rnd      *rand.Rand
 	rules    *rules.Set
-	queue    *queue.Queue[*class]
-	targets  map[string]*target
-	list     []*target // the targets in the order of their arrival
-	classes  map[classKey]*class
-	ordered  []*class // the classes in the order of their first use
+	queue    *queue.Queue[*fleet.Class]
+	fleet    *fleet.Fleet
 	requests map[string]*request
 	timers   timers
 	kinds    map[string]*kind
-	budgets  map[string]*budget
-	paces    map[string]*pace
-	teams    teams
-	ill      int // targets on probation
+	budgets  gauge.Budgets
+	paces    gauge.Paces
+	teams    *gauge.Teams
 	serial   uint64
 	sweepAt  time.Time
 	now      time.Time
@@ -48,22 +50,21 @@
 // New returns a core without targets. rnd makes its choices reproducible.
 func New(s Settings, r *rules.Set, rnd *rand.Rand) *Core {
 	if s.Policy == nil {
-		s.Policy = IdleFirst{}
+		s.Policy = fleet.IdleFirst{}
 	}
 	c := &Core{
 		set:      s,
 		rnd:      rnd,
 		rules:    r,
-		queue:    queue.New[*class](),
-		targets:  map[string]*target{},
-		classes:  map[classKey]*class{},
+		queue:    queue.New[*fleet.Class](),
+		fleet:    fleet.New(fleet.Settings{Near: s.Near, Silence: s.Silence, RoundTrip: s.RoundTrip}, r),
 		requests: map[string]*request{},
 		kinds:    map[string]*kind{},
-		budgets:  map[string]*budget{},
-		paces:    map[string]*pace{},
-		teams:    newTeams(),
+		budgets:  gauge.Budgets{},
+		paces:    gauge.Paces{},
+		teams:    gauge.NewTeams(),
 	}
-	_, c.queue.Strict = s.Policy.(Strict)
+	_, c.queue.Strict = s.Policy.(fleet.Strict)
 	return c
 }
 
@@ -92,7 +93,7 @@
 	case Configured:
 		c.configured(in.Rules)
 	case PeerUse:
-		c.teams.report(now, in.Use)
+		c.teams.Report(now, in.Use)
 	case Tick:
 	default:
 		panic(fmt.Sprintf("place: unknown input %T", in))
@@ -121,8 +122,11 @@
 		c.sweepAt = c.now.Add(sweepEvery)
 		c.sweep()
 	}
-	for _, k := range c.ordered {
-		if k.queued > 0 {
+	if !fleet.Pulls(c.set.Policy) || c.queue.Len() == 0 {
+		return
+	}
+	for _, k := range c.fleet.Classes() {
+		if k.Queued > 0 {
 			c.ask(k)
 		}
 	}
@@ -132,27 +136,22 @@
 
 // sweep finds silent targets, refuses work without targets, and forgets what is unused.
 func (c *Core) sweep() {
-	c.silence()
-	for _, k := range c.ordered {
-		if k.queued > 0 && k.size == 0 && c.now.Sub(k.emptySince) >= c.set.NoTargetWait {
+	if dead := c.fleet.Sweep(c.now); len(dead) > 0 {
+		c.abandon(func(a attempt) bool { return dead[a.t] })
+	}
+	for _, k := range c.fleet.Classes() {
+		if k.Queued > 0 && k.Size() == 0 && c.now.Sub(k.EmptySince) >= c.set.NoTargetWait {
 			c.refuseClass(k)
 		}
-		c.renew(k)
+		k.Renew(c.now)
 	}
 	c.pumpAll()
 	c.queue.Compact()
-	c.teams.compact(c.now)
-	c.ordered = slices.DeleteFunc(c.ordered, func(k *class) bool {
-		old := k.queued == 0 && c.now.Sub(k.used) > forgetAfter
-		if old && c.classes[k.key] == k {
-			delete(c.classes, k.key)
-		}
-		return old
-	})
+	c.teams.Compact(c.now)
 }
 
 // refuseClass refuses the queued work of k that has waited for a target long enough.
-func (c *Core) refuseClass(k *class) {
+func (c *Core) refuseClass(k *fleet.Class) {
 	for _, r := range c.sorted(func(r *request) bool { return r.item.Class == k && r.item.Queued() }) {
 		if c.now.Sub(r.arrived) >= c.set.NoTargetWait {
 			c.refuse(r, model.CodeNoTarget, "no target matches the selectors", 0)
@@ -172,29 +171,6 @@
 	return out
 }
 
-// class returns the class of a task; the error is a trace.BadParameter.
-func (c *Core) class(rule *rules.Rule, selector string) (*class, error) {
-	key := classKey{share: rule.Name, selector: selector}
-	if k := c.classes[key]; k != nil {
-		k.used = c.now
-		return k, nil
-	}
-	sel, err := label.Parse(selector)
-	if err != nil {
-		return nil, err
-	}
-	k := &class{
-		key: key, rule: rule, sel: sel, used: c.now, emptySince: c.now,
-		member: map[*target]bool{}, asked: map[*target]int{},
-	}
-	for _, t := range c.list {
-		k.update(c.now, t)
-	}
-	c.classes[key] = k
-	c.ordered = append(c.ordered, k)
-	return k, nil
-}
-
 func (c *Core) kind(name string) *kind {
 	k := c.kinds[name]
 	if k != nil {
@@ -211,13 +187,9 @@
 	return k
 }
 
-func (c *Core) budget(share string) *budget {
-	b := c.budgets[share]
-	if b == nil {
-		b = &budget{tokens: budgetBurst}
-		c.budgets[share] = b
-	}
-	return b
+// TeamUse returns what to tell the other entries every second or so.
+func (c *Core) TeamUse(entry string) wire.TeamUse {
+	return wire.TeamUse{Entry: entry, Teams: c.teams.Total()}
 }
 
 // configured makes a new configuration hold for targets, classes and queued work.
@@ -226,11 +198,7 @@
 		return
 	}
 	c.rules = r
-	for _, t := range c.list {
-		c.relabel(t)
-	}
-	old := c.ordered
-	c.classes, c.ordered = map[classKey]*class{}, nil
+	old := c.fleet.Configure(c.now, r)
 	queued := c.sorted(func(r *request) bool { return r.item.Queued() })
 	for _, q := range queued {
 		c.unqueue(q)
@@ -241,67 +209,6 @@
 		}
 		c.enqueue(q)
 	}
-	for _, k := range old { // slots asked for stay asked for
-		n := c.classes[k.key]
-		if n == nil {
-			continue
-		}
-		for t, asked := range k.asked {
-			if n.member[t] {
-				n.asked[t] = asked
-				n.outstanding += asked
-			}
-		}
-		if n.size == 0 && k.size == 0 {
-			n.emptySince = k.emptySince
-		}
-	}
+	c.fleet.Carry(old)
 	c.pumpAll()
 }
-
-// timers is a heap of requests by their wake time.
-type timers []*request
-
-// Len, Less, Swap, Push and Pop implement heap.Interface.
-func (h timers) Len() int { return len(h) }
-
-func (h timers) Less(i, j int) bool {
-	if !h[i].wake.Equal(h[j].wake) {
-		return h[i].wake.Before(h[j].wake)
-	}
-	return h[i].serial < h[j].serial
-}
-
-func (h timers) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].slot, h[j].slot = i, j
-}
-
-// Push implements heap.Interface.
-func (h *timers) Push(x any) {
-	r := x.(*request)
-	r.slot = len(*h)
-	*h = append(*h, r)
-}
-
-// Pop implements heap.Interface. It gives memory back when most of it is unused.
-func (h *timers) Pop() any {
-	n := len(*h) - 1
-	r := (*h)[n]
-	(*h)[n] = nil
-	*h = (*h)[:n]
-	if c := cap(*h); c > 64 && n < c/4 {
-		*h = append(make(timers, 0, c/2), *h...)
-	}
-	return r
-}
-
-// schedule sets the time at which r is looked at again.
-func (c *Core) schedule(r *request, at time.Time) {
-	r.wake = at
-	if r.slot >= 0 {
-		heap.Fix(&c.timers, r.slot)
-		return
-	}
-	heap.Push(&c.timers, r)
-}
--- /dev/null
+++ b/place/fault_test.go
@@ -0,0 +1,132 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cyclamenrelay.example/fleet"
+	"cyclamenrelay.example/model"
+
+	"gotest.tools/v3/assert"
+)
+
+var kinds = []string{"match", "claim", "tag", "quote"}
+
+// loaded returns a sim in which the kinds share the load evenly until end.
+func loaded(t *testing.T, seed uint64, p fleet.Policy, load float64, end time.Duration) *sim {
+	s := newSim(t, seed, p, kindRules(t, kinds...))
+	for _, k := range kinds {
+		s.feed(mix{kind: k, rate: load * simCapacity / float64(len(kinds)), from: time.Second, to: end})
+	}
+	return s
+}
+
+func TestResponseAndWasteUpTo70Percent(t *testing.T) {
+	for _, load := range []float64{0.3, 0.7} {
+		s := loaded(t, 2, fleet.IdleFirst{}, load, 20*time.Second)
+		s.finish(20 * time.Second)
+		for _, k := range kinds {
+			r := s.kinds[k].ratios
+			assert.Assert(t, rank(r, 0.5) <= 1.05 && rank(r, 0.99) <= 1.5, "load %.2f %s: p50 %.3f p99 %.3f", load, k, rank(r, 0.5), rank(r, 0.99))
+		}
+		assert.Assert(t, s.waste() <= 0.1, "load %.2f: %.3f wasted messages a request", load, s.waste())
+	}
+}
+
+func TestWasteAt130Percent(t *testing.T) {
+	s := loaded(t, 2, fleet.IdleFirst{}, 1.3, 20*time.Second)
+	s.finish(20 * time.Second)
+	assert.Assert(t, s.waste() <= 0.5, "%.3f wasted messages a request", s.waste())
+}
+
+// TestFlood sends ten times the capacity of one kind, least and most urgent.
+func TestFlood(t *testing.T) {
+	const end = 30 * time.Second
+	for _, urgency := range []int{0, model.MaxUrgency} {
+		run := func(flood bool) *sim {
+			s := newSim(t, 3, fleet.IdleFirst{}, kindRules(t, append(kinds, "flood")...))
+			for _, k := range kinds {
+				s.feed(mix{kind: k, rate: 0.15 * simCapacity, from: time.Second, to: end, urgency: 4})
+			}
+			if flood {
+				s.feed(mix{kind: "flood", rate: 10 * simCapacity, from: 5 * time.Second, to: end, urgency: urgency})
+			}
+			s.from = 8 * time.Second
+			s.finish(end)
+			return s
+		}
+		calm, flooded := run(false), run(true)
+		for _, k := range kinds {
+			a, b := calm.kinds[k], flooded.kinds[k]
+			good := float64(b.complete) / float64(b.sent)
+			before, after := rank(a.times, 0.99), rank(b.times, 0.99)
+			if testing.Verbose() {
+				fmt.Printf("flood urgency %d, %s: goodput %.3f, p99 %.2f s, without flood %.2f s, ratio p50 %.2f p99 %.2f\n",
+					urgency, k, good, after, before, rank(b.ratios, 0.5), rank(b.ratios, 0.99))
+			}
+			assert.Assert(t, good >= 0.95, "urgency %d: goodput of %s is %.3f", urgency, k, good)
+			assert.Assert(t, after <= 2*before, "urgency %d: p99 of %s is %.2f s, was %.2f s", urgency, k, after, before)
+		}
+		f := flooded.kinds["flood"]
+		assert.Assert(t, f.notRun > f.sent/2 && f.complete > 0)
+		if testing.Verbose() {
+			fmt.Printf("flood: %d sent, %d complete, %d failed, refused %v, waste %.3f\n", f.sent, f.complete, f.failed, f.codes, flooded.waste())
+		}
+	}
+}
+
+// TestTargetThatFailsEverything: within 2 s it gets less than 1 % of the work,
+// and when it is well again it comes back.
+func TestTargetThatFailsEverything(t *testing.T) {
+	const end = 40 * time.Second
+	s := loaded(t, 4, fleet.IdleFirst{}, 0.7, end)
+	s.run(5 * time.Second)
+	s.agents[3].fails = true
+	s.run(7 * time.Second)
+	before, ran := s.starts, s.agents[3].ran
+	s.run(20 * time.Second)
+	part := float64(s.agents[3].ran-ran) / float64(s.starts-before)
+	assert.Assert(t, part < 0.01, "the target got %.4f of the work", part)
+	s.agents[3].fails = false
+	s.run(32 * time.Second)
+	before, ran = s.starts, s.agents[3].ran
+	s.finish(end)
+	part = float64(s.agents[3].ran-ran) / float64(s.starts-before)
+	assert.Assert(t, part > 0.04, "the target got %.4f of the work", part)
+}
+
+// TestTaskThatFailsEverywhere: such a kind takes no target away from the others.
+func TestTaskThatFailsEverywhere(t *testing.T) {
+	const end = 20 * time.Second
+	s := loaded(t, 5, fleet.IdleFirst{}, 0.6, end)
+	s.feed(mix{kind: "poison", rate: 0.2 * simCapacity, from: 2 * time.Second, to: end, fails: true})
+	s.finish(end)
+	for _, k := range kinds {
+		r := s.kinds[k]
+		assert.Equal(t, r.complete, r.sent)
+		assert.Assert(t, rank(r.ratios, 0.99) <= 1.5, "%s: p99 %.3f", k, rank(r.ratios, 0.99))
+	}
+	assert.Equal(t, s.kinds["poison"].failed, s.kinds["poison"].sent)
+}
+
+// TestHalfTheTargetsDie: retries stay within the budget, and nothing waits
+// much longer than the silence bound.
+func TestHalfTheTargetsDie(t *testing.T) {
+	const end = 20 * time.Second
+	s := loaded(t, 6, fleet.IdleFirst{}, 0.7, end)
+	s.feed(mix{kind: "deposit", rate: 0.1 * simCapacity, from: time.Second, to: end, own: true})
+	s.run(8 * time.Second)
+	before := s.starts
+	for i := range 5 {
+		s.agents[2*i].dead = true
+	}
+	s.finish(end)
+	budget := 3*(len(kinds)+2)*10 + (s.starts-before)/10
+	assert.Assert(t, s.extra <= budget, "%d retries of %d starts", s.extra, s.starts-before)
+	for id, task := range s.tasks {
+		if task.kind == "deposit" {
+			assert.Assert(t, task.ran <= 1, "%s ran %d times", id, task.ran)
+		}
+	}
+}
--- /dev/null
+++ b/place/help_test.go
@@ -0,0 +1,46 @@
+package place_test
+
+import (
+	"encoding/json"
+	"math"
+	"slices"
+	"testing"
+
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/rules"
+
+	"gotest.tools/v3/assert"
+)
+
+func compile(t testing.TB, version uint64, items map[model.ItemKey]any) *rules.Set {
+	d := model.Delta{To: version}
+	for k, v := range items {
+		b, err := json.Marshal(v)
+		assert.NilError(t, err)
+		d.Items = append(d.Items, model.Item{Key: k, Count: 1, Version: version, Value: b})
+	}
+	cfg, ok := model.Config{}.With(d)
+	assert.Assert(t, ok)
+	set, errs := rules.Compile(cfg)
+	assert.Equal(t, len(errs), 0)
+	return set
+}
+
+func ruleKey(name string) model.ItemKey { return model.ItemKey{Section: model.SectionRule, Name: name} }
+
+// kindRules gives each kind its own share of the same weight.
+func kindRules(t testing.TB, kinds ...string) *rules.Set {
+	items := map[model.ItemKey]any{}
+	for _, k := range kinds {
+		items[ruleKey(k)] = model.Rule{Work: "kind=" + k, Weight: 1}
+	}
+	return compile(t, 1, items)
+}
+
+func rank(v []float64, q float64) float64 {
+	if len(v) == 0 {
+		return math.NaN()
+	}
+	v = slices.Sorted(slices.Values(v))
+	return v[min(int(q*float64(len(v))), len(v)-1)]
+}
--- a/place/request.go
+++ b/place/request.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"time"
 
+	"cyclamenrelay.example/fleet"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/queue"
 )
@@ -19,20 +20,20 @@
 
 // attempt is a start without an answer.
 type attempt struct {
-	t    *target
+	t    *fleet.Target
 	sent time.Time
 	inc  uint64 // the target's incarnation
 }
 
 // request is work without an outcome.
 type request struct {
-	item     queue.Item[*class]
+	item     queue.Item[*fleet.Class]
 	task     model.Task
 	kind     *kind
 	arrived  time.Time
 	deadline time.Time
 	attempts []attempt
-	tried    []*target
+	tried    []*fleet.Target
 	serial   uint64
 	wake     time.Time
 	slot     int // in the timers' heap, -1 when not there
@@ -75,7 +76,7 @@
 // classify sets what the rules say of r, which is not queued.
 func (c *Core) classify(r *request) error {
 	rule := c.rules.Classify(r.task.Labels)
-	k, err := c.class(rule, r.task.Selector)
+	k, err := c.fleet.Class(c.now, rule, r.task.Selector)
 	if err != nil {
 		return err
 	}
@@ -84,7 +85,7 @@
 	i.Team = r.task.Team()
 	i.TeamWeight = c.rules.Team(i.Team).Weight
 	i.Urgency = rule.UrgencyOf(&r.task)
-	i.Estimate = r.kind.estimate(r.task.RunTime)
+	i.Estimate = r.kind.Estimate(r.task.RunTime)
 	return nil
 }
 
@@ -92,8 +93,8 @@
 func (c *Core) admit(r *request) {
 	share, k := r.item.Share, r.item.Class
 	n := c.queue.ShareLen(share)
-	wait := c.pace(share).wait(n + 1)
-	if n >= k.rule.QueueBound {
+	wait := c.paces.Of(share).Wait(n + 1)
+	if n >= k.Rule.QueueBound {
 		c.refuse(r, model.CodeQueueFull, "the queue of this kind of work is full", retryAfter(wait))
 		return
 	}
@@ -106,35 +107,35 @@
 
 func (c *Core) enqueue(r *request) {
 	c.queue.Push(&r.item)
-	r.item.Class.queued++
-	c.teams.wait(r.item.Team, 1)
+	r.item.Class.Queued++
+	c.teams.Wait(r.item.Team, 1)
 }
 
 func (c *Core) unqueue(r *request) {
 	if c.queue.Remove(&r.item) {
-		r.item.Class.queued--
-		c.teams.wait(r.item.Team, -1)
+		r.item.Class.Queued--
+		c.teams.Wait(r.item.Team, -1)
 	}
 }
 
 // choose returns a target for r now, or nil.
-func (c *Core) choose(r *request) *target {
+func (c *Core) choose(r *request) *fleet.Target {
 	if !c.teamOK(r.item.Team) {
 		return nil
 	}
-	fresh := func(t *target) bool {
+	fresh := func(t *fleet.Target) bool {
 		for _, o := range r.tried {
 			if o == t {
 				return false
 			}
 		}
-		return t.health.allow(c.now, t.inflight) && (!t.health.probation || r.task.Idempotent)
+		return t.Allows(c.now, r.task.Idempotent)
 	}
-	return choose(c.set.Policy, r.item.Class, c.rnd, fresh)
+	return fleet.Choose(c.set.Policy, r.item.Class, c.rnd, fresh)
 }
 
 // start hands r to t. r is not queued; it was charged when it came from the queue.
-func (c *Core) start(r *request, t *target, grant uint64, cause Cause) {
+func (c *Core) start(r *request, t *fleet.Target, grant uint64, cause Cause) {
 	if r.item.Queued() || c.requests[r.item.ID] != r {
 		panic("place: start of request " + r.item.ID + " that is queued or has its outcome")
 	}
@@ -146,18 +147,18 @@
 		c.queue.Charge(&r.item)
 	}
 	if len(r.attempts) == 0 {
-		c.teams.use(r.item.Team, 1)
+		c.teams.Use(r.item.Team, 1)
 	}
-	t.inflight++
+	t.Inflight++
 	r.starts++
-	r.attempts = append(r.attempts, attempt{t: t, sent: c.now, inc: t.incarnation})
+	r.attempts = append(r.attempts, attempt{t: t, sent: c.now, inc: t.Incarnation()})
 	if cause == First {
-		c.budget(r.item.Share).earn(r.item.Class.rule.RetryBudget)
+		c.budgets.Of(r.item.Share).Earn(r.item.Class.Rule.RetryBudget)
 	}
 	if grant == 0 {
-		t.push(c.now)
+		t.Push(c.now)
 	}
-	c.emit(Start{Agent: t.name, Task: r.task.WithTimeLeft(r.deadline.Sub(c.now)), Grant: grant, Cause: cause})
+	c.emit(Start{Agent: t.Name, Task: r.task.WithTimeLeft(r.deadline.Sub(c.now)), Grant: grant, Cause: cause})
 	c.schedule(r, c.nextWake(r))
 }
 
@@ -178,7 +179,7 @@
 
 // timeout returns the time after which an unanswered start of the kind is given up.
 func (c *Core) timeout(k *kind) time.Duration {
-	q, ok := k.quantile(timeoutRank)
+	q, ok := k.Quantile(timeoutRank)
 	if !ok {
 		return c.set.MaxTimeout
 	}
@@ -186,11 +187,11 @@
 }
 
 func (c *Core) hedgeAt(r *request) (time.Time, bool) {
-	q := r.item.Class.rule.Hedge
+	q := r.item.Class.Rule.Hedge
 	if q <= 0 || r.hedged || !r.task.Idempotent || len(r.attempts) != 1 || r.starts >= maxStarts {
 		return time.Time{}, false
 	}
-	d, ok := r.kind.quantile(q)
+	d, ok := r.kind.Quantile(q)
 	return r.attempts[0].sent.Add(d), ok
 }
 
@@ -211,9 +212,9 @@
 			continue
 		}
 		c.judge(r, a.t, true)
-		c.emit(Cancel{Agent: a.t.name, ID: r.item.ID})
+		c.emit(Cancel{Agent: a.t.Name, ID: r.item.ID})
 		c.drop(r, i)
-		c.again(r, model.Failed{Reason: "the target did not answer in time", MayHaveRun: true, Target: a.t.info.Name})
+		c.again(r, model.Failed{Reason: "the target did not answer in time", MayHaveRun: true, Target: a.t.TargetName()})
 		return
 	}
 	if at, ok := c.hedgeAt(r); ok && !c.now.Before(at) {
@@ -229,7 +230,7 @@
 	if err := c.classify(r); err != nil {
 		panic("place: selector of a started request does not parse: " + err.Error())
 	}
-	if t := c.choose(r); t != nil && t.free > 0 && c.budget(r.item.Share).spend() {
+	if t := c.choose(r); t != nil && t.Free > 0 && c.budgets.Of(r.item.Share).Spend() {
 		c.start(r, t, 0, Hedge)
 	}
 }
@@ -240,7 +241,7 @@
 		c.resolve(r, model.Failed{Reason: "no answer before the deadline", MayHaveRun: true})
 		return
 	}
-	c.refuse(r, model.CodeDeadline, "the deadline passed in the queue", retryAfter(c.pace(r.item.Share).wait(1)))
+	c.refuse(r, model.CodeDeadline, "the deadline passed in the queue", retryAfter(c.paces.Of(r.item.Share).Wait(1)))
 }
 
 // refuse ends a request without a start in progress.
@@ -265,7 +266,7 @@
 	}
 	c.unqueue(r)
 	for len(r.attempts) > 0 {
-		c.emit(Cancel{Agent: r.attempts[0].t.name, ID: r.item.ID})
+		c.emit(Cancel{Agent: r.attempts[0].t.Name, ID: r.item.ID})
 		c.drop(r, 0)
 	}
 	if r.slot >= 0 {
@@ -279,15 +280,15 @@
 // drop forgets the i-th attempt.
 func (c *Core) drop(r *request, i int) {
 	t := r.attempts[i].t
-	if r.attempts[i].inc == t.incarnation {
-		t.inflight--
+	if r.attempts[i].inc == t.Incarnation() {
+		t.Inflight--
 	}
-	if t.inflight < 0 {
-		panic("place: negative starts in flight at " + t.name)
+	if t.Inflight < 0 {
+		panic("place: negative starts in flight at " + t.Name)
 	}
 	r.attempts = append(r.attempts[:i], r.attempts[i+1:]...)
 	if len(r.attempts) == 0 {
-		c.teams.use(r.item.Team, -1)
+		c.teams.Use(r.item.Team, -1)
 	}
 }
 
--- a/place/sim_test.go
+++ b/place/sim_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"container/heap"
-	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
+	"cyclamenrelay.example/fleet"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/place"
 	"cyclamenrelay.example/rules"
@@ -94,32 +93,7 @@
 
 var epoch = time.Unix(1_000_000, 0)
 
-func compile(t testing.TB, version uint64, items map[model.ItemKey]any) *rules.Set {
-	d := model.Delta{To: version}
-	for k, v := range items {
-		b, err := json.Marshal(v)
-		assert.NilError(t, err)
-		d.Items = append(d.Items, model.Item{Key: k, Count: 1, Version: version, Value: b})
-	}
-	cfg, ok := model.Config{}.With(d)
-	assert.Assert(t, ok)
-	set, errs := rules.Compile(cfg)
-	assert.Equal(t, len(errs), 0)
-	return set
-}
-
-func ruleKey(name string) model.ItemKey { return model.ItemKey{Section: model.SectionRule, Name: name} }
-
-// kindRules gives each kind its own share of the same weight.
-func kindRules(t testing.TB, kinds ...string) *rules.Set {
-	items := map[model.ItemKey]any{}
-	for _, k := range kinds {
-		items[ruleKey(k)] = model.Rule{Work: "kind=" + k, Weight: 1}
-	}
-	return compile(t, 1, items)
-}
-
-func newSim(t testing.TB, seed uint64, p place.Policy, set *rules.Set) *sim {
+func newSim(t testing.TB, seed uint64, p fleet.Policy, set *rules.Set) *sim {
 	s := &sim{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), tasks: map[string]*simTask{}, kinds: map[string]*tally{}}
 	for i := range 3 {
 		cfg := place.DefaultSettings()
@@ -131,9 +105,9 @@
 	for i := range 11 {
 		cfg := share.DefaultSettings(simSlots)
 		switch p.(type) {
-		case place.TwoChoices, place.Random, place.LeastLoaded:
+		case fleet.TwoChoices, fleet.Random, fleet.LeastLoaded:
 			cfg.Buffer = 100_000
-		case place.Strict:
+		case fleet.Strict:
 			cfg.Strict = true
 		}
 		s.agents = append(s.agents, &simAgent{core: share.New(cfg, set), runs: map[string]bool{}})
@@ -366,11 +340,3 @@
 	used := s.grants - s.returns
 	return float64(2*s.bounces+s.asks+2*(s.grants-used)+2*s.extra) / float64(max(len(s.tasks), 1))
 }
-
-func rank(v []float64, q float64) float64 {
-	if len(v) == 0 {
-		return math.NaN()
-	}
-	v = slices.Sorted(slices.Values(v))
-	return v[min(int(q*float64(len(v))), len(v)-1)]
-}
--- a/place/types.go
+++ b/place/types.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"cyclamenrelay.example/fleet"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/rules"
 	"cyclamenrelay.example/wire"
@@ -12,8 +13,8 @@
 
 // Settings are the settings of a Core.
 type Settings struct {
-	// Policy chooses targets; nil is IdleFirst.
-	Policy Policy
+	// Policy chooses targets; nil is fleet.IdleFirst.
+	Policy fleet.Policy
 	// Near lists the data centres, the entry's own first. Others count as equally far.
 	Near []string
 	// NoTargetWait is how long work waits for a matching target to appear.
@@ -33,7 +34,7 @@
 // DefaultSettings returns the settings that a deployment starts from.
 func DefaultSettings() Settings {
 	return Settings{
-		Policy:       IdleFirst{},
+		Policy:       fleet.IdleFirst{},
 		NoTargetWait: 2 * time.Second,
 		Silence:      2 * time.Second,
 		MinTimeout:   2 * time.Second,
