share: let a share that used less than its part catch up

Change: a share may stay up to 2 s of slot time, at weight 1, behind virtual time. A share that was never seen starts at virtual time and has no lead.

--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,148 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cyclamenrelay.example/queue"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+type item = queue.Item[int]
+
+func all(int) bool { return true }
+
+// TestRandomised checks the queue against a plain list: sizes, cancels, classes,
+// order by urgency within a team, and virtual time that never goes back.
+func TestRandomised(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New[int]()
+		var in []*item
+		n := 0
+		last := 0.0
+		take := func(i *item) {
+			for at, o := range in {
+				if o == i {
+					in = append(in[:at], in[at+1:]...)
+					return
+				}
+			}
+			t.Fatalf("item %s is not queued", i.ID)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				n++
+				s := rapid.IntRange(0, 3).Draw(t, "share")
+				i := &item{
+					ID: fmt.Sprint(n), Share: fmt.Sprint(s), Weight: s + 1, TeamWeight: 1,
+					Team:    rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "team"),
+					Urgency: rapid.IntRange(0, 9).Draw(t, "urgency"), Class: rapid.IntRange(0, 2).Draw(t, "class"),
+					Estimate: time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond,
+				}
+				q.Push(i)
+				in = append(in, i)
+			},
+			"pop": func(t *rapid.T) {
+				class := rapid.IntRange(0, 2).Draw(t, "class")
+				i := q.Pop("", func(c int) bool { return c == class }, nil)
+				any := false
+				for _, o := range in {
+					any = any || o.Class == class
+					if i != nil && o != i && o.Class == class && o.Share == i.Share && o.Team == i.Team {
+						assert.Assert(t, o.Urgency <= i.Urgency)
+					}
+				}
+				assert.Equal(t, i != nil, any, "the queue must not hold back work")
+				if i != nil {
+					take(i)
+				}
+			},
+			"remove": func(t *rapid.T) {
+				if len(in) == 0 {
+					t.Skip("empty")
+				}
+				i := rapid.SampledFrom(in).Draw(t, "item")
+				assert.Assert(t, q.Remove(i))
+				assert.Assert(t, !q.Remove(i))
+				take(i)
+			},
+			"correct": func(t *rapid.T) {
+				i := &item{Share: "1", Weight: 2, TeamWeight: 1, Estimate: time.Second}
+				q.Correct(i, time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms"))*time.Millisecond)
+				q.Compact()
+			},
+			"": func(t *rapid.T) {
+				assert.Equal(t, q.Len(), len(in))
+				assert.Assert(t, q.Virtual() >= last)
+				last = q.Virtual()
+			},
+		})
+	})
+}
+
+// served pops n items from backlogged shares and counts the service by share.
+func served(q *queue.Queue[int], n int) map[string]time.Duration {
+	got := map[string]time.Duration{}
+	for range n {
+		i := q.Pop("", all, nil)
+		got[i.Share+i.Team] += i.Estimate
+	}
+	return got
+}
+
+// TestServiceFollowsWeights: service, not count, is shared, and urgency does not change it.
+func TestServiceFollowsWeights(t *testing.T) {
+	q := queue.New[int]()
+	for n := range 6000 {
+		q.Push(&item{ID: fmt.Sprint("a", n), Share: "a", Weight: 3, TeamWeight: 1, Estimate: 100 * time.Millisecond})
+		q.Push(&item{ID: fmt.Sprint("b", n), Share: "b", Weight: 1, TeamWeight: 1, Estimate: 20 * time.Millisecond, Urgency: 9})
+	}
+	got := served(q, 4000)
+	ratio := got["a"].Seconds() / got["b"].Seconds()
+	assert.Assert(t, ratio > 2.9 && ratio < 3.1, "ratio %.3f", ratio)
+}
+
+func TestTeamsFollowWeights(t *testing.T) {
+	q := queue.New[int]()
+	for n := range 3000 {
+		q.Push(&item{ID: fmt.Sprint("a", n), Share: "s", Weight: 1, Team: "a", TeamWeight: 2, Estimate: time.Second})
+		q.Push(&item{ID: fmt.Sprint("b", n), Share: "s", Weight: 1, Team: "b", TeamWeight: 1, Estimate: time.Second, Urgency: 9})
+	}
+	got := served(q, 3000)
+	ratio := got["sa"].Seconds() / got["sb"].Seconds()
+	assert.Assert(t, ratio > 1.9 && ratio < 2.1, "ratio %.3f", ratio)
+}
+
+// TestQuietShareIsServedSoon: work of a share that was quiet waits for a bounded
+// amount of a flood, also of the most urgent one.
+func TestQuietShareIsServedSoon(t *testing.T) {
+	q := queue.New[int]()
+	for n := range 10_000 {
+		q.Push(&item{ID: fmt.Sprint("f", n), Share: "flood", Weight: 1, TeamWeight: 1, Estimate: 100 * time.Millisecond, Urgency: 9})
+	}
+	served(q, 1000)
+	q.Push(&item{ID: "x", Share: "quiet", Weight: 1, TeamWeight: 1, Estimate: 100 * time.Millisecond})
+	for n := range 5 {
+		if i := q.Pop("", all, nil); i.ID == "x" {
+			return
+		}
+		assert.Assert(t, n < 4, "the quiet share waits too long")
+	}
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	q := queue.New[int]()
+	items := make([]item, 10_000)
+	for n := range items {
+		items[n] = item{ID: "x", Share: fmt.Sprint(n % 10), Weight: 1, TeamWeight: 1, Estimate: time.Second, Class: n % 3}
+		q.Push(&items[n])
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		i := q.Pop("", all, nil)
+		q.Push(i)
+	}
+}
--- a/share/core.go
+++ b/share/core.go
@@ -19,6 +19,10 @@
 // minCharge keeps tasks that take no time from being free.
 const minCharge = float64(time.Millisecond)
 
+// idleLead is how much service time, at weight 1, a share that used less than
+// its part may catch up.
+const idleLead = float64(2 * time.Second)
+
 // meanStep is the weight of the newest slot time.
 const meanStep = 0.05
 
@@ -171,7 +175,7 @@
 	g := c.grants[i]
 	c.grants = slices.Delete(c.grants, i, i+1)
 	c.free++
-	g.share.start = max(c.virtual, g.share.start-g.charge)
+	g.share.start = max(c.virtual-idleLead, g.share.start-g.charge)
 }
 
 func (c *Core) start(in Start) {
@@ -213,8 +217,8 @@
 
 // charge charges s for one slot and returns the charge.
 func (c *Core) charge(s *share) float64 {
-	s.start = max(s.start, c.virtual)
-	c.virtual = s.start
+	s.start = max(s.start, c.virtual-idleLead)
+	c.virtual = max(c.virtual, s.start)
 	cost := max(s.mean, minCharge) / float64(s.weight)
 	s.start += cost
 	return cost
@@ -230,7 +234,7 @@
 	c.free++
 	s := r.share
 	took := float64(c.now.Sub(r.since))
-	s.start = max(c.virtual, s.start+max(took, minCharge)/float64(s.weight)-r.charge)
+	s.start = max(c.virtual-idleLead, s.start+max(took, minCharge)/float64(s.weight)-r.charge)
 	if s.mean == 0 {
 		s.mean = took
 	}
@@ -343,7 +347,7 @@
 			continue
 		}
 		u := s.urgency()
-		start := max(s.start, 0) - float64(u)*float64(queue.UrgencyLead)
+		start := s.start - float64(u)*float64(queue.UrgencyLead)
 		if c.set.Strict {
 			start = -float64(u)
 		}
@@ -371,7 +375,7 @@
 		return
 	}
 	if len(s.credits) == 0 {
-		s.start = max(s.start, virtual)
+		s.start = max(s.start, virtual-idleLead)
 	}
 	for _, k := range s.credits {
 		if k.entry == entry {
