--- /dev/null
+++ b/place/core_test.go
@@ -0,0 +1,300 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/place"
+	"cyclamenrelay.example/rules"
+	"cyclamenrelay.example/wire"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// rig drives one core by hand.
+type rig struct {
+	t    assert.TestingT
+	core *place.Core
+	now  time.Time
+	seq  uint64
+	open map[string]string // ID to agent, of starts without an answer
+	ends map[string]model.Outcome
+	sent map[string]int // starts that were not refused
+}
+
+func newRig(t assert.TestingT, set *rules.Set) *rig {
+	return &rig{
+		t: t, core: place.New(place.DefaultSettings(), set, rand.New(rand.NewPCG(1, 1))), now: epoch,
+		open: map[string]string{}, ends: map[string]model.Outcome{}, sent: map[string]int{},
+	}
+}
+
+func (g *rig) step(in place.Input) []place.Effect {
+	out := append([]place.Effect(nil), g.core.Step(g.now, in)...)
+	for _, e := range out {
+		switch e := e.(type) {
+		case place.Start:
+			g.open[e.Task.ID+e.Agent] = e.Agent
+			g.sent[e.Task.ID]++
+		case place.Resolve:
+			assert.Assert(g.t, g.ends[e.ID] == nil, "second outcome of %s", e.ID)
+			g.ends[e.ID] = e.Outcome
+			_, notRun := e.Outcome.(model.NotRun)
+			assert.Assert(g.t, !notRun || g.sent[e.ID] == 0, "notRun of %s after %d starts", e.ID, g.sent[e.ID])
+		}
+	}
+	return out
+}
+
+// hear announces an agent with free slots.
+func (g *rig) hear(i, free int, labels model.Labels) {
+	g.seq++
+	g.step(place.Heard{Announce: wire.Announce{
+		Self: wire.Node{Name: fmt.Sprint("agent", i), Incarnation: 1}, Free: free, Seq: g.seq,
+		Target: &model.Target{Name: fmt.Sprint("target", i), DataCentre: "a", Slots: simSlots, Labels: labels},
+	}})
+}
+
+func (g *rig) arrive(id string, labels model.Labels, selector string) {
+	g.step(place.Arrive{Task: model.Task{ID: id, Labels: labels, Selector: selector, TimeLeft: time.Minute, Idempotent: true}})
+}
+
+// wait passes time as a shell does, with heartbeats of agent 0.
+func (g *rig) wait(d time.Duration) {
+	for end := g.now.Add(d); ; {
+		w := g.core.Wake()
+		if w.After(end) {
+			g.now = end
+			return
+		}
+		if w.After(g.now) {
+			g.now = w
+		}
+		g.step(place.Tick{})
+	}
+}
+
+// TestRandomised answers, loses, cancels and reconfigures at random; each
+// request gets one outcome, and a notRun was started nowhere.
+func TestRandomised(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := func(version uint64) *rules.Set {
+			return compile(t, version, map[model.ItemKey]any{
+				ruleKey("a"): model.Rule{Work: "kind=a", Targets: fmt.Sprintf("zone!=z%d", version%3), Hedge: 0.5, QueueBound: 4},
+				ruleKey("b"): model.Rule{Work: "kind in (a,b)", Order: int(version % 2), Weight: 2},
+				{Section: model.SectionTeam, Name: "red"}: model.Team{Quota: 2},
+			})
+		}
+		g := newRig(t, weights(1))
+		arrived := 0
+		pick := func(t *rapid.T) (string, string) {
+			for n := range arrived {
+				for i := range 4 {
+					a := fmt.Sprint("agent", i)
+					if g.open[fmt.Sprint("r", n)+a] != "" && rapid.Bool().Draw(t, "this") {
+						return fmt.Sprint("r", n), a
+					}
+				}
+			}
+			t.Skip("nothing open")
+			return "", ""
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				labels := model.Labels{"kind": rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "kind")}
+				if rapid.Bool().Draw(t, "team") {
+					labels["team"] = "red"
+				}
+				g.step(place.Arrive{Task: model.Task{
+					ID: fmt.Sprint("r", arrived), Labels: labels, Idempotent: rapid.Bool().Draw(t, "idempotent"),
+					Selector: rapid.SampledFrom([]string{"", "", "zone=z1", "zone=none", "zone in"}).Draw(t, "selector"),
+					TimeLeft: time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond,
+				}})
+				arrived++
+			},
+			"answer": func(t *rapid.T) {
+				id, agent := pick(t)
+				delete(g.open, id+agent)
+				res := wire.Result{ID: id, Free: rapid.IntRange(0, 2).Draw(t, "free")}
+				switch rapid.IntRange(0, 3).Draw(t, "outcome") {
+				case 0:
+					res.Failed = &model.Failed{Reason: "status 500", Target: "target0"}
+				case 1:
+					g.sent[id]--
+					res.NotRun = &model.NotRun{Code: model.CodeBusy}
+				default:
+					res.Complete = &model.Complete{}
+				}
+				g.step(place.Answer{Agent: agent, Result: res})
+			},
+			"lost": func(t *rapid.T) {
+				id, agent := pick(t)
+				delete(g.open, id+agent)
+				unsent := rapid.Bool().Draw(t, "unsent")
+				if unsent {
+					g.sent[id]--
+				}
+				g.step(place.Lost{Agent: agent, ID: id, Unsent: unsent})
+			},
+			"hear": func(t *rapid.T) {
+				i := rapid.IntRange(0, 3).Draw(t, "agent")
+				g.hear(i, rapid.IntRange(0, 3).Draw(t, "free"), model.Labels{"zone": fmt.Sprint("z", i%3)})
+			},
+			"grant": func(t *rapid.T) {
+				i := rapid.IntRange(0, 3).Draw(t, "agent")
+				g.step(place.Granted{Agent: fmt.Sprint("agent", i), Grant: wire.Grant{ID: 1, Share: "a"}})
+			},
+			"cancel": func(t *rapid.T) {
+				g.step(place.Cancelled{ID: fmt.Sprint("r", rapid.IntRange(0, arrived).Draw(t, "id"))})
+			},
+			"configure": func(t *rapid.T) {
+				g.step(place.Configured{Rules: weights(uint64(rapid.IntRange(1, 9).Draw(t, "version")))})
+			},
+			"wait": func(t *rapid.T) { g.wait(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond) },
+		})
+		g.wait(10 * time.Second)
+		all, queued := g.core.Pending()
+		assert.Equal(t, all+queued, 0)
+		assert.Equal(t, len(g.ends), arrived)
+	})
+}
+
+// TestCancelWave: 10,000 queued tasks go at once and leave nothing behind.
+func TestCancelWave(t *testing.T) {
+	g := newRig(t, compile(t, 1, map[model.ItemKey]any{ruleKey("a"): model.Rule{QueueBound: 10_000}}))
+	g.hear(0, 0, nil)
+	for i := range 10_000 {
+		g.arrive(fmt.Sprint(i), nil, "")
+	}
+	_, queued := g.core.Pending()
+	assert.Equal(t, queued, 10_000)
+	for i := range 10_000 {
+		g.step(place.Cancelled{ID: fmt.Sprint(i)})
+	}
+	all, queued := g.core.Pending()
+	assert.Equal(t, all+queued, 0)
+	for _, o := range g.ends {
+		assert.Equal(t, o.(model.NotRun).Code, model.CodeCancelled)
+	}
+}
+
+// TestImpossibleSelector is refused after the stated wait, and not before.
+func TestImpossibleSelector(t *testing.T) {
+	g := newRig(t, compile(t, 1, nil))
+	g.hear(0, 8, nil)
+	g.arrive("x", nil, "zone=nowhere")
+	g.arrive("y", nil, "zone in")
+	assert.Equal(t, g.ends["y"].(model.NotRun).Code, model.CodeInvalid)
+	wait := place.DefaultSettings().NoTargetWait
+	g.wait(wait - 10*time.Millisecond)
+	assert.Assert(t, g.ends["x"] == nil)
+	g.wait(150 * time.Millisecond)
+	assert.Equal(t, g.ends["x"].(model.NotRun).Code, model.CodeNoTarget)
+}
+
+// TestChangeHoldsForQueuedWork: a new rule sends queued work elsewhere, and a
+// drain keeps it from a target.
+func TestChangeHoldsForQueuedWork(t *testing.T) {
+	rule := func(zone string) model.Rule { return model.Rule{Work: "kind=a", Targets: "zone=" + zone} }
+	g := newRig(t, compile(t, 1, map[model.ItemKey]any{ruleKey("a"): rule("old")}))
+	g.hear(0, 0, model.Labels{"zone": "old"})
+	g.hear(1, 8, model.Labels{"zone": "new"})
+	for i := range 5 {
+		g.arrive(fmt.Sprint(i), model.Labels{"kind": "a"}, "")
+	}
+	assert.Equal(t, len(g.open), 0)
+	g.step(place.Configured{Rules: compile(t, 2, map[model.ItemKey]any{ruleKey("a"): rule("new")})})
+	assert.Equal(t, len(g.open), 5)
+	g.step(place.Configured{Rules: compile(t, 1, map[model.ItemKey]any{ruleKey("a"): rule("old")})})
+	g.arrive("6", model.Labels{"kind": "a"}, "")
+	assert.Equal(t, g.open["6agent1"], "agent1", "an older configuration must not come back")
+	g.step(place.Configured{Rules: compile(t, 3, map[model.ItemKey]any{
+		{Section: model.SectionDrain, Name: "d"}: model.Drain{Targets: "zone=new"},
+	})})
+	g.arrive("7", nil, "zone=new")
+	assert.Equal(t, len(g.open), 6)
+}
+
+// TestQuotaIsDividedByDemand: the entries' slices follow what each reports.
+func TestQuotaIsDividedByDemand(t *testing.T) {
+	team := model.ItemKey{Section: model.SectionTeam, Name: "red"}
+	g := newRig(t, compile(t, 1, map[model.ItemKey]any{team: model.Team{Quota: 6}}))
+	g.hear(0, 8, nil)
+	g.step(place.PeerUse{Use: wire.TeamUse{Entry: "other", Teams: map[string]int{"red": 20}}})
+	for i := range 20 {
+		g.arrive(fmt.Sprint(i), model.Labels{"team": "red"}, "")
+	}
+	g.hear(0, 8, nil)
+	assert.Assert(t, len(g.open) <= 3, "%d starts", len(g.open))
+	g.wait(time.Second)
+	g.hear(0, 8, nil)
+	assert.Equal(t, len(g.open), 3)
+	g.step(place.PeerUse{Use: wire.TeamUse{Entry: "other"}})
+	g.hear(0, 8, nil)
+	assert.Equal(t, len(g.open), 6)
+}
+
+// TestFrozenTarget: a start that stays unanswered while heartbeats go on fails
+// as what may have run, and an idempotent one is retried elsewhere.
+func TestFrozenTarget(t *testing.T) {
+	g := newRig(t, compile(t, 1, nil))
+	g.hear(0, 8, nil)
+	g.step(place.Arrive{Task: model.Task{ID: "once", TimeLeft: time.Minute}})
+	g.arrive("twice", nil, "")
+	g.hear(1, 8, nil)
+	for range 40 {
+		g.wait(time.Second)
+		g.hear(0, 8, nil)
+		g.hear(1, 8, nil)
+	}
+	assert.Assert(t, g.ends["once"].(model.Failed).MayHaveRun)
+	assert.Equal(t, g.open["twiceagent1"], "agent1")
+}
+
+// benchmark measures an arrival, its answer and one heartbeat.
+func benchmark(b *testing.B, targets int) {
+	g := newRig(b, kindRules(b, kinds...))
+	for i := range targets {
+		g.hear(i, 8, nil)
+	}
+	task := model.Task{ID: "x", Labels: model.Labels{"kind": "tag"}, TimeLeft: time.Minute, Idempotent: true}
+	done := &model.Complete{}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		g.now = g.now.Add(500 * time.Microsecond)
+		g.hear(n%targets, 8, nil)
+		out := g.core.Step(g.now, place.Arrive{Task: task})
+		g.core.Step(g.now, place.Answer{Agent: out[0].(place.Start).Agent, Result: wire.Result{ID: "x", Complete: done, Free: 8}})
+	}
+}
+
+func BenchmarkTask11Targets(b *testing.B)   { benchmark(b, 11) }
+func BenchmarkTask2000Targets(b *testing.B) { benchmark(b, 2000) }
+
+// BenchmarkQueuedTask reports the memory of a queued task.
+func BenchmarkQueuedTask(b *testing.B) {
+	g := newRig(b, compile(b, 1, map[model.ItemKey]any{ruleKey("a"): model.Rule{QueueBound: 1 << 30}}))
+	g.hear(0, 0, nil)
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		g.core.Step(g.now, place.Arrive{Task: model.Task{ID: fmt.Sprint(n), TimeLeft: time.Minute}})
+	}
+}
+
+// BenchmarkKnownTarget reports the memory of a known target with one class of work.
+func BenchmarkKnownTarget(b *testing.B) {
+	g := newRig(b, kindRules(b, kinds...))
+	g.arrive("x", nil, "")
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		g.hear(n, 0, nil)
+	}
+}
--- a/place/help_test.go
+++ b/place/help_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"math"
 	"slices"
-	"testing"
 
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/rules"
@@ -12,7 +11,7 @@
 	"gotest.tools/v3/assert"
 )
 
-func compile(t testing.TB, version uint64, items map[model.ItemKey]any) *rules.Set {
+func compile(t assert.TestingT, version uint64, items map[model.ItemKey]any) *rules.Set {
 	d := model.Delta{To: version}
 	for k, v := range items {
 		b, err := json.Marshal(v)
@@ -29,7 +28,7 @@
 func ruleKey(name string) model.ItemKey { return model.ItemKey{Section: model.SectionRule, Name: name} }
 
 // kindRules gives each kind its own share of the same weight.
-func kindRules(t testing.TB, kinds ...string) *rules.Set {
+func kindRules(t assert.TestingT, kinds ...string) *rules.Set {
 	items := map[model.ItemKey]any{}
 	for _, k := range kinds {
 		items[ruleKey(k)] = model.Rule{Work: "kind=" + k, Weight: 1}
