agree: replicated log core and its randomised proof

Cause: the keepers' state needs a log of our own on a majority of disks. Ruled out: waiting for the local sync before replicating (the leader sends in parallel and counts itself only once its write is reported), and wall-clock comparison for freshness (durations, echoed through the follower's own clock).

--- /dev/null
+++ b/agree/elect.go
@@ -0,0 +1,137 @@
+package agree
+
+import (
+	"time"
+
+	"cyclamenrelay.example/wire"
+)
+
+func (n *Node) resetElection() {
+	e := n.cfg.Election
+	n.electionAt = n.now + e + time.Duration(n.cfg.Rand.Int64N(int64(e)))
+}
+
+// leased reports whether a leader is in office, so that votes are not given.
+func (n *Node) leased() bool {
+	return n.role == Leader || n.leader != ID{} && n.now-n.heardAt < n.cfg.Election
+}
+
+// setTerm enters a newer term.
+func (n *Node) setTerm(term uint64) {
+	n.hard.Term, n.hard.Vote = term, ID{}
+	n.leader = ID{}
+	n.verified = n.hard.Commit
+	n.partial = partialSnapshot{}
+	n.writer.markHard()
+}
+
+func (n *Node) becomeFollower(term uint64, leader ID) {
+	if n.role == Leader {
+		n.resign()
+	}
+	if term > n.hard.Term {
+		n.setTerm(term)
+	}
+	if n.role != Follower {
+		n.resetElection()
+	}
+	n.role, n.leader = Follower, leader
+}
+
+// heard notes a message of the leader of this term.
+func (n *Node) heard(from ID) {
+	invariant(n.role != Leader, "term %d has the leaders %v and %v", n.hard.Term, n.cfg.ID, from)
+	if n.leader != from {
+		invariant(n.leader == ID{}, "term %d has the leaders %v and %v", n.hard.Term, n.leader, from)
+		n.becomeFollower(n.hard.Term, from)
+	}
+	n.heardAt = n.now
+	n.resetElection()
+}
+
+// preCampaign asks whether an election could be won, without disturbing anyone.
+func (n *Node) preCampaign() {
+	n.role, n.leader = PreCandidate, ID{}
+	n.votes = map[ID]bool{n.cfg.ID: true}
+	for _, m := range n.members.current() {
+		if m.Voter && m.ID != n.cfg.ID {
+			n.sends = append(n.sends, Send{To: m.ID, Term: n.hard.Term + 1, Body: n.voteRequest(true, false)})
+		}
+	}
+	n.countVotes()
+}
+
+// campaign starts an election. The requests leave once the own vote is synced.
+func (n *Node) campaign(transfer bool) {
+	n.setTerm(n.hard.Term + 1)
+	n.role, n.hard.Vote = Candidate, n.cfg.ID
+	n.resetElection()
+	n.votes = map[ID]bool{}
+	n.ownVote = n.writer.seq()
+	for _, m := range n.members.current() {
+		if m.Voter && m.ID != n.cfg.ID {
+			n.promise(m.ID, n.voteRequest(false, transfer), n.ownVote)
+		}
+	}
+}
+
+func (n *Node) voteRequest(pre, transfer bool) wire.AgreeVote {
+	return wire.AgreeVote{LastIndex: n.log.last(), LastTerm: n.log.lastTerm(), Pre: pre, Transfer: transfer}
+}
+
+func (n *Node) onVote(m Receive, b wire.AgreeVote) {
+	free := n.hard.Vote == m.From || n.hard.Vote == ID{} && n.leader == ID{} || b.Pre && m.Term > n.hard.Term
+	last, lastTerm := n.log.last(), n.log.lastTerm()
+	upToDate := b.LastTerm > lastTerm || b.LastTerm == lastTerm && b.LastIndex >= last
+	granted := free && upToDate
+	if b.Pre {
+		a := Send{To: m.From, Term: n.hard.Term, Body: wire.AgreeVoteAnswer{Pre: true, Granted: granted}}
+		if granted {
+			a.Term = m.Term
+		}
+		n.sends = append(n.sends, a)
+		return
+	}
+	if granted && n.hard.Vote != m.From {
+		n.hard.Vote = m.From
+		n.writer.markHard()
+		n.resetElection()
+	}
+	n.promise(m.From, wire.AgreeVoteAnswer{Granted: granted}, n.writer.hardSeq)
+}
+
+func (n *Node) onVoteAnswer(m Receive, b wire.AgreeVoteAnswer) {
+	switch {
+	case !b.Granted:
+		return
+	case b.Pre && (n.role != PreCandidate || m.Term != n.hard.Term+1):
+		return
+	case !b.Pre && (n.role != Candidate || m.Term != n.hard.Term):
+		return
+	}
+	n.votes[m.From] = true
+	n.countVotes()
+}
+
+func (n *Node) countVotes() {
+	granted, members := 0, n.members.current()
+	for _, m := range members {
+		if m.Voter && n.votes[m.ID] {
+			granted++
+		}
+	}
+	if granted <= members.Voters()/2 {
+		return
+	}
+	if n.role == PreCandidate {
+		n.campaign(false)
+		return
+	}
+	n.becomeLeader()
+}
+
+func (n *Node) onTimeoutNow() {
+	if n.role == Follower && n.self() {
+		n.campaign(true)
+	}
+}
--- /dev/null
+++ b/agree/node.go
@@ -0,0 +1,264 @@
+package agree
+
+import (
+	"time"
+
+	"cyclamenrelay.example/wire"
+)
+
+// Node is one replica of one group. It is not safe for concurrent use.
+type Node struct {
+	cfg   Config
+	epoch uint64
+	now   time.Duration
+
+	role   Role
+	hard   HardState
+	leader ID
+	log    entryLog
+	snap   Snapshot
+	// members is the membership by the log; the newest applies, committed or not.
+	members memberLog
+	// verified is the index up to which the log matches the leader's of this term.
+	verified uint64
+	applied  uint64
+
+	electionAt time.Duration // when the next election starts
+	heardAt    time.Duration // when the leader was last heard
+	votes      map[ID]bool
+	ownVote    uint64 // the write that holds the candidate's own vote
+
+	writer  writer
+	lead    leadership
+	fresh   freshness
+	pending freshness // proven, but not applied up to its index yet
+	partial partialSnapshot
+
+	sinceSnapshot int // bytes applied since the last snapshot
+	snapWanted    bool
+	reported      RoleChanged
+	sends         []Effect
+	events        []Effect
+	out           []Effect
+}
+
+// New returns the replica that continues from cfg.Stored.
+func New(cfg Config) *Node {
+	cfg = cfg.withDefaults()
+	s := cfg.Stored
+	n := &Node{cfg: cfg, epoch: cfg.Rand.Uint64() | 1, hard: s.Hard, snap: s.Snapshot}
+	n.log = entryLog{baseIndex: s.Snapshot.Index, baseTerm: s.Snapshot.Term}
+	n.members = memberLog{{s.Snapshot.Index, s.Snapshot.Members}}
+	for _, e := range s.Entries {
+		if e.Index <= s.Snapshot.Index {
+			continue
+		}
+		invariant(e.Index == n.log.last()+1 && e.Term >= n.log.lastTerm() && e.Term <= s.Hard.Term,
+			"stored entry %d of term %d does not follow %d", e.Index, e.Term, n.log.last())
+		n.log.entries = append(n.log.entries, e)
+		n.members = n.members.with(e)
+	}
+	n.hard.Commit = max(n.hard.Commit, s.Snapshot.Index)
+	invariant(n.hard.Commit <= n.log.last(), "stored commit %d is after the last entry %d", n.hard.Commit, n.log.last())
+	n.applied, n.verified = s.Snapshot.Index, n.hard.Commit
+	n.writer.stable = n.log.last()
+	n.reported = RoleChanged{Role: Follower, Term: n.hard.Term}
+	n.cfg.Stored = Stored{}
+	return n
+}
+
+// Step handles the inputs and returns the effects, which are valid until the
+// next step. Now is the time on the process's monotonic clock.
+func (n *Node) Step(now time.Duration, inputs ...Input) []Effect {
+	invariant(now >= n.now, "the clock went back from %v to %v", n.now, now)
+	if n.electionAt == 0 {
+		n.now = now
+		n.resetElection()
+	}
+	n.now = now
+	n.sends, n.events, n.out = n.sends[:0], n.events[:0], n.out[:0]
+	term, commit := n.hard.Term, n.hard.Commit
+	for _, in := range inputs {
+		n.handle(in)
+	}
+	n.finish()
+	invariant(n.hard.Term >= term, "the term went back from %d to %d", term, n.hard.Term)
+	invariant(n.hard.Commit >= commit, "the commit index went back from %d to %d", commit, n.hard.Commit)
+	invariant(n.applied <= n.hard.Commit && n.hard.Commit <= n.log.last(),
+		"applied %d, commit %d, last %d", n.applied, n.hard.Commit, n.log.last())
+	return n.out
+}
+
+func (n *Node) handle(in Input) {
+	switch in := in.(type) {
+	case Tick:
+		n.tick()
+	case Receive:
+		n.receive(in)
+	case Persisted:
+		n.persisted(in.Seq)
+	case Propose:
+		n.propose(in)
+	case Read:
+		n.read(in.ID)
+	case ChangeMember:
+		n.changeMember(in)
+	case Transfer:
+		n.startTransfer()
+	case Compacted:
+		n.compacted(in)
+	}
+}
+
+func (n *Node) tick() {
+	if n.role == Leader {
+		n.leaderTick()
+		return
+	}
+	if n.now < n.electionAt {
+		return
+	}
+	n.resetElection()
+	if n.self() {
+		n.preCampaign()
+	}
+}
+
+// self reports whether this replica is a voter.
+func (n *Node) self() bool { return n.members.current().isVoter(n.cfg.ID) }
+
+func (n *Node) receive(m Receive) {
+	if m.Body == nil || m.From == n.cfg.ID {
+		return
+	}
+	if m.Term < n.hard.Term {
+		n.receiveOld(m)
+		return
+	}
+	if m.Term > n.hard.Term && !n.receiveNew(m) {
+		return
+	}
+	switch b := m.Body.(type) {
+	case wire.AgreeVote:
+		n.onVote(m, b)
+	case wire.AgreeVoteAnswer:
+		n.onVoteAnswer(m, b)
+	case wire.AgreeTimeoutNow:
+		n.onTimeoutNow()
+	case wire.AgreeAppend:
+		n.heard(m.From)
+		n.onAppend(m.From, b)
+	case wire.AgreeHeartbeat:
+		n.heard(m.From)
+		n.onHeartbeat(m.From, b)
+	case wire.AgreeSnapshot:
+		n.heard(m.From)
+		n.onSnapshot(m.From, b)
+	default:
+		n.onAnswer(m)
+	}
+}
+
+// receiveOld tells the sender of an older term about the newer one.
+func (n *Node) receiveOld(m Receive) {
+	switch b := m.Body.(type) {
+	case wire.AgreeAppend, wire.AgreeHeartbeat, wire.AgreeSnapshot:
+		n.promise(m.From, wire.AgreeHeartbeatAnswer{}, n.writer.hardSeq)
+	case wire.AgreeVote:
+		if b.Pre {
+			n.promise(m.From, wire.AgreeVoteAnswer{Pre: true}, n.writer.hardSeq)
+		}
+	}
+}
+
+// receiveNew handles a newer term; it reports whether the message is to be
+// handled further.
+func (n *Node) receiveNew(m Receive) bool {
+	switch b := m.Body.(type) {
+	case wire.AgreeVote:
+		if n.leased() && !b.Transfer {
+			return false
+		}
+		if b.Pre {
+			return true
+		}
+	case wire.AgreeVoteAnswer:
+		if b.Pre && b.Granted {
+			return true
+		}
+	}
+	n.becomeFollower(m.Term, ID{})
+	return true
+}
+
+// finish completes a step: what the inputs together caused is sent at once.
+func (n *Node) finish() {
+	if n.role == Leader {
+		n.advanceCommit()
+		n.serveReads()
+		n.replicate()
+	}
+	n.apply()
+	n.advanceFreshness()
+	if n.role == Leader {
+		n.releaseReads()
+		n.leaveIfRemoved()
+	}
+	if r := (RoleChanged{n.role, n.hard.Term, n.leader}); r != n.reported {
+		n.reported = r
+		n.events = append(n.events, r)
+	}
+	if p, ok := n.writer.next(n.hard, &n.log); ok {
+		n.out = append(n.out, p)
+	}
+	n.out = append(n.out, n.sends...)
+	n.out = append(n.out, n.events...)
+}
+
+func (n *Node) apply() {
+	if n.applied == n.hard.Commit {
+		return
+	}
+	es := n.log.slice(n.applied+1, n.hard.Commit)
+	for i := range es {
+		n.sinceSnapshot += len(es[i].Data)
+	}
+	n.events = append(n.events, Apply{Entries: es, Proposals: n.lead.take(es)})
+	n.applied = n.hard.Commit
+	due := n.applied-n.snap.Index >= n.cfg.SnapshotEntries || n.sinceSnapshot >= n.cfg.SnapshotBytes
+	if due && !n.snapWanted {
+		n.snapWanted = true
+		n.events = append(n.events, SnapshotWanted{})
+	}
+}
+
+func (n *Node) commitTo(i uint64) { n.hard.Commit = max(n.hard.Commit, i) }
+
+// send sends a message that promises nothing beyond what is synced.
+func (n *Node) send(to ID, body wire.AgreeBody) {
+	n.sends = append(n.sends, Send{To: to, Term: n.hard.Term, Body: body})
+}
+
+// promise sends a message once the write with seq is synced.
+func (n *Node) promise(to ID, body wire.AgreeBody, seq uint64) {
+	if seq <= n.writer.synced {
+		n.send(to, body)
+		return
+	}
+	n.writer.held = append(n.writer.held, heldSend{seq, Send{To: to, Term: n.hard.Term, Body: body}})
+}
+
+// Status returns the state of the replica.
+func (n *Node) Status() Status {
+	s := Status{
+		Role: n.role, Term: n.hard.Term, Leader: n.leader, Commit: n.hard.Commit,
+		Last: n.log.last(), Members: n.members.current(),
+	}
+	if n.role == Leader {
+		s.Match = make(map[ID]uint64, len(n.lead.peers))
+		for _, p := range n.lead.peers {
+			s.Match[p.id] = p.match
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/agree/random_test.go
@@ -0,0 +1,35 @@
+package agree_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// profiles are mixes of faults, from a rough network to hosts that keep dying.
+var profiles = map[string]faults{
+	"network": {loss: 0.1, dup: 0.1, cut: 0.004, transfer: 0.002, maxDelay: 30 * time.Millisecond},
+	"crashes": {loss: 0.01, dup: 0.01, crash: 0.004, cut: 0.002, maxDelay: 4 * time.Millisecond},
+	"repairs": {loss: 0.02, wipe: 0.004, change: 0.004, transfer: 0.004, maxDelay: 4 * time.Millisecond},
+	"all": {
+		loss: 0.05, dup: 0.05, crash: 0.01, cut: 0.01, wipe: 0.003, change: 0.003, transfer: 0.005,
+		maxDelay: 20 * time.Millisecond,
+	},
+}
+
+const seeds = 12
+
+func TestRandomFaults(t *testing.T) {
+	for name, f := range profiles {
+		for i := range uint64(2 * seeds) {
+			voters := 3 + 2*int(i%2)
+			t.Run(fmt.Sprintf("%s/voters=%d/seed=%d", name, voters, i/2), func(t *testing.T) {
+				t.Parallel()
+				s := newSim(t, i, voters, f)
+				s.run(30 * time.Second)
+				t.Logf("acknowledged %d, committed %d, installed %d, leaders %d, replicas %d",
+					s.acked, len(s.committed), s.installs, len(s.leaders), len(s.reps))
+			})
+		}
+	}
+}
--- /dev/null
+++ b/agree/sim_test.go
@@ -0,0 +1,494 @@
+package agree_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"cyclamenrelay.example/agree"
+	"cyclamenrelay.example/wire"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	tick      = 5 * time.Millisecond
+	heartbeat = 20 * time.Millisecond
+	election  = 100 * time.Millisecond
+	registers = 4
+)
+
+// faults are probabilities, per message or per tick.
+type faults struct {
+	loss, dup, crash, cut, wipe, change, transfer float64
+	maxDelay                                      time.Duration
+}
+
+// replica is a host with its disk; node is nil while it is down.
+type replica struct {
+	id      agree.ID
+	node    *agree.Node
+	stored  agree.Stored
+	writes  []agree.Persist
+	synced  time.Duration // when the oldest of writes is synced
+	origin  time.Duration // of its clock
+	state   [registers]uint64
+	applied uint64
+	upAt    time.Duration
+	lost    bool
+	frozen  bool
+}
+
+type letter struct {
+	at       time.Duration
+	from, to agree.ID
+	send     agree.Send
+}
+
+type op struct {
+	key   int
+	value uint64 // written, 0 for a read
+	call  time.Duration
+	at    agree.ID
+}
+
+// sim runs replicas over a faulty network and checks safety across them.
+type sim struct {
+	t         testing.TB
+	rng       *rand.Rand
+	f         faults
+	now       time.Duration
+	reps      []*replica
+	net       []letter
+	cut       map[string]int // side of the partition by name
+	healAt    time.Duration
+	leaders   map[uint64]agree.ID
+	committed []agree.Entry // by index-1; the first two are placeholders
+	seenAt    []time.Duration
+	ops       map[uint64]op
+	nextOp    uint64
+	history   []porcupine.Operation
+	acked     int
+	repairing bool
+	installs  int
+	changes   map[uint64]bool
+	drops     map[uint64]agree.Reason
+}
+
+func newSim(t testing.TB, seed uint64, voters int, f faults) *sim {
+	s := &sim{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), f: f, now: time.Second, leaders: map[uint64]agree.ID{},
+		committed: make([]agree.Entry, 2), seenAt: make([]time.Duration, 2),
+		ops: map[uint64]op{}, changes: map[uint64]bool{}, drops: map[uint64]agree.Reason{},
+	}
+	var m agree.Membership
+	for i := range voters {
+		m = m.With(agree.Member{ID: agree.ID{Name: string(rune('a' + i)), Incarnation: 1}, Voter: true})
+	}
+	for _, x := range m {
+		s.reps = append(s.reps, &replica{id: x.ID, stored: agree.Bootstrap(m, s.encode([registers]uint64{}))})
+	}
+	for _, r := range s.reps {
+		s.start(r)
+	}
+	return s
+}
+
+func (s *sim) encode(state [registers]uint64) []byte {
+	b, err := wire.MarshalValue(state)
+	assert.NilError(s.t, err)
+	// Padding makes snapshots of several chunks.
+	return append(b, make([]byte, 700)...)
+}
+
+func (s *sim) decode(b []byte) (state [registers]uint64) {
+	assert.NilError(s.t, wire.UnmarshalValue(b[:len(b)-700], &state))
+	return state
+}
+
+func (s *sim) start(r *replica) {
+	r.origin = s.now - time.Duration(s.rng.Int64N(int64(time.Second)))
+	r.writes = nil
+	st := r.stored
+	st.Entries = slices.Clone(st.Entries)
+	r.applied = st.Snapshot.Index
+	r.state = [registers]uint64{}
+	if len(st.Snapshot.Data) > 0 {
+		r.state = s.decode(st.Snapshot.Data)
+	}
+	r.node = agree.New(agree.Config{
+		ID: r.id, Stored: st, Rand: rand.New(rand.NewPCG(s.rng.Uint64(), 2)),
+		Heartbeat: heartbeat, Election: election, Resend: 3 * heartbeat,
+		MaxBytes: 300, MaxInflight: 4, SnapshotEntries: 40, KeepEntries: 10,
+	})
+}
+
+// crash stops a replica; a random part of the writes not synced is lost.
+func (s *sim) crash(r *replica) {
+	for _, p := range r.writes[:s.rng.IntN(len(r.writes)+1)] {
+		store(&r.stored, p)
+	}
+	r.node, r.writes = nil, nil
+	for id, o := range s.ops {
+		if o.at == r.id {
+			s.unknown(id)
+		}
+	}
+}
+
+// store does a write as a disk does it.
+func store(st *agree.Stored, p agree.Persist) {
+	st.Hard = p.Hard
+	if p.Snapshot != nil {
+		st.Snapshot = *p.Snapshot
+		st.Entries = slices.DeleteFunc(slices.Clone(st.Entries), func(e agree.Entry) bool { return e.Index <= p.Snapshot.Index })
+	}
+	if p.Truncate > 0 {
+		st.Entries = slices.DeleteFunc(slices.Clone(st.Entries), func(e agree.Entry) bool { return e.Index >= p.Truncate })
+	}
+	st.Entries = append(st.Entries, p.Entries...)
+}
+
+func (s *sim) find(id agree.ID) *replica {
+	for _, r := range s.reps {
+		if r.id == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (s *sim) step(r *replica, ins ...agree.Input) {
+	if r.node == nil {
+		return
+	}
+	for _, e := range slices.Clone(r.node.Step(s.now-r.origin, ins...)) {
+		s.effect(r, e)
+	}
+}
+
+func (s *sim) effect(r *replica, e agree.Effect) {
+	switch e := e.(type) {
+	case agree.Persist:
+		if len(r.writes) == 0 {
+			r.synced = s.now + time.Duration(s.rng.Int64N(int64(4*time.Millisecond)))
+		}
+		r.writes = append(r.writes, e)
+	case agree.Send:
+		s.post(r.id, e)
+	case agree.Apply:
+		s.apply(r, e)
+	case agree.Install:
+		s.installs++
+		r.state, r.applied = s.decode(e.Snapshot.Data), e.Snapshot.Index
+	case agree.ReadReady:
+		assert.Assert(s.t, r.applied >= e.Index)
+		for _, id := range e.IDs {
+			if o, ok := s.ops[id]; ok {
+				s.done(id, o, r.state[o.key])
+			}
+		}
+	case agree.SnapshotWanted:
+		s.step(r, agree.Compacted{Index: r.applied, Data: s.encode(r.state)})
+	case agree.Dropped:
+		s.drops[e.ID] = e.Reason
+		if e.Reason == agree.ReasonUnknown {
+			s.unknown(e.ID)
+		}
+		delete(s.ops, e.ID)
+	case agree.RoleChanged:
+		if e.Role == agree.Leader {
+			old, ok := s.leaders[e.Term]
+			assert.Assert(s.t, !ok || old == r.id, "term %d has two leaders", e.Term)
+			s.leaders[e.Term] = r.id
+			last := r.node.Status().Last
+			assert.Assert(s.t, last >= uint64(len(s.committed)-1), "leader of term %d lacks committed entries", e.Term)
+		}
+	}
+}
+
+func (s *sim) apply(r *replica, a agree.Apply) {
+	for i, e := range a.Entries {
+		assert.Equal(s.t, e.Index, r.applied+1)
+		r.applied = e.Index
+		if e.Index < uint64(len(s.committed)) {
+			assert.DeepEqual(s.t, e, s.committed[e.Index])
+		} else {
+			assert.Equal(s.t, e.Index, uint64(len(s.committed)))
+			s.committed, s.seenAt = append(s.committed, e), append(s.seenAt, s.now)
+		}
+		if e.Kind == agree.KindCommand {
+			var c [2]uint64
+			assert.NilError(s.t, wire.UnmarshalValue(e.Data, &c))
+			r.state[c[0]] = c[1]
+		}
+		if len(a.Proposals) > 0 {
+			id := a.Proposals[i]
+			if o, ok := s.ops[id]; ok {
+				s.done(id, o, 0)
+			}
+			if id != 0 {
+				s.changes[id] = true
+			}
+		}
+	}
+}
+
+func (s *sim) post(from agree.ID, m agree.Send) {
+	for range 1 + s.bit(s.f.dup) {
+		if s.bit(s.f.loss) == 0 {
+			at := s.now + 500*time.Microsecond + time.Duration(s.rng.Int64N(int64(s.f.maxDelay)+1))
+			s.net = append(s.net, letter{at, from, m.To, m})
+		}
+	}
+}
+
+func (s *sim) bit(p float64) int {
+	if s.rng.Float64() < p {
+		return 1
+	}
+	return 0
+}
+
+// done and unknown end an operation of the history.
+func (s *sim) done(id uint64, o op, read uint64) {
+	s.record(id, o, read, s.now)
+	s.acked++
+}
+
+func (s *sim) unknown(id uint64) {
+	if o, ok := s.ops[id]; ok && o.value != 0 {
+		s.record(id, o, 0, 1<<60)
+	}
+	delete(s.ops, id)
+}
+
+func (s *sim) record(id uint64, o op, read uint64, end time.Duration) {
+	delete(s.ops, id)
+	s.history = append(s.history, porcupine.Operation{
+		ClientId: int(id), Input: o, Call: int64(o.call), Output: read, Return: int64(end),
+	})
+}
+
+func (s *sim) client() {
+	r := s.reps[s.rng.IntN(len(s.reps))]
+	if r.node == nil || len(s.ops) > 12 {
+		return
+	}
+	s.nextOp++
+	o := op{key: s.rng.IntN(registers), call: s.now, at: r.id}
+	if s.rng.IntN(2) == 0 {
+		s.ops[s.nextOp] = o
+		s.step(r, agree.Read{ID: s.nextOp})
+		return
+	}
+	o.value = s.nextOp
+	s.ops[s.nextOp] = o
+	data, err := wire.MarshalValue([2]uint64{uint64(o.key), o.value})
+	assert.NilError(s.t, err)
+	s.step(r, agree.Propose{ID: s.nextOp, Data: data})
+}
+
+func (s *sim) separated(a, b agree.ID) bool { return s.cut[a.Name] != s.cut[b.Name] }
+
+// advance lets one tick pass.
+func (s *sim) advance() {
+	for end := s.now + tick; s.now < end; s.now += 500 * time.Microsecond {
+		due := s.net[:0:0]
+		rest := s.net[:0]
+		for _, l := range s.net {
+			if l.at <= s.now {
+				due = append(due, l)
+			} else {
+				rest = append(rest, l)
+			}
+		}
+		s.net = rest
+		for _, l := range due {
+			if r := s.find(l.to); r != nil && !s.separated(l.from, l.to) {
+				s.step(r, agree.Receive{From: l.from, Term: l.send.Term, Body: l.send.Body})
+			}
+		}
+		for _, r := range s.reps {
+			s.sync(r)
+		}
+	}
+	for _, r := range s.reps {
+		if r.node == nil && s.now >= r.upAt && !r.lost {
+			s.start(r)
+		}
+		s.step(r, agree.Tick{})
+		s.checkFresh(r)
+	}
+}
+
+func (s *sim) sync(r *replica) {
+	if r.node == nil || len(r.writes) == 0 || s.now < r.synced || r.frozen {
+		return
+	}
+	for _, p := range r.writes {
+		store(&r.stored, p)
+	}
+	seq := r.writes[len(r.writes)-1].Seq
+	r.writes = nil
+	s.step(r, agree.Persisted{Seq: seq})
+}
+
+// checkFresh checks that no entry was committed anywhere before the proven time.
+func (s *sim) checkFresh(r *replica) {
+	if r.node == nil {
+		return
+	}
+	i, age, ok := r.node.Fresh(s.now - r.origin)
+	if ok && i+1 < uint64(len(s.seenAt)) {
+		assert.Assert(s.t, s.seenAt[i+1] >= s.now-age, "%v vouches for %d, age %v, newer is %v old", r.id, i, age, s.now-s.seenAt[i+1])
+	}
+}
+
+func (s *sim) leader() *replica {
+	var best *replica
+	for _, r := range s.reps {
+		if r.node != nil && r.node.Status().Role == agree.Leader &&
+			(best == nil || best.node.Status().Term < r.node.Status().Term) {
+			best = r
+		}
+	}
+	return best
+}
+
+// change asks the leader for a change and returns its ID.
+func (s *sim) change(m agree.Member, remove bool) uint64 {
+	s.nextOp++
+	s.step(s.leader(), agree.ChangeMember{ID: s.nextOp, Member: m, Remove: remove})
+	return s.nextOp
+}
+
+// operator repairs the membership: lost voters go, replacements become voters.
+func (s *sim) operator() {
+	l := s.leader()
+	if l == nil {
+		return
+	}
+	members := l.node.Status().Members
+	repaired := true
+	for _, r := range s.reps {
+		m, in := members.Find(r.id)
+		switch {
+		case r.lost && in:
+			s.change(m, true)
+		case !r.lost && !in:
+			s.change(agree.Member{ID: r.id}, false)
+		case !r.lost && !m.Voter:
+			s.change(agree.Member{ID: r.id, Voter: true}, false)
+		default:
+			continue
+		}
+		repaired = false
+		break
+	}
+	if repaired && s.repairing && l.node.Status().Commit == l.node.Status().Last {
+		s.repairing = false
+	}
+}
+
+// wipe destroys the disk of a replica; another one comes in its place.
+func (s *sim) wipe(r *replica) {
+	s.crash(r)
+	r.lost, r.stored = true, agree.Stored{}
+	s.repairing = true
+	n := &replica{id: agree.ID{Name: r.id.Name, Incarnation: r.id.Incarnation + 1}, upAt: s.now + 50*time.Millisecond}
+	s.reps = append(s.reps, n)
+}
+
+func (s *sim) fault() {
+	r := s.reps[s.rng.IntN(len(s.reps))]
+	if r.node != nil && s.bit(s.f.crash) == 1 {
+		s.crash(r)
+		r.upAt = s.now + time.Duration(s.rng.Int64N(int64(time.Second)))
+	}
+	if !r.lost && !s.repairing && s.bit(s.f.wipe) == 1 {
+		s.wipe(r)
+	}
+	if l := s.leader(); l != nil && s.bit(s.f.transfer) == 1 {
+		s.step(l, agree.Transfer{})
+	}
+	if !r.lost && !s.repairing && s.bit(s.f.change) == 1 {
+		if l := s.leader(); l != nil {
+			s.repairing = true
+			s.change(agree.Member{ID: r.id}, true)
+		}
+	}
+	if s.now >= s.healAt {
+		s.cut = nil
+		if s.bit(s.f.cut) == 1 {
+			s.cut = map[string]int{}
+			for _, x := range s.reps {
+				s.cut[x.id.Name] = s.rng.IntN(2)
+			}
+			s.healAt = s.now + time.Duration(s.rng.Int64N(int64(2*time.Second)))
+		}
+	}
+}
+
+// run lets faults happen for d, then heals all and checks convergence.
+func (s *sim) run(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.advance()
+		s.fault()
+		s.client()
+		if s.rng.IntN(20) == 0 {
+			s.operator()
+		}
+	}
+	s.f, s.cut = faults{}, nil
+	for range 1000 {
+		s.advance()
+		if s.rng.IntN(20) == 0 {
+			s.operator()
+		}
+	}
+	s.converged()
+}
+
+func (s *sim) converged() {
+	l := s.leader()
+	for _, r := range s.reps {
+		if r.node != nil && l == nil {
+			s.t.Logf("%v: %+v", r.id, r.node.Status())
+		}
+	}
+	assert.Assert(s.t, l != nil, "no leader after the faults")
+	assert.Equal(s.t, int(l.applied), len(s.committed)-1)
+	for _, r := range s.reps {
+		if !r.lost {
+			assert.Equal(s.t, r.applied, l.applied, "%v lags", r.id)
+			assert.Equal(s.t, r.state, l.state)
+		}
+	}
+	for id := range s.ops {
+		s.unknown(id)
+	}
+	assert.Equal(s.t, porcupine.CheckOperationsTimeout(model, s.history, 20*time.Second), porcupine.Ok)
+}
+
+var model = porcupine.Model{
+	Partition: func(h []porcupine.Operation) [][]porcupine.Operation {
+		out := make([][]porcupine.Operation, registers)
+		for _, o := range h {
+			k := o.Input.(op).key
+			out[k] = append(out[k], o)
+		}
+		return out
+	},
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		if v := input.(op).value; v != 0 {
+			return true, v
+		}
+		return output.(uint64) == state.(uint64), state
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%v -> %v", input, output) },
+}
--- /dev/null
+++ b/wire/agree.go
@@ -0,0 +1,196 @@
+package wire
+
+import "time"
+
+// Codes 20 to 29: the replicated log.
+var _ = register(20, AgreeBatch{})
+
+// AgreeID identifies a replica: the host's name and the random number that was
+// made with its data folder. A host that lost its disk has another ID.
+type AgreeID struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
+// AgreeMember is a replica that belongs to a group.
+type AgreeMember struct {
+	ID AgreeID `cbor:"1,keyasint"`
+	// Voter is false while the member is a learner.
+	Voter bool `cbor:"2,keyasint,omitempty"`
+}
+
+// AgreeEntry is one entry of a replicated log.
+type AgreeEntry struct {
+	Index uint64 `cbor:"1,keyasint"`
+	Term  uint64 `cbor:"2,keyasint"`
+	Kind  uint8  `cbor:"3,keyasint,omitempty"`
+	Data  []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// AgreeBatch carries the messages of many groups from one replica to another.
+type AgreeBatch struct {
+	From     AgreeID        `cbor:"1,keyasint"`
+	To       AgreeID        `cbor:"2,keyasint"`
+	Messages []AgreeMessage `cbor:"3,keyasint"`
+}
+
+// AgreeMessage is a message of one group; exactly one of the pointers is set.
+type AgreeMessage struct {
+	Group           uint64                `cbor:"1,keyasint"`
+	Term            uint64                `cbor:"2,keyasint"`
+	Vote            *AgreeVote            `cbor:"3,keyasint,omitempty"`
+	VoteAnswer      *AgreeVoteAnswer      `cbor:"4,keyasint,omitempty"`
+	Append          *AgreeAppend          `cbor:"5,keyasint,omitempty"`
+	AppendAnswer    *AgreeAppendAnswer    `cbor:"6,keyasint,omitempty"`
+	Heartbeat       *AgreeHeartbeat       `cbor:"7,keyasint,omitempty"`
+	HeartbeatAnswer *AgreeHeartbeatAnswer `cbor:"8,keyasint,omitempty"`
+	Snapshot        *AgreeSnapshot        `cbor:"9,keyasint,omitempty"`
+	SnapshotAnswer  *AgreeSnapshotAnswer  `cbor:"10,keyasint,omitempty"`
+	TimeoutNow      *AgreeTimeoutNow      `cbor:"11,keyasint,omitempty"`
+}
+
+// AgreeBody is the content of an AgreeMessage.
+type AgreeBody interface{ agreeBody() }
+
+// AgreeVote asks for a vote.
+type AgreeVote struct {
+	LastIndex uint64 `cbor:"1,keyasint"`
+	LastTerm  uint64 `cbor:"2,keyasint"`
+	// Pre asks whether a vote would be granted, without granting it.
+	Pre bool `cbor:"3,keyasint,omitempty"`
+	// Transfer is set when the leader itself asked for the election.
+	Transfer bool `cbor:"4,keyasint,omitempty"`
+}
+
+// AgreeVoteAnswer answers an AgreeVote.
+type AgreeVoteAnswer struct {
+	Granted bool `cbor:"1,keyasint,omitempty"`
+	Pre     bool `cbor:"2,keyasint,omitempty"`
+}
+
+// AgreeAppend replicates the entries that follow PrevIndex.
+type AgreeAppend struct {
+	PrevIndex uint64       `cbor:"1,keyasint"`
+	PrevTerm  uint64       `cbor:"2,keyasint"`
+	Commit    uint64       `cbor:"3,keyasint"`
+	Entries   []AgreeEntry `cbor:"4,keyasint,omitempty"`
+}
+
+// AgreeAppendAnswer answers an AgreeAppend.
+type AgreeAppendAnswer struct {
+	// Index is the last index that matches and is synced, or the refused PrevIndex.
+	Index  uint64 `cbor:"1,keyasint"`
+	Reject bool   `cbor:"2,keyasint,omitempty"`
+	// Hint is the highest index at which the logs may match, when refused.
+	Hint uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// AgreeHeartbeat asserts leadership, and proves freshness to the follower.
+type AgreeHeartbeat struct {
+	Seq    uint64 `cbor:"1,keyasint"`
+	Commit uint64 `cbor:"2,keyasint"`
+	// Fresh is set when the fields below are valid.
+	Fresh bool `cbor:"3,keyasint,omitempty"`
+	// FreshIndex was the newest commit index Age before this message was sent.
+	FreshIndex uint64        `cbor:"4,keyasint,omitempty"`
+	Age        time.Duration `cbor:"5,keyasint,omitempty"`
+	// Epoch and Echo are those of the follower's last answer, received Held ago.
+	Epoch uint64        `cbor:"6,keyasint,omitempty"`
+	Echo  time.Duration `cbor:"7,keyasint,omitempty"`
+	Held  time.Duration `cbor:"8,keyasint,omitempty"`
+}
+
+// AgreeHeartbeatAnswer answers an AgreeHeartbeat.
+type AgreeHeartbeatAnswer struct {
+	Seq uint64 `cbor:"1,keyasint"`
+	// Verified is the index up to which the follower's log matches the leader's.
+	Verified uint64 `cbor:"2,keyasint"`
+	// Epoch identifies the follower's process, Sent is the time on its own clock.
+	Epoch uint64        `cbor:"3,keyasint"`
+	Sent  time.Duration `cbor:"4,keyasint"`
+}
+
+// AgreeSnapshot carries a chunk of a snapshot.
+type AgreeSnapshot struct {
+	Index   uint64        `cbor:"1,keyasint"`
+	Term    uint64        `cbor:"2,keyasint"`
+	Members []AgreeMember `cbor:"3,keyasint"`
+	// Offset of Data in the snapshot, and Total, are in bytes.
+	Offset uint64 `cbor:"4,keyasint"`
+	Total  uint64 `cbor:"5,keyasint"`
+	Data   []byte `cbor:"6,keyasint,omitempty"`
+}
+
+// AgreeSnapshotAnswer answers an AgreeSnapshot.
+type AgreeSnapshotAnswer struct {
+	Index uint64 `cbor:"1,keyasint"`
+	// Offset is the number of bytes received.
+	Offset uint64 `cbor:"2,keyasint"`
+	// Done is set once the state up to Index is synced.
+	Done bool `cbor:"3,keyasint,omitempty"`
+}
+
+// AgreeTimeoutNow asks the receiver to start an election at once.
+type AgreeTimeoutNow struct{}
+
+func (AgreeBatch) message()             {}
+func (AgreeVote) agreeBody()            {}
+func (AgreeVoteAnswer) agreeBody()      {}
+func (AgreeAppend) agreeBody()          {}
+func (AgreeAppendAnswer) agreeBody()    {}
+func (AgreeHeartbeat) agreeBody()       {}
+func (AgreeHeartbeatAnswer) agreeBody() {}
+func (AgreeSnapshot) agreeBody()        {}
+func (AgreeSnapshotAnswer) agreeBody()  {}
+func (AgreeTimeoutNow) agreeBody()      {}
+
+// NewAgreeMessage returns the message of a group with the body.
+func NewAgreeMessage(group, term uint64, body AgreeBody) AgreeMessage {
+	m := AgreeMessage{Group: group, Term: term}
+	switch b := body.(type) {
+	case AgreeVote:
+		m.Vote = &b
+	case AgreeVoteAnswer:
+		m.VoteAnswer = &b
+	case AgreeAppend:
+		m.Append = &b
+	case AgreeAppendAnswer:
+		m.AppendAnswer = &b
+	case AgreeHeartbeat:
+		m.Heartbeat = &b
+	case AgreeHeartbeatAnswer:
+		m.HeartbeatAnswer = &b
+	case AgreeSnapshot:
+		m.Snapshot = &b
+	case AgreeSnapshotAnswer:
+		m.SnapshotAnswer = &b
+	case AgreeTimeoutNow:
+		m.TimeoutNow = &b
+	}
+	return m
+}
+
+// Body returns the content of m, nil when there is none.
+func (m AgreeMessage) Body() AgreeBody {
+	switch {
+	case m.Vote != nil:
+		return *m.Vote
+	case m.VoteAnswer != nil:
+		return *m.VoteAnswer
+	case m.Append != nil:
+		return *m.Append
+	case m.AppendAnswer != nil:
+		return *m.AppendAnswer
+	case m.Heartbeat != nil:
+		return *m.Heartbeat
+	case m.HeartbeatAnswer != nil:
+		return *m.HeartbeatAnswer
+	case m.Snapshot != nil:
+		return *m.Snapshot
+	case m.SnapshotAnswer != nil:
+		return *m.SnapshotAnswer
+	case m.TimeoutNow != nil:
+		return *m.TimeoutNow
+	}
+	return nil
+}
