--- /dev/null
+++ b/agree/node_test.go
@@ -0,0 +1,216 @@
+package agree_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cyclamenrelay.example/agree"
+	"cyclamenrelay.example/wire"
+
+	"gotest.tools/v3/assert"
+)
+
+var calm = faults{maxDelay: time.Millisecond}
+
+func id(name string) agree.ID { return agree.ID{Name: name, Incarnation: 1} }
+
+func threeVoters() agree.Membership {
+	var m agree.Membership
+	for _, x := range []string{"a", "b", "c"} {
+		m = m.With(agree.Member{ID: id(x), Voter: true})
+	}
+	return m
+}
+
+func newNode(st agree.Stored) *agree.Node {
+	return agree.New(agree.Config{ID: id("a"), Stored: st, Rand: rand.New(rand.NewPCG(1, 1)), Election: election})
+}
+
+func receive(from string, term uint64, b wire.AgreeBody) agree.Input {
+	return agree.Receive{From: id(from), Term: term, Body: b}
+}
+
+// sent returns the first message of type B among the effects.
+func sent[B wire.AgreeBody](es []agree.Effect) (B, bool) {
+	for _, e := range es {
+		if s, ok := e.(agree.Send); ok {
+			if b, ok := s.Body.(B); ok {
+				return b, true
+			}
+		}
+	}
+	var none B
+	return none, false
+}
+
+func (s *sim) pass(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.advance()
+	}
+}
+
+func (s *sim) elect() *replica {
+	for s.leader() == nil || s.leader().node.Status().Commit < 2 {
+		s.advance()
+	}
+	return s.leader()
+}
+
+func (s *sim) write(n int) {
+	for end := s.acked + n; s.acked < end; s.advance() {
+		s.client()
+	}
+}
+
+// isolate cuts a replica off from all others.
+func (s *sim) isolate(r *replica) { s.cut = map[string]int{r.id.Name: 1} }
+
+func TestOnlyEntriesOfTheOwnTermAreCommittedByCounting(t *testing.T) {
+	st := agree.Bootstrap(threeVoters(), nil)
+	st.Hard.Term = 3
+	st.Entries = []agree.Entry{{Index: 2, Term: 2}}
+	n := newNode(st)
+	n.Step(time.Second, agree.Tick{})
+	n.Step(2*time.Second, agree.Tick{})
+	n.Step(2*time.Second, receive("b", 4, wire.AgreeVoteAnswer{Pre: true, Granted: true}))
+	n.Step(2*time.Second, agree.Persisted{Seq: 1})
+	n.Step(2*time.Second, receive("b", 4, wire.AgreeVoteAnswer{Granted: true}))
+	n.Step(2*time.Second, agree.Persisted{Seq: 2})
+	assert.Equal(t, n.Status().Role, agree.Leader)
+	n.Step(2*time.Second, receive("b", 4, wire.AgreeAppendAnswer{Index: 2}))
+	assert.Equal(t, n.Status().Commit, uint64(1))
+	n.Step(2*time.Second, receive("b", 4, wire.AgreeAppendAnswer{Index: 3}))
+	assert.Equal(t, n.Status().Commit, uint64(3))
+}
+
+func TestPromisesWaitForTheDisk(t *testing.T) {
+	n := newNode(agree.Bootstrap(threeVoters(), nil))
+	out := n.Step(time.Second, receive("b", 2, wire.AgreeVote{LastIndex: 1, LastTerm: 1}))
+	_, ok := sent[wire.AgreeVoteAnswer](out)
+	assert.Assert(t, !ok, "the vote left before it was synced")
+	v, ok := sent[wire.AgreeVoteAnswer](n.Step(time.Second, agree.Persisted{Seq: 1}))
+	assert.Assert(t, ok && v.Granted)
+	out = n.Step(time.Second, receive("b", 2, wire.AgreeAppend{PrevIndex: 1, PrevTerm: 1, Entries: []agree.Entry{{Index: 2, Term: 2}}}))
+	_, ok = sent[wire.AgreeAppendAnswer](out)
+	assert.Assert(t, !ok, "the acknowledgement left before the entry was synced")
+	a, ok := sent[wire.AgreeAppendAnswer](n.Step(time.Second, agree.Persisted{Seq: 2}))
+	assert.Assert(t, ok && a.Index == 2)
+	v, ok = sent[wire.AgreeVoteAnswer](n.Step(time.Second, receive("c", 2, wire.AgreeVote{LastIndex: 9, LastTerm: 2})))
+	assert.Assert(t, ok && !v.Granted, "second vote in a term")
+}
+
+func TestLateAppendsDoNotTruncate(t *testing.T) {
+	n := newNode(agree.Bootstrap(threeVoters(), nil))
+	es := []agree.Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}, {Index: 4, Term: 2}}
+	n.Step(time.Second, receive("b", 2, wire.AgreeAppend{PrevIndex: 1, PrevTerm: 1, Entries: es}))
+	n.Step(time.Second, receive("b", 2, wire.AgreeAppend{PrevIndex: 1, PrevTerm: 1, Entries: es[:1], Commit: 2}))
+	n.Step(time.Second, receive("b", 1, wire.AgreeAppend{PrevIndex: 1, PrevTerm: 1, Commit: 4}))
+	assert.Equal(t, n.Status().Last, uint64(4))
+	assert.Equal(t, n.Status().Commit, uint64(2))
+}
+
+func TestPartitionedFollowerDoesNotDisturb(t *testing.T) {
+	s := newSim(t, 1, 3, calm)
+	l := s.elect()
+	term := l.node.Status().Term
+	for _, r := range s.reps {
+		if r != l {
+			s.isolate(r)
+			s.pass(2 * time.Second)
+			s.cut = nil
+			s.pass(2 * time.Second)
+		}
+	}
+	assert.Equal(t, l.node.Status().Term, term)
+	assert.Equal(t, l.node.Status().Role, agree.Leader)
+}
+
+func TestCutOffLeaderServesNothingAndStepsDown(t *testing.T) {
+	s := newSim(t, 1, 3, calm)
+	old := s.elect()
+	s.isolate(old)
+	s.ops[1<<40] = op{call: s.now, at: old.id}
+	s.step(old, agree.Read{ID: 1 << 40})
+	s.step(old, agree.Propose{ID: 1 << 41})
+	s.pass(3 * election)
+	assert.Equal(t, old.node.Status().Role, agree.Follower)
+	assert.Equal(t, s.drops[1<<40], agree.ReasonNotLeader)
+	assert.Equal(t, s.drops[1<<41], agree.ReasonUnknown)
+	s.write(5)
+	s.cut = nil
+	s.pass(time.Second)
+	s.converged()
+}
+
+func TestLaggingFollowerGetsASnapshot(t *testing.T) {
+	s := newSim(t, 1, 3, calm)
+	l := s.elect()
+	f := s.reps[0]
+	if f == l {
+		f = s.reps[1]
+	}
+	s.crash(f)
+	f.upAt = 1 << 60
+	s.write(300)
+	f.upAt = s.now
+	s.pass(time.Second)
+	assert.Assert(t, s.installs > 0)
+	s.converged()
+}
+
+func TestSecondHostLostRightAfterRepair(t *testing.T) {
+	s := newSim(t, 1, 3, calm)
+	s.elect()
+	s.write(100)
+	first, second := s.reps[0], s.reps[1]
+	s.wipe(first)
+	for s.repairing {
+		s.pass(20 * time.Millisecond)
+		s.operator()
+		s.client()
+	}
+	s.crash(second)
+	second.lost = true
+	s.pass(time.Second)
+	s.write(100)
+	s.pass(time.Second)
+	s.converged()
+	_, in := s.leader().node.Status().Members.Find(first.id)
+	assert.Assert(t, !in, "the lost identity is still a member")
+}
+
+func TestMembershipChangesAreRefused(t *testing.T) {
+	s := newSim(t, 1, 3, calm)
+	s.elect()
+	again := agree.ID{Name: "a", Incarnation: 2}
+	assert.Equal(t, s.drops[s.change(agree.Member{ID: id("x"), Voter: true}, false)], agree.ReasonInvalid)
+	ok := s.change(agree.Member{ID: again}, false)
+	assert.Equal(t, s.drops[s.change(agree.Member{ID: id("y")}, false)], agree.ReasonChanging)
+	s.pass(time.Second)
+	assert.Assert(t, s.changes[ok])
+	assert.Equal(t, s.drops[s.change(agree.Member{ID: again, Voter: true}, false)], agree.ReasonInvalid, "the host has a vote")
+	s.change(agree.Member{ID: id("y")}, false)
+	s.pass(time.Second)
+	assert.Equal(t, s.drops[s.change(agree.Member{ID: id("y"), Voter: true}, false)], agree.ReasonLagging)
+}
+
+func TestRemovedLeaderHandsOver(t *testing.T) {
+	s := newSim(t, 1, 3, calm)
+	old := s.elect()
+	s.change(agree.Member{ID: old.id}, true)
+	s.pass(time.Second)
+	l := s.leader()
+	assert.Assert(t, l != nil && l != old)
+	term := l.node.Status().Term
+	s.pass(3 * time.Second)
+	assert.Equal(t, s.leader().node.Status().Term, term, "the removed replica disturbs")
+}
+
+func TestTransferLosesNoTime(t *testing.T) {
+	s := newSim(t, 1, 3, calm)
+	old := s.elect()
+	s.step(old, agree.Transfer{})
+	s.pass(election / 2)
+	assert.Assert(t, s.leader() != nil && s.leader() != old)
+}
--- /dev/null
+++ b/group/host.go
@@ -0,0 +1,213 @@
+// Package group runs the replicas of many groups of one process: messages of
+// all groups to the same host leave in one batch, and the disk writes of a turn
+// make one write with one sync.
+package group
+
+import (
+	"slices"
+	"time"
+
+	"cyclamenrelay.example/agree"
+	"cyclamenrelay.example/wire"
+)
+
+// maxBatch bounds the data of one batch, in bytes; a larger message goes alone.
+const maxBatch = 1 << 20
+
+// Input is what a Host is stepped with.
+type Input interface{ input() }
+
+// Tick lets time pass in all groups.
+type Tick struct{}
+
+// Receive is a batch from another host. One for another replica than this is ignored.
+type Receive struct{ Batch wire.AgreeBatch }
+
+// Synced reports that the Write with Seq, and all before it, are synced.
+type Synced struct{ Seq uint64 }
+
+// To is an input of one group; it is ignored when the group is not here.
+type To struct {
+	Group uint64
+	Input agree.Input
+}
+
+func (Tick) input()    {}
+func (Receive) input() {}
+func (Synced) input()  {}
+func (To) input()      {}
+
+// Write is the writes of all groups in one turn. It is synced as a whole, in
+// the order of Seq, and then reported by Synced.
+type Write struct {
+	Seq   uint64
+	Parts []Part
+}
+
+// Part is the write of one group.
+type Part struct {
+	Group   uint64
+	Persist agree.Persist
+}
+
+// Event is an effect of one group besides writes and messages.
+type Event struct {
+	Group  uint64
+	Effect agree.Effect
+}
+
+// Output is what a turn asks for. Events are valid until the next turn.
+type Output struct {
+	Write   *Write // nil for none
+	Batches []wire.AgreeBatch
+	Events  []Event
+}
+
+// Host steps the replicas of one process. It is not safe for concurrent use.
+type Host struct {
+	self   agree.ID
+	groups map[uint64]*replica
+	order  []*replica // by group
+	issued uint64
+	writes []*Write // issued and not synced
+	events []Event
+}
+
+type replica struct {
+	group  uint64
+	node   *agree.Node
+	inputs []agree.Input
+}
+
+// NewHost returns a host without groups. The ID is that of all its replicas.
+func NewHost(self agree.ID) *Host {
+	return &Host{self: self, groups: map[uint64]*replica{}}
+}
+
+// Add adds the replica of a group; an older one of the same group is replaced.
+func (h *Host) Add(group uint64, n *agree.Node) {
+	h.Remove(group)
+	r := &replica{group: group, node: n}
+	h.groups[group] = r
+	h.order = append(h.order, r)
+	slices.SortFunc(h.order, func(a, b *replica) int {
+		if a.group < b.group {
+			return -1
+		}
+		return 1
+	})
+}
+
+// Remove removes the replica of a group.
+func (h *Host) Remove(group uint64) {
+	delete(h.groups, group)
+	h.order = slices.DeleteFunc(h.order, func(r *replica) bool { return r.group == group })
+	for _, w := range h.writes {
+		w.Parts = slices.DeleteFunc(slices.Clone(w.Parts), func(p Part) bool { return p.Group == group })
+	}
+}
+
+// Node returns the replica of a group, nil when there is none.
+func (h *Host) Node(group uint64) *agree.Node {
+	if r := h.groups[group]; r != nil {
+		return r.node
+	}
+	return nil
+}
+
+// Step handles the inputs of a turn. Each group is stepped at most once.
+func (h *Host) Step(now time.Duration, inputs ...Input) Output {
+	for _, in := range inputs {
+		h.handle(in)
+	}
+	var out Output
+	var parts []Part
+	h.events = h.events[:0]
+	for _, r := range h.order {
+		if len(r.inputs) == 0 {
+			continue
+		}
+		for _, e := range r.node.Step(now, r.inputs...) {
+			switch e := e.(type) {
+			case agree.Persist:
+				parts = append(parts, Part{r.group, e})
+			case agree.Send:
+				out.Batches = h.batch(out.Batches, r.group, e)
+			default:
+				h.events = append(h.events, Event{r.group, e})
+			}
+		}
+		clear(r.inputs)
+		r.inputs = r.inputs[:0]
+	}
+	if len(parts) > 0 {
+		h.issued++
+		h.writes = append(h.writes, &Write{h.issued, parts})
+		out.Write = &Write{h.issued, parts}
+	}
+	out.Events = h.events
+	return out
+}
+
+func (h *Host) handle(in Input) {
+	switch in := in.(type) {
+	case Tick:
+		for _, r := range h.order {
+			r.inputs = append(r.inputs, agree.Tick{})
+		}
+	case Receive:
+		if in.Batch.To != h.self {
+			return
+		}
+		for _, m := range in.Batch.Messages {
+			h.give(m.Group, agree.Receive{From: in.Batch.From, Term: m.Term, Body: m.Body()})
+		}
+	case Synced:
+		for len(h.writes) > 0 && h.writes[0].Seq <= in.Seq {
+			for _, p := range h.writes[0].Parts {
+				h.give(p.Group, agree.Persisted{Seq: p.Persist.Seq})
+			}
+			h.writes = h.writes[1:]
+		}
+	case To:
+		h.give(in.Group, in.Input)
+	}
+}
+
+func (h *Host) give(group uint64, in agree.Input) {
+	if r := h.groups[group]; r != nil {
+		r.inputs = append(r.inputs, in)
+	}
+}
+
+// batch adds a message to the last batch of its receiver, or to a new one.
+func (h *Host) batch(bs []wire.AgreeBatch, group uint64, s agree.Send) []wire.AgreeBatch {
+	m := wire.NewAgreeMessage(group, s.Term, s.Body)
+	for i := len(bs) - 1; i >= 0; i-- {
+		if bs[i].To != s.To {
+			continue
+		}
+		if size(bs[i].Messages)+size([]wire.AgreeMessage{m}) > maxBatch {
+			break
+		}
+		bs[i].Messages = append(bs[i].Messages, m)
+		return bs
+	}
+	return append(bs, wire.AgreeBatch{From: h.self, To: s.To, Messages: []wire.AgreeMessage{m}})
+}
+
+// size returns the bytes of data in the messages.
+func size(ms []wire.AgreeMessage) int {
+	n := 0
+	for _, m := range ms {
+		if m.Append != nil {
+			for i := range m.Append.Entries {
+				n += len(m.Append.Entries[i].Data)
+			}
+		}
+		if m.Snapshot != nil {
+			n += len(m.Snapshot.Data)
+		}
+	}
+	return n
+}
