jobs: jobs and claims owned by entries, recorded in the ledger before they start

Jobs are opened in the ledger before the first start; a dead owner's successor fences the job's agents and starts only what surely never started. Claims run at most once; resends get the first answer or the truth.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -83,6 +83,7 @@
 	}
 	link.On(a.node.Mux(), a.start, keys.Entry)
 	link.On(a.node.Mux(), a.cancel, keys.Entry)
+	link.On(a.node.Mux(), a.fence, keys.Entry)
 	link.On(a.node.Mux(), a.demand, keys.Entry)
 	link.On(a.node.Mux(), a.giveBack, keys.Entry)
 	return nil
--- a/agent/journal.go
+++ b/agent/journal.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/wire"
 )
 
 const (
@@ -16,8 +17,8 @@
 	// late is either known here or refused by its deadline.
 	journalWindow = 2 * model.MaxTimeToLive
 	sweepInterval = time.Minute
-	// maxKept bounds the body of an outcome kept for a job's next owner, in bytes.
-	maxKept = 64 << 10
+	// maxKept bounds the bodies of outcomes kept for next owners of jobs, in bytes.
+	maxKept = 64 << 20
 )
 
 // journal remembers which tasks were started, so that none starts twice, and
@@ -28,6 +29,7 @@
 	mu    sync.Mutex
 	jobs  map[string]*jobLog
 	tasks map[string]*record // running tasks, and finished ones of jobs
+	kept  int                // bytes of kept bodies
 	swept time.Time
 }
 
@@ -38,9 +40,13 @@
 }
 
 type record struct {
-	cancel  context.CancelFunc
-	done    chan struct{}
+	cancel context.CancelFunc
+	done   chan struct{}
+	// outcome is set before done is closed.
 	outcome model.Outcome
+	// kept is what a next owner gets: the outcome, or that its body was too much to keep.
+	kept model.Outcome
+	size int
 }
 
 func newJournal(clock clockwork.Clock) *journal {
@@ -96,7 +102,15 @@
 func (j *journal) end(t model.Task, r *record, o model.Outcome) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	r.outcome = o
+	r.outcome, r.kept = o, o
+	if c, ok := o.(model.Complete); ok && t.Job != "" {
+		if j.kept+len(c.Body) > maxKept {
+			r.kept = model.Failed{Reason: "complete, but its answer was too large to be kept", MayHaveRun: true}
+		} else {
+			r.size = len(c.Body)
+			j.kept += r.size
+		}
+	}
 	close(r.done)
 	_, notRun := o.(model.NotRun)
 	if notRun || t.Job == "" {
@@ -117,6 +131,27 @@
 	return l
 }
 
+// fence refuses owners of the job before the epoch from now on, and returns
+// the tasks that were started.
+func (j *journal) fence(job string, epoch uint64) (tasks []wire.FencedTask, ok bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	l := j.job(job)
+	if epoch < l.epoch {
+		return nil, false
+	}
+	l.epoch = epoch
+	for id, r := range l.tasks {
+		t := wire.FencedTask{ID: id}
+		if r.kept != nil {
+			res := wire.ResultOf(id, r.kept)
+			t.Result = &res
+		}
+		tasks = append(tasks, t)
+	}
+	return tasks, true
+}
+
 func (j *journal) cancel(id string) {
 	j.mu.Lock()
 	r := j.tasks[id]
@@ -137,8 +172,9 @@
 		if now.Sub(l.used) < journalWindow {
 			continue
 		}
-		for id := range l.tasks {
+		for id, r := range l.tasks {
 			delete(j.tasks, id)
+			j.kept -= r.size
 		}
 		delete(j.jobs, key)
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel/attribute"
 
 	"cyclamenrelay.example/link"
@@ -29,24 +28,26 @@
 		// The owner may die; its successor asks for the outcome.
 		ctx = context.WithoutCancel(ctx)
 	}
+	if inc := a.finder.Self().Incarnation; m.Incarnation != 0 && m.Incarnation != inc {
+		return a.result(m.Task.ID, model.NotRun{Code: model.CodeBusy, Reason: "the agent has restarted"})
+	}
 	o := a.log.run(ctx, m.Task, func(ctx context.Context) model.Outcome { return a.run(ctx, p.Name, m) })
 	span.SetAttributes(attribute.String("outcome", model.OutcomeName(o)))
 	return a.result(m.Task.ID, o)
 }
 
 func (a *Agent) result(id string, o model.Outcome) wire.Message {
-	r := wire.Result{ID: id, Free: a.free()}
-	switch o := o.(type) {
-	case model.Complete:
-		r.Complete, r.Digest = &o, xxhash.Sum64(o.Body)
-	case model.Failed:
-		r.Failed = &o
-	case model.NotRun:
-		r.NotRun = &o
-	}
+	r := wire.ResultOf(id, o)
+	r.Free = a.free()
 	return r
 }
 
+// fence serves wire.Fence.
+func (a *Agent) fence(_ context.Context, _ link.Peer, m wire.Fence) wire.Message {
+	tasks, ok := a.log.fence(m.Job, m.Epoch)
+	return wire.Fenced{Incarnation: a.finder.Self().Incarnation, Tasks: tasks, Refused: !ok}
+}
+
 func (a *Agent) cancel(_ context.Context, _ link.Peer, m wire.Cancel) wire.Message {
 	a.log.cancel(m.ID)
 	return wire.Done{}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -54,6 +54,8 @@
 		return http.StatusTooManyRequests
 	case model.CodeInvalid:
 		return http.StatusBadRequest
+	case model.CodeConflict:
+		return http.StatusConflict
 	}
 	return http.StatusServiceUnavailable
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"cyclamenrelay.example/jobs"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/member"
 	"cyclamenrelay.example/meter"
@@ -40,6 +41,7 @@
 type Entry struct {
 	opts   Options
 	router *route.Router
+	jobs   *jobs.Manager
 	finder *member.Finder
 
 	mu       sync.Mutex
@@ -59,6 +61,9 @@
 	if e.finder, err = kernel.Find[*member.Finder](k, member.ServiceName); err != nil {
 		return err
 	}
+	if e.jobs, err = kernel.Find[*jobs.Manager](k, jobs.ServiceName); err != nil {
+		return err
+	}
 	e.router, err = kernel.Find[*route.Router](k, route.ServiceName)
 	return err
 }
@@ -67,6 +72,10 @@
 func (e *Entry) Run(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/requests", e.request)
+	mux.HandleFunc("POST /v1/jobs", e.submit)
+	mux.HandleFunc("GET /v1/jobs/{key}", e.jobStatus)
+	mux.HandleFunc("GET /v1/jobs/{key}/answer", e.jobAnswer)
+	mux.HandleFunc("DELETE /v1/jobs/{key}", e.jobCancel)
 	mux.HandleFunc("GET /v1/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /v1/ready", e.ready)
 	srv := &http.Server{Addr: e.opts.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout}
--- /dev/null
+++ b/entry/jobs.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cyclamenrelay.example/jobs"
+	"cyclamenrelay.example/label"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/wire"
+)
+
+// jobHead is what a submission may take besides its tasks' bodies, in bytes.
+const jobHead = 1 << 20
+
+// submit answers POST /v1/jobs.
+func (e *Entry) submit(w http.ResponseWriter, r *http.Request) {
+	if refusal := e.enter(); refusal != nil {
+		writeOutcome(w, *refusal)
+		return
+	}
+	defer e.leave()
+	s, err := e.readSpec(w, r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	st, refusal := e.jobs.Submit(r.Context(), s)
+	if refusal != nil {
+		writeOutcome(w, *refusal)
+		return
+	}
+	writeState(w, st, false)
+}
+
+func (e *Entry) readSpec(w http.ResponseWriter, r *http.Request) (jobs.Spec, error) {
+	var body struct {
+		Key      string       `json:"key"`
+		Labels   model.Labels `json:"labels"`
+		Selector string       `json:"selector"`
+		Urgency  int          `json:"urgency"`
+		Deadline string       `json:"deadline"`
+		RunTime  string       `json:"runTime"`
+		Restart  bool         `json:"restart"`
+		Tasks    []struct {
+			Body []byte `json:"body"`
+			Type string `json:"type"`
+		} `json:"tasks"`
+	}
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*e.opts.MaxBody+jobHead))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(&body)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return jobs.Spec{}, trace.LimitExceeded("body: more than %d bytes", large.Limit)
+	}
+	if err != nil {
+		return jobs.Spec{}, trace.BadParameter("body: %v", err)
+	}
+	s := jobs.Spec{
+		Key: body.Key, Labels: body.Labels, Selector: body.Selector, Urgency: body.Urgency,
+		TimeLeft: e.opts.RequestTimeout, Restart: body.Restart,
+	}
+	for _, t := range body.Tasks {
+		s.Tasks = append(s.Tasks, jobs.Body{Data: t.Body, Type: t.Type})
+	}
+	var errs []error
+	errs = append(errs, parseDuration("deadline", body.Deadline, &s.TimeLeft), parseDuration("runTime", body.RunTime, &s.RunTime))
+	errs = append(errs, checkSpec(s)...)
+	return s, trace.NewAggregate(errs...)
+}
+
+func parseDuration(field, text string, d *time.Duration) error {
+	if text == "" {
+		return nil
+	}
+	v, err := time.ParseDuration(text)
+	if err != nil || v <= 0 || v > model.MaxTimeToLive {
+		return trace.BadParameter("%s: %q is no duration above 0 and up to %s, such as 30s", field, text, model.MaxTimeToLive)
+	}
+	*d = v
+	return nil
+}
+
+func checkSpec(s jobs.Spec) []error {
+	var errs []error
+	if s.Key == "" || len(s.Key) > model.MaxKeyLen {
+		errs = append(errs, trace.BadParameter("key: 1 to %d bytes are allowed", model.MaxKeyLen))
+	}
+	if err := model.CheckLabels(s.Labels); err != nil {
+		errs = append(errs, err)
+	}
+	if _, err := label.Parse(s.Selector); err != nil {
+		errs = append(errs, trace.BadParameter("selector: %v", err))
+	}
+	if s.Urgency < 0 || s.Urgency > model.MaxUrgency {
+		errs = append(errs, trace.BadParameter("urgency: %d is not within 0 to %d", s.Urgency, model.MaxUrgency))
+	}
+	if len(s.Tasks) == 0 || len(s.Tasks) > model.MaxJobTasks {
+		errs = append(errs, trace.BadParameter("tasks: %d are not within 1 to %d", len(s.Tasks), model.MaxJobTasks))
+	}
+	return errs
+}
+
+// jobStatus answers GET /v1/jobs/{key}, jobAnswer GET /v1/jobs/{key}/answer and
+// jobCancel DELETE /v1/jobs/{key}.
+func (e *Entry) jobStatus(w http.ResponseWriter, r *http.Request) { e.askJob(w, r, wire.JobStatus) }
+func (e *Entry) jobAnswer(w http.ResponseWriter, r *http.Request) { e.askJob(w, r, wire.JobAnswer) }
+func (e *Entry) jobCancel(w http.ResponseWriter, r *http.Request) { e.askJob(w, r, wire.JobCancel) }
+
+func (e *Entry) askJob(w http.ResponseWriter, r *http.Request, what wire.JobAction) {
+	st, err := e.jobs.Ask(r.Context(), r.PathValue("key"), what)
+	switch {
+	case err != nil:
+		writeOutcome(w, model.NotRun{Code: model.CodeNoQuorum, Reason: err.Error(), RetryAfter: time.Second})
+	case st.State == "":
+		writeJSON(w, http.StatusNotFound, struct {
+			Reason string `json:"reason"`
+		}{"no job has this key, or its record has expired"})
+	default:
+		writeState(w, st, what == wire.JobAnswer)
+	}
+}
+
+type taskAnswer struct {
+	Outcome    string `json:"outcome"`
+	Body       []byte `json:"body,omitempty"`
+	Type       string `json:"type,omitempty"`
+	Reason     string `json:"reason,omitempty"`
+	MayHaveRun bool   `json:"mayHaveRun,omitempty"`
+}
+
+// writeState answers with a job's state; an answer carries its tasks' outcomes,
+// and is 202 while there is none yet.
+func writeState(w http.ResponseWriter, st wire.JobState, answer bool) {
+	status := http.StatusOK
+	if st.State == "open" {
+		status = http.StatusAccepted
+	}
+	w.Header().Set(HeaderOutcome, st.State)
+	var tasks []taskAnswer
+	if answer {
+		for _, r := range st.Results {
+			tasks = append(tasks, answerOf(r.Outcome()))
+		}
+	}
+	writeJSON(w, status, struct {
+		Key    string       `json:"key"`
+		State  string       `json:"state"`
+		Tasks  int          `json:"tasks"`
+		Ended  int          `json:"ended"`
+		Reason string       `json:"reason,omitempty"`
+		Owner  string       `json:"owner,omitempty"`
+		Answer []taskAnswer `json:"answer,omitempty"`
+	}{st.Key, st.State, st.Tasks, st.Ended, st.Reason, st.Owner, tasks})
+}
+
+func answerOf(o model.Outcome) taskAnswer {
+	a := taskAnswer{Outcome: model.OutcomeName(o)}
+	switch o := o.(type) {
+	case model.Complete:
+		a.Body, a.Type = o.Body, o.Type
+	case model.Failed:
+		a.Reason, a.MayHaveRun = o.Reason, o.MayHaveRun
+	case model.NotRun:
+		a.Reason = o.Reason
+	}
+	return a
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -33,7 +34,7 @@
 	began := e.opts.Clock.Now()
 	ctx, span := spans.Start(spans.Extract(r.Context(), r.Header.Get("Traceparent")), "entry", attribute.String("task", t.ID))
 	defer span.End()
-	o := e.router.Do(ctx, t)
+	o := e.run(ctx, t, r.Header.Get("Idempotency-Key"))
 	span.SetAttributes(attribute.String("outcome", model.OutcomeName(o)))
 	e.opts.Log.Debug("request answered", zap.String("task", t.ID), zap.String("kind", t.Kind()),
 		zap.String("outcome", model.OutcomeName(o)), zap.Duration("took", e.opts.Clock.Since(began)))
@@ -41,6 +42,14 @@
 	writeOutcome(w, o)
 }
 
+// run runs idempotent work at once, and other work under its key.
+func (e *Entry) run(ctx context.Context, t model.Task, key string) model.Outcome {
+	if t.Idempotent {
+		return e.router.Do(ctx, t, nil)
+	}
+	return e.jobs.Claim(ctx, key, t)
+}
+
 // readTask reads a task from the headers and body. The error names the header.
 func (e *Entry) readTask(w http.ResponseWriter, r *http.Request) (t model.Task, err error) {
 	p := headerParser{h: r.Header}
@@ -55,6 +64,9 @@
 		Idempotent: p.boolean("Relay-Idempotent", true),
 		Type:       r.Header.Get("Content-Type"),
 	}
+	if key := r.Header.Get("Idempotency-Key"); !t.Idempotent && (key == "" || len(key) > model.MaxKeyLen) {
+		p.fail("Idempotency-Key", "work that is not idempotent needs a key of 1 to %d bytes", model.MaxKeyLen)
+	}
 	if err := trace.NewAggregate(p.errs...); err != nil {
 		return t, err
 	}
--- /dev/null
+++ b/jobs/run.go
@@ -0,0 +1,130 @@
+package jobs
+
+import (
+	"context"
+	"strconv"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/ledger"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/spans"
+	"cyclamenrelay.example/wire"
+)
+
+// agentID names one process of an agent: one that has restarted does not know
+// what it started before.
+func agentID(n wire.Node) string { return n.Name + "#" + strconv.FormatUint(n.Incarnation, 36) }
+
+// run runs the tasks without an outcome, and records the job's end. Each task
+// is started at most once unless the job allows more.
+func (m *Manager) run(ctx context.Context, j *job) {
+	ctx, span := spans.Start(ctx, "job")
+	defer span.End()
+	ctx, stop := context.WithDeadline(ctx, j.began.Add(j.spec.TimeLeft))
+	defer stop()
+	j.setStop(stop)
+	var wg sync.WaitGroup
+	free := make(chan struct{}, window)
+	for i := range j.spec.Tasks {
+		if j.has(i) {
+			continue
+		}
+		free <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-free }()
+			o := m.runTask(ctx, j, i)
+			if !j.set(i, o) {
+				panic("jobs: task " + strconv.Itoa(i) + " of " + j.spec.Key + " has two outcomes")
+			}
+			if _, ok := o.(model.Complete); !ok {
+				// The job cannot be complete any more: its other tasks are not worth running.
+				j.cancel()
+			}
+		})
+	}
+	wg.Wait()
+	m.end(j)
+}
+
+// runTask tries a task again only while it certainly has not run.
+func (m *Manager) runTask(ctx context.Context, j *job, i int) model.Outcome {
+	for {
+		left := j.began.Add(j.spec.TimeLeft).Sub(m.opts.Clock.Now())
+		if ctx.Err() != nil || left <= 0 {
+			return model.NotRun{Code: model.CodeCancelled, Reason: "the job ended before the task started"}
+		}
+		o := m.opts.Router.Do(ctx, j.task(i, left), func(ctx context.Context, a wire.Node) bool { return m.allow(ctx, j, a) })
+		n, ok := o.(model.NotRun)
+		if !ok || (n.Code != model.CodeQueueFull && n.Code != model.CodeBusy) {
+			return o
+		}
+		select {
+		case <-ctx.Done():
+		case <-m.opts.Clock.After(max(n.RetryAfter, minRetry)):
+		}
+	}
+}
+
+// allow reports whether the job may be placed on the agent, recording it first.
+func (m *Manager) allow(ctx context.Context, j *job, a wire.Node) bool {
+	id := agentID(a)
+	j.mu.Lock()
+	known, full := j.agents[id], len(j.agents) >= maxJobAgents
+	j.mu.Unlock()
+	if known || full {
+		return known
+	}
+	res, err := m.propose(ctx, j.spec.Key, ledger.AddAgents{
+		Key: j.spec.Key, Epoch: j.epoch, Owner: m.owner(), Agents: []string{id},
+	})
+	if err != nil {
+		return false
+	}
+	r, ok := res.(ledger.JobResult)
+	if !ok || r.Verdict != ledger.Done {
+		if ok && r.Verdict == ledger.Fenced {
+			j.cancel()
+		}
+		return false
+	}
+	j.mu.Lock()
+	j.agents[id] = true
+	j.mu.Unlock()
+	return true
+}
+
+// end records the job's end; nobody learns of it before that.
+func (m *Manager) end(j *job) {
+	state, reason := j.verdict()
+	status := ledger.Failed
+	if state == stateComplete {
+		status = ledger.Complete
+	}
+	f := ledger.FinishJob{
+		Key: j.spec.Key, Epoch: j.epoch, Owner: m.owner(), Status: status, Outcomes: j.statuses(), Answer: j.answer(),
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, settleLimit)
+	defer cancel()
+	res, err := m.propose(ctx, j.spec.Key, f)
+	r, ok := res.(ledger.JobResult)
+	recorded := err == nil && ok && (r.Verdict == ledger.Done || (r.Verdict == ledger.Finished && r.Job.Epoch == j.epoch))
+	m.mu.Lock()
+	if recorded {
+		m.kept += j.size
+	} else {
+		// What is true of the job now, the ledger or its next owner knows.
+		delete(m.jobs, j.spec.Key)
+	}
+	m.mu.Unlock()
+	j.mu.Lock()
+	j.at = m.opts.Clock.Now()
+	if recorded {
+		j.state, j.reason = state, reason
+	}
+	j.mu.Unlock()
+	close(j.done)
+	m.opts.Log.Info("job ended", zap.String("job", j.spec.Key), zap.String("state", state), zap.Bool("recorded", recorded),
+		zap.String("reason", reason), zap.Duration("took", j.at.Sub(j.began)), zap.Error(err))
+}
--- /dev/null
+++ b/jobs/submit.go
@@ -0,0 +1,238 @@
+package jobs
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/ledger"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/wire"
+)
+
+// Submit starts the job, or finds the one that an earlier submission with the
+// key has started, at any entry. A NotRun says that this submission started
+// nothing; CodeConflict that the key was used for another job.
+func (m *Manager) Submit(ctx context.Context, s Spec) (wire.JobState, *model.NotRun) {
+	began := m.opts.Clock.Now()
+	j, mine := m.reserve(s, began)
+	if !mine {
+		return m.resubmitted(ctx, j, s)
+	}
+	res, err := m.open(ctx, j)
+	if err != nil {
+		m.drop(j)
+		return wire.JobState{}, &model.NotRun{
+			Code: model.CodeNoQuorum, Reason: "the job could not be recorded: " + err.Error(), RetryAfter: time.Second,
+		}
+	}
+	r, ok := res.(ledger.JobResult)
+	switch {
+	case !ok:
+		m.drop(j)
+		return wire.JobState{}, &model.NotRun{Code: model.CodeInvalid, Reason: invalid(res)}
+	case r.Verdict == ledger.Full:
+		m.drop(j)
+		return wire.JobState{}, &model.NotRun{Code: model.CodeQueueFull, Reason: "the ledger is full", RetryAfter: time.Minute}
+	case r.Verdict == ledger.Conflict:
+		m.drop(j)
+		return wire.JobState{}, conflict()
+	case r.Job.Status != ledger.Open:
+		m.drop(j)
+		return stored(*r.Job, true), nil
+	case r.Job.Owner == m.owner() && r.Job.Epoch == j.epoch:
+		close(j.opened)
+		m.background(func(ctx context.Context) { m.run(ctx, j) })
+		return m.state(j, false), nil
+	}
+	return m.join(ctx, j, *r.Job)
+}
+
+func conflict() *model.NotRun {
+	return &model.NotRun{Code: model.CodeConflict, Reason: "the key was used for another job"}
+}
+
+// reserve returns this entry's job of the key and whether it was made now.
+func (m *Manager) reserve(s Spec, now time.Time) (j *job, mine bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if j = m.jobs[s.Key]; j != nil {
+		return j, false
+	}
+	j = newJob(s, 1, now)
+	m.jobs[s.Key] = j
+	return j, true
+}
+
+// drop forgets a job that this entry does not own after all.
+func (m *Manager) drop(j *job) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.jobs[j.spec.Key] == j {
+		delete(m.jobs, j.spec.Key)
+	}
+	close(j.dropped)
+}
+
+func (m *Manager) open(ctx context.Context, j *job) (ledger.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordLimit)
+	defer cancel()
+	probe := j.task(0, j.spec.TimeLeft)
+	var agents []string
+	for _, n := range m.opts.Router.Candidates(probe, maxJobAgents) {
+		agents = append(agents, agentID(n))
+	}
+	j.record(agents)
+	return m.propose(ctx, j.spec.Key, ledger.OpenJob{
+		Key: j.spec.Key, Digest: j.spec.digest(), Owner: m.owner(), Tasks: len(j.spec.Tasks), Agents: agents,
+	})
+}
+
+// resubmitted answers a submission whose key this entry is busy with or knows.
+func (m *Manager) resubmitted(ctx context.Context, j *job, s Spec) (wire.JobState, *model.NotRun) {
+	select {
+	case <-j.opened:
+	case <-j.dropped:
+		return m.Submit(ctx, s)
+	case <-ctx.Done():
+		return wire.JobState{}, &model.NotRun{Code: model.CodeNoQuorum, Reason: "the job is not recorded yet", RetryAfter: time.Second}
+	}
+	if !bytes.Equal(j.spec.digest(), s.digest()) {
+		return wire.JobState{}, conflict()
+	}
+	return m.state(j, true), nil
+}
+
+// join finds out about a job that another entry, or this one before it
+// restarted, has opened: it asks the owner, or takes the job over from a dead one.
+func (m *Manager) join(ctx context.Context, j *job, rec ledger.Job) (wire.JobState, *model.NotRun) {
+	if n, ok := m.find(rec.Owner); ok && rec.Owner != m.owner() {
+		m.drop(j)
+		if st, ok := m.ask(ctx, n, rec.Key, wire.JobStatus); ok {
+			return st, nil
+		}
+		return stored(rec, false), nil
+	}
+	rec, ok := m.take(ctx, rec)
+	if !ok {
+		m.drop(j)
+		return stored(rec, rec.Status != ledger.Open), nil
+	}
+	m.opts.Log.Info("job taken over", zap.String("job", rec.Key), zap.Uint64("epoch", rec.Epoch))
+	j.epoch = rec.Epoch
+	j.record(rec.Agents)
+	close(j.opened)
+	m.background(func(ctx context.Context) { m.recover(ctx, j, rec) })
+	return m.state(j, false), nil
+}
+
+// take makes this entry the owner, and reports whether it is.
+func (m *Manager) take(ctx context.Context, rec ledger.Job) (ledger.Job, bool) {
+	ctx, cancel := context.WithTimeout(ctx, recordLimit)
+	defer cancel()
+	res, err := m.propose(ctx, rec.Key, ledger.TakeJob{Key: rec.Key, Epoch: rec.Epoch, Owner: m.owner()})
+	if err != nil {
+		return rec, false
+	}
+	r, ok := res.(ledger.JobResult)
+	if !ok || r.Job == nil {
+		return rec, false
+	}
+	mine := r.Job.Status == ledger.Open && r.Job.Owner == m.owner() && r.Job.Epoch == rec.Epoch+1
+	return *r.Job, mine
+}
+
+func (m *Manager) state(j *job, answer bool) wire.JobState {
+	return j.status(m.opts.Finder.Self().Name, m.opts.Clock.Now(), answer)
+}
+
+// stored returns the state of a job by its record.
+func stored(rec ledger.Job, answer bool) wire.JobState {
+	s := wire.JobState{Key: rec.Key, State: stateOpen, Tasks: rec.Tasks, Owner: rec.Owner.Entry}
+	switch rec.Status {
+	case ledger.Complete:
+		s.State = stateComplete
+	case ledger.Failed:
+		s.State = stateFailed
+	}
+	if rec.Status == ledger.Open {
+		return s
+	}
+	s.Ended = rec.Tasks
+	if answer && rec.AnswerKept {
+		if err := wire.UnmarshalValue(rec.Answer, &s.Results); err != nil {
+			s.Reason = "the kept answer cannot be read: " + err.Error()
+		}
+	}
+	return s
+}
+
+// ask asks the owner of a job about it.
+func (m *Manager) ask(ctx context.Context, owner wire.Node, key string, what wire.JobAction) (wire.JobState, bool) {
+	a, err := m.node.Call(ctx, link.To{Address: owner.Address, Role: keys.Entry}, wire.AskJob{Key: key, Action: what})
+	if err != nil {
+		return wire.JobState{}, false
+	}
+	s, ok := a.(wire.JobState)
+	return s, ok && s.State != ""
+}
+
+// asked answers another entry about a job that this one owns.
+func (m *Manager) asked(_ context.Context, _ link.Peer, q wire.AskJob) wire.Message {
+	m.mu.Lock()
+	j := m.jobs[q.Key]
+	m.mu.Unlock()
+	if j == nil || !j.isOpened() {
+		return wire.JobState{Key: q.Key}
+	}
+	if q.Action == wire.JobCancel {
+		j.cancel()
+	}
+	return m.state(j, q.Action == wire.JobAnswer)
+}
+
+// Ask returns what is known of a job at any entry, after cancelling it for
+// JobCancel. The state is empty when there is no such job.
+func (m *Manager) Ask(ctx context.Context, key string, what wire.JobAction) (wire.JobState, error) {
+	a := m.asked(ctx, link.Peer{}, wire.AskJob{Key: key, Action: what})
+	if s := a.(wire.JobState); s.State != "" {
+		return s, nil
+	}
+	res, err := m.query(ctx, key, ledger.GetJob{Key: key})
+	if err != nil {
+		return wire.JobState{}, err
+	}
+	r, ok := res.(ledger.JobResult)
+	if !ok || r.Job == nil {
+		return wire.JobState{Key: key}, nil
+	}
+	rec := *r.Job
+	n, alive := m.find(rec.Owner)
+	if alive && rec.Owner != m.owner() {
+		if s, ok := m.ask(ctx, n, key, what); ok {
+			return s, nil
+		}
+	}
+	// An owner that does not have the job, this entry included, has given it up.
+	if rec.Status == ledger.Open && (!alive || rec.Owner == m.owner()) {
+		return m.adopt(ctx, rec)
+	}
+	return stored(rec, what == wire.JobAnswer), nil
+}
+
+// adopt ends a job whose owner is dead, so that its caller learns of it without a
+// resubmission. Its tasks' bodies are not known here: what has not started stays so.
+func (m *Manager) adopt(ctx context.Context, rec ledger.Job) (wire.JobState, error) {
+	s := Spec{Key: rec.Key, TimeLeft: model.MaxTimeToLive, Tasks: make([]Body, rec.Tasks)}
+	j, mine := m.reserve(s, m.opts.Clock.Now())
+	if !mine {
+		return m.state(j, false), nil
+	}
+	j.bodiless = true
+	st, _ := m.join(ctx, j, rec)
+	return st, nil
+}
--- /dev/null
+++ b/leader/leader.go
@@ -0,0 +1,165 @@
+// Package leader carries commands and queries to the leader of a log group.
+package leader
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/wire"
+)
+
+const (
+	tryTimeout = 2 * time.Second
+	pauseMin   = 10 * time.Millisecond
+	pauseMax   = 200 * time.Millisecond
+)
+
+// ConfigGroup is the group of the configuration; the ledger's follow it.
+const ConfigGroup uint32 = 0
+
+// Client finds the leaders of groups. Its methods may be called concurrently.
+type Client struct {
+	Node   *link.Node
+	Finder *member.Finder
+	Clock  clockwork.Clock
+	Log    *zap.Logger
+	// Groups is the number of ledger groups.
+	Groups int
+
+	mu      sync.Mutex
+	leaders map[uint32]string // addresses
+}
+
+// GroupOf returns the ledger group that a key belongs to.
+func (c *Client) GroupOf(key string) uint32 {
+	return 1 + uint32(xxhash.Sum64String(key)%uint64(c.Groups))
+}
+
+// Propose has the group apply a command and returns the state machine's
+// answer. It sends the command again, to other keepers too, until ctx ends: the
+// command must be idempotent. The error is Unsent when no keeper can have
+// received it.
+func (c *Client) Propose(ctx context.Context, group uint32, command []byte) ([]byte, error) {
+	a, err := c.do(ctx, group, wire.Propose{Group: group, Command: command})
+	if err != nil {
+		return nil, err
+	}
+	return a.(wire.Proposed).Result, nil
+}
+
+// Query returns the state machine's linearizable answer to a query.
+func (c *Client) Query(ctx context.Context, group uint32, query []byte) ([]byte, error) {
+	a, err := c.do(ctx, group, wire.Query{Group: group, Query: query})
+	if err != nil {
+		return nil, err
+	}
+	return a.(wire.Queried).Result, nil
+}
+
+// Unsent is the error of a command that no keeper can have received.
+type Unsent struct{ Reason string }
+
+// Error implements error.
+func (u Unsent) Error() string { return "no keeper was reached: " + u.Reason }
+
+func (c *Client) do(ctx context.Context, group uint32, m wire.Message) (wire.Message, error) {
+	sent := false
+	reason := "none is known"
+	for try := 0; ctx.Err() == nil; try++ {
+		addr := c.pick(group, try)
+		if addr == "" {
+			c.pause(ctx, try)
+			continue
+		}
+		a, err := c.try(ctx, addr, m)
+		if err != nil {
+			sent = sent || !link.NotSent(err)
+			reason = err.Error()
+			c.forget(group, addr)
+			c.pause(ctx, try)
+			continue
+		}
+		switch a := a.(type) {
+		case wire.Proposed, wire.Queried:
+			c.remember(group, addr)
+			return a, nil
+		case wire.Refused:
+			reason = a.Reason
+			if !c.follow(group, addr, a.Leader) {
+				c.pause(ctx, try)
+			}
+		}
+	}
+	if !sent {
+		return nil, trace.Wrap(Unsent{Reason: reason})
+	}
+	return nil, trace.ConnectionProblem(ctx.Err(), "no keeper has answered: %s", reason)
+}
+
+func (c *Client) try(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	return c.Node.Call(ctx, link.To{Address: addr, Role: keys.Keeper}, m)
+}
+
+// pick returns the address of the group's leader, else of each keeper in turn.
+func (c *Client) pick(group uint32, try int) string {
+	c.mu.Lock()
+	addr := c.leaders[group]
+	c.mu.Unlock()
+	if addr != "" {
+		return addr
+	}
+	addrs := c.Finder.Addresses(keys.Keeper)
+	if len(addrs) == 0 {
+		return ""
+	}
+	return addrs[try%len(addrs)]
+}
+
+func (c *Client) remember(group uint32, addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaders == nil {
+		c.leaders = map[uint32]string{}
+	}
+	c.leaders[group] = addr
+}
+
+func (c *Client) forget(group uint32, addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaders[group] == addr {
+		delete(c.leaders, group)
+	}
+}
+
+// follow reports whether the refusal named another keeper as the leader.
+func (c *Client) follow(group uint32, addr, leader string) bool {
+	c.forget(group, addr)
+	for _, n := range c.Finder.Nodes(keys.Keeper) {
+		if n.Name == leader && n.Address != addr {
+			c.remember(group, n.Address)
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Client) pause(ctx context.Context, try int) {
+	d := min(pauseMin<<min(try, 10), pauseMax)
+	select {
+	case <-ctx.Done():
+	case <-c.Clock.After(d/2 + rand.N(d)):
+	}
+}
--- a/model/outcome.go
+++ b/model/outcome.go
@@ -60,6 +60,7 @@
 	CodeSeen      Code = "seen"      // the start was seen before
 	CodeInvalid   Code = "invalid"   // the work itself is not acceptable
 	CodeNoQuorum  Code = "noQuorum"  // the keepers could not record the work
+	CodeConflict  Code = "conflict"  // the key was used for other work
 )
 
 // OutcomeName returns the name of o as callers see it: complete, failed or notRun.
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -9,9 +9,11 @@
 	"cyclamenrelay.example/agent"
 	"cyclamenrelay.example/conf"
 	"cyclamenrelay.example/entry"
+	"cyclamenrelay.example/jobs"
 	"cyclamenrelay.example/keeper"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/leader"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
 	"cyclamenrelay.example/meter"
@@ -70,7 +72,10 @@
 	p := place.DefaultSettings()
 	p.Near = []string{b.s.Node.DataCentre}
 	p.NoTargetWait = time.Duration(b.s.Entry.NoTargetWait)
-	b.k.Add(route.New(route.Options{Place: p, Clock: b.clock, Log: b.log, View: b.view}))
+	router := route.New(route.Options{Place: p, Clock: b.clock, Log: b.log, View: b.view})
+	b.k.Add(router)
+	client := &leader.Client{Node: b.node, Finder: b.finder, Clock: b.clock, Log: b.log, Groups: b.s.Keeper.Groups}
+	b.k.Add(jobs.New(jobs.Options{Router: router, Ledger: client, Finder: b.finder, Clock: b.clock, Log: b.log}))
 	b.k.Add(entry.New(entry.Options{
 		Listen: b.s.Entry.Callers, MaxBody: int64(b.s.Entry.MaxBody), RequestTimeout: time.Duration(b.s.Entry.RequestTimeout),
 		Clock: b.clock, Log: b.log, View: b.view,
--- a/route/route.go
+++ b/route/route.go
@@ -54,6 +54,13 @@
 	waiting map[string]waiter
 	calls   map[callKey]context.CancelFunc
 	asked   map[string]chan wire.Message
+	nodes   map[string]agentRow
+}
+
+// agentRow is the newest announcement of an agent.
+type agentRow struct {
+	said  wire.Announce
+	heard time.Time
 }
 
 // event is an input for the core, with the waiter of an Arrive.
@@ -66,6 +73,7 @@
 
 type waiter struct {
 	ctx   context.Context
+	guard Guard
 	reply chan model.Outcome
 }
 
@@ -83,6 +91,7 @@
 		waiting: map[string]waiter{},
 		calls:   map[callKey]context.CancelFunc{},
 		asked:   map[string]chan wire.Message{},
+		nodes:   map[string]agentRow{},
 	}
 }
 
@@ -103,10 +112,14 @@
 	return nil
 }
 
+// Guard reports whether a task may be started at the agent; it is asked just
+// before the start is sent.
+type Guard = func(ctx context.Context, agent wire.Node) bool
+
 // Do runs the task on some target and returns its one outcome. When ctx ends
-// the task is cancelled.
-func (r *Router) Do(ctx context.Context, t model.Task) model.Outcome {
-	w := waiter{ctx: ctx, reply: make(chan model.Outcome, 1)}
+// the task is cancelled. A nil guard allows every agent.
+func (r *Router) Do(ctx context.Context, t model.Task, guard Guard) model.Outcome {
+	w := waiter{ctx: ctx, guard: guard, reply: make(chan model.Outcome, 1)}
 	if !r.send(event{in: place.Arrive{Task: t}, waiter: w}) {
 		return model.NotRun{Code: model.CodeLeaving, Reason: "the entry is shutting down"}
 	}
@@ -212,6 +225,9 @@
 		r.waiting[a.Task.ID] = e.waiter
 	}
 	delete(r.calls, e.ended)
+	if h, ok := e.in.(place.Heard); ok && h.Announce.Self.Incarnation >= r.nodes[h.Announce.Self.Name].said.Self.Incarnation {
+		r.nodes[h.Announce.Self.Name] = agentRow{said: h.Announce, heard: r.opts.Clock.Now()}
+	}
 	if c, ok := e.in.(place.Cancelled); ok {
 		if _, live := r.waiting[c.ID]; !live {
 			return
@@ -293,14 +309,18 @@
 	case place.Hedge:
 		meter.Wasted("hedge").Inc()
 	}
-	parent := r.waiting[e.Task.ID].ctx
-	m := wire.Start{Task: e.Task, Trace: spans.Inject(parent), Grant: e.Grant}
+	w := r.waiting[e.Task.ID]
+	to := r.nodes[e.Agent].said.Self
+	m := wire.Start{Task: e.Task, Trace: spans.Inject(w.ctx), Grant: e.Grant, Incarnation: to.Incarnation}
 	cctx, cancel := context.WithCancel(ctx)
 	key := callKey{e.Agent, e.Task.ID}
 	r.calls[key] = cancel
 	wg.Go(func() {
 		defer cancel()
-		in := r.call(cctx, e.Agent, m)
+		var in place.Input = place.Lost{Agent: e.Agent, ID: e.Task.ID, Unsent: true}
+		if w.guard == nil || w.guard(cctx, to) {
+			in = r.call(cctx, e.Agent, m)
+		}
 		r.send(event{in: in, ended: key})
 	})
 }
--- a/wire/task.go
+++ b/wire/task.go
@@ -1,6 +1,10 @@
 package wire
 
-import "cyclamenrelay.example/model"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"cyclamenrelay.example/model"
+)
 
 // Codes 60 to 79: work between entries and agents.
 var (
@@ -16,6 +20,9 @@
 	Trace string `cbor:"3,keyasint,omitempty"`
 	// Grant is the grant that this start uses, 0 for none.
 	Grant uint64 `cbor:"4,keyasint,omitempty"`
+	// Incarnation is that of the agent that the task is meant for, 0 for any: one
+	// that restarted refuses.
+	Incarnation uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Result answers a Start. Exactly one of the outcomes is set.
@@ -39,3 +46,32 @@
 func (Start) message()  {}
 func (Result) message() {}
 func (Cancel) message() {}
+
+// ResultOf returns the result that carries an outcome.
+func ResultOf(id string, o model.Outcome) Result {
+	r := Result{ID: id}
+	switch o := o.(type) {
+	case model.Complete:
+		r.Complete, r.Digest = &o, xxhash.Sum64(o.Body)
+	case model.Failed:
+		r.Failed = &o
+	case model.NotRun:
+		r.NotRun = &o
+	}
+	return r
+}
+
+// Outcome returns the outcome that r carries, a Failed when it is empty or damaged.
+func (r Result) Outcome() model.Outcome {
+	switch {
+	case r.Complete != nil && xxhash.Sum64(r.Complete.Body) != r.Digest:
+		return model.Failed{Reason: "the answer is damaged", MayHaveRun: true}
+	case r.Complete != nil:
+		return *r.Complete
+	case r.Failed != nil:
+		return *r.Failed
+	case r.NotRun != nil:
+		return *r.NotRun
+	}
+	return model.Failed{Reason: "the answer is empty", MayHaveRun: true}
+}
