keeper: replicated groups on disk, started together, repaired by their leaders

Each keeper holds one replica of the configuration and of each ledger group; all inputs that wait make one turn, with one synced write. A keeper that lost its folder starts nothing and is replaced by its leader: learner first, the old replica removed once the learner has caught up, then voter.

--- /dev/null
+++ b/keeper/serve.go
@@ -0,0 +1,109 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"cyclamenrelay.example/agree"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/state"
+	"cyclamenrelay.example/wire"
+)
+
+// watchWait is the longest wait for a change of the configuration.
+const watchWait = 500 * time.Millisecond
+
+func (k *Keeper) propose(ctx context.Context, _ link.Peer, m wire.Propose) wire.Message {
+	r := k.request(ctx, request{group: uint64(m.Group), command: m.Command, reply: make(chan reply, 1)})
+	if r.refused != nil {
+		return *r.refused
+	}
+	return wire.Proposed{Result: r.result}
+}
+
+func (k *Keeper) query(ctx context.Context, _ link.Peer, m wire.Query) wire.Message {
+	q := m.Query
+	if q == nil {
+		q = []byte{}
+	}
+	r := k.request(ctx, request{group: uint64(m.Group), query: q, reply: make(chan reply, 1)})
+	if r.refused != nil {
+		return *r.refused
+	}
+	return wire.Queried{Result: r.result}
+}
+
+func (k *Keeper) request(ctx context.Context, q request) reply {
+	if q.group > uint64(k.opts.Groups) {
+		return reply{refused: &wire.Refused{Reason: "there is no such group"}}
+	}
+	select {
+	case k.inputs <- q:
+	case <-ctx.Done():
+		return reply{refused: &wire.Refused{Reason: "the keeper is busy"}}
+	case <-k.ended:
+		return reply{refused: &wire.Refused{Reason: "the keeper is stopping"}}
+	}
+	select {
+	case r := <-q.reply:
+		return r
+	case <-ctx.Done():
+	case <-k.ended:
+	}
+	return reply{refused: &wire.Refused{Reason: "no answer in time", MayBeDone: true}}
+}
+
+// watch answers with what is newer than the entry's version, waiting for it a while.
+func (k *Keeper) watch(ctx context.Context, _ link.Peer, m wire.WatchConfig) wire.Message {
+	k.mu.Lock()
+	changed := k.changed
+	k.mu.Unlock()
+	u, ok := k.update(m.Version)
+	if ok && u.Fresh.Version <= m.Version {
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-k.ended:
+		case <-k.opts.Clock.After(watchWait):
+		}
+		u, ok = k.update(m.Version)
+	}
+	if !ok {
+		return wire.Refused{Reason: "this keeper cannot tell how fresh its configuration is"}
+	}
+	return u
+}
+
+// update returns what is newer than a version, and false when no quorum has
+// confirmed it to this keeper yet.
+func (k *Keeper) update(version uint64) (u wire.ConfigUpdate, ok bool) {
+	k.look(func() {
+		r := k.groups[0]
+		c := r.machine.(*state.Config)
+		var age time.Duration
+		if _, age, ok = r.node.Fresh(k.now()); !ok {
+			return
+		}
+		u.Fresh = model.Fresh{Version: c.Version(), Age: age}
+		if c.Version() > version {
+			u.Delta = c.Since(version)
+		}
+	})
+	return u, ok
+}
+
+// askKeeper says what this keeper is and holds.
+func (k *Keeper) askKeeper(_ context.Context, _ link.Peer, _ wire.AskKeeper) wire.Message {
+	s := wire.KeeperState{Self: k.self}
+	k.look(func() {
+		for g := range uint64(k.opts.Groups + 1) {
+			st := k.groups[g].node.Status()
+			s.Groups = append(s.Groups, wire.GroupState{
+				Group: g, Members: st.Members, Leads: st.Role == agree.Leader, Term: st.Term,
+				Commit: st.Commit, Last: st.Last, Leader: st.Leader.Name,
+			})
+		}
+	})
+	return s
+}
--- /dev/null
+++ b/keeper/tend.go
@@ -0,0 +1,172 @@
+package keeper
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/agree"
+	"cyclamenrelay.example/group"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/ledger"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/state"
+)
+
+const (
+	tendInterval   = 500 * time.Millisecond
+	expireInterval = 30 * time.Second
+)
+
+// tend starts an empty cluster, and as a leader brings the membership to what
+// the configuration says and has old records dropped.
+func (k *Keeper) tend(ctx context.Context) {
+	expired := k.opts.Clock.Now()
+	for ctx.Err() == nil {
+		if len(k.opts.First) > 0 {
+			k.bootstrap(ctx)
+		}
+		live := k.liveReplicas()
+		k.look(func() {
+			desired := k.desired()
+			for g, r := range k.groups {
+				st := r.node.Status()
+				if st.Role != agree.Leader {
+					continue
+				}
+				if c, ok := nextChange(st, desired, live); ok {
+					k.opts.Log.Info("membership changes", zap.Uint64("group", g), zap.String("keeper", c.Member.ID.Name),
+						zap.Uint64("replica", c.Member.ID.Incarnation), zap.Bool("voter", c.Member.Voter), zap.Bool("remove", c.Remove))
+					k.lastID++
+					c.ID = k.lastID
+					k.input(group.To{Group: g, Input: c})
+				}
+			}
+		})
+		if k.opts.Clock.Since(expired) >= expireInterval {
+			expired = k.opts.Clock.Now()
+			k.expire(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-k.opts.Clock.After(tendInterval):
+		}
+	}
+}
+
+// liveReplicas returns the replicas that are alive, by keeper.
+func (k *Keeper) liveReplicas() map[string]agree.ID {
+	live := map[string]agree.ID{k.self.Name: k.self}
+	for _, n := range slices.Concat(k.table.Live(), k.finder.Nodes(keys.Keeper)) {
+		if n.Replica != 0 && n.Name != k.self.Name {
+			live[n.Name] = agree.ID{Name: n.Name, Incarnation: n.Replica}
+		}
+	}
+	return live
+}
+
+// desired returns the names of the keepers that the configuration has as
+// members, nil while operators have set none.
+func (k *Keeper) desired() map[string]bool {
+	c := k.groups[0].machine.(*state.Config)
+	var names map[string]bool
+	for _, i := range c.Since(0).Items {
+		if i.Key.Section == model.SectionMember && i.Value != nil {
+			if names == nil {
+				names = map[string]bool{}
+			}
+			names[i.Key.Name] = true
+		}
+	}
+	return names
+}
+
+// nextChange returns the next step, one member at a time, to a membership of
+// the desired keepers with the replicas that they have now. A lost replica is
+// replaced by its keeper's new one: learner first, then the old one goes once
+// the learner has caught up, then the learner becomes a voter. So at no time
+// do more replicas have to be alive than before.
+func nextChange(st agree.Status, desired map[string]bool, live map[string]agree.ID) (agree.ChangeMember, bool) {
+	wanted := func(name string) bool {
+		if desired != nil {
+			return desired[name]
+		}
+		return slices.ContainsFunc(st.Members, func(m agree.Member) bool { return m.ID.Name == name })
+	}
+	for _, m := range st.Members {
+		now, alive := live[m.ID.Name]
+		stale := alive && now != m.ID
+		if !m.Voter && (stale || !wanted(m.ID.Name)) {
+			return agree.ChangeMember{Member: m, Remove: true}, true
+		}
+	}
+	for name, id := range live {
+		if _, in := st.Members.Find(id); !in && wanted(name) {
+			return agree.ChangeMember{Member: agree.Member{ID: id}}, true
+		}
+	}
+	for _, m := range st.Members {
+		if m.Voter || st.Match[m.ID] < st.Commit {
+			continue
+		}
+		old, lost := voterOf(st.Members, m.ID.Name)
+		if lost {
+			return agree.ChangeMember{Member: old, Remove: true}, true
+		}
+		return agree.ChangeMember{Member: agree.Member{ID: m.ID, Voter: true}}, true
+	}
+	for _, m := range st.Members {
+		if !wanted(m.ID.Name) {
+			return agree.ChangeMember{Member: m, Remove: true}, true
+		}
+	}
+	return agree.ChangeMember{}, false
+}
+
+func voterOf(ms agree.Membership, name string) (agree.Member, bool) {
+	for _, m := range ms {
+		if m.Voter && m.ID.Name == name {
+			return m, true
+		}
+	}
+	return agree.Member{}, false
+}
+
+// expire has the ledger groups that this keeper leads drop old records.
+func (k *Keeper) expire(ctx context.Context) {
+	var led []uint64
+	k.look(func() {
+		for g, r := range k.groups {
+			if g != 0 && r.node.Status().Role == agree.Leader {
+				led = append(led, g)
+			}
+		}
+	})
+	for _, g := range led {
+		u, ok := k.ledgerUsage(ctx, g)
+		if ok && u.Limits.Finished != k.opts.Retention {
+			u.Limits.Finished = k.opts.Retention
+			k.command(ctx, g, ledger.SetLimits{Limits: u.Limits})
+		}
+		k.command(ctx, g, ledger.Expire{})
+	}
+}
+
+func (k *Keeper) ledgerUsage(ctx context.Context, g uint64) (ledger.Usage, bool) {
+	r := k.request(ctx, request{group: g, query: ledger.Queries.MustEncode(ledger.GetUsage{}), reply: make(chan reply, 1)})
+	if r.refused != nil {
+		return ledger.Usage{}, false
+	}
+	a, err := ledger.Results.Decode(r.result)
+	if err != nil {
+		return ledger.Usage{}, false
+	}
+	u, ok := a.(ledger.Usage)
+	return u, ok
+}
+
+func (k *Keeper) command(ctx context.Context, g uint64, c ledger.Command) {
+	k.request(ctx, request{group: g, command: ledger.Commands.MustEncode(c), reply: make(chan reply, 1)})
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -95,6 +95,7 @@
 			return a, nil
 		case wire.Refused:
 			reason = a.Reason
+			sent = sent || a.MayBeDone
 			if !c.follow(group, addr, a.Leader) {
 				c.pause(ctx, try)
 			}
--- a/member/finder.go
+++ b/member/finder.go
@@ -52,6 +52,13 @@
 	return f.self
 }
 
+// SetReplica announces the random number of this keeper's data folder.
+func (f *Finder) SetReplica(n uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.self.Replica = n
+}
+
 // Leave announces from now on that this process is shutting down.
 func (f *Finder) Leave() {
 	f.mu.Lock()
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -61,7 +61,15 @@
 }
 
 func (b *builder) keeper() {
-	b.k.Add(&keeper.Solo{Clock: b.clock, Self: b.finder.Self})
+	var first []keeper.First
+	for _, m := range b.s.Keeper.InitialMembers {
+		first = append(first, keeper.First{Name: m.Name, Address: m.Address})
+	}
+	b.k.Add(keeper.New(keeper.Options{
+		Folder: b.s.Node.DataFolder, Groups: b.s.Keeper.Groups, First: first,
+		Retention: time.Duration(b.s.Keeper.Retention), SnapshotEntries: b.s.Keeper.SnapshotEntries,
+		Clock: b.clock, Log: b.log,
+	}))
 }
 
 func (b *builder) entry() {
--- a/wire/common.go
+++ b/wire/common.go
@@ -8,8 +8,6 @@
 	_ = register(2, Done{})
 	_ = register(3, WatchConfig{})
 	_ = register(4, ConfigUpdate{})
-	_ = register(5, ChangeConfig{})
-	_ = register(6, ChangeAnswer{})
 	_ = register(7, FindNodes{})
 	_ = register(8, Nodes{})
 	_ = register(9, Announce{})
@@ -21,6 +19,8 @@
 	Reason string `cbor:"1,keyasint"`
 	// Leader is the name of the keeper to ask instead, empty when unknown.
 	Leader string `cbor:"2,keyasint,omitempty"`
+	// MayBeDone is set when the message may have taken effect all the same.
+	MayBeDone bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Done answers a message that needs no other answer.
@@ -38,16 +38,6 @@
 	Fresh model.Fresh `cbor:"2,keyasint"`
 }
 
-// ChangeConfig asks a keeper for a change; the answer is a ChangeAnswer or Refused.
-type ChangeConfig struct {
-	Change model.Change `cbor:"1,keyasint"`
-}
-
-// ChangeAnswer is the answer to ChangeConfig.
-type ChangeAnswer struct {
-	Result model.ChangeResult `cbor:"1,keyasint"`
-}
-
 // Node is a process of the system as others reach it.
 type Node struct {
 	Name       string   `cbor:"1,keyasint"`
@@ -58,6 +48,8 @@
 	Incarnation uint64 `cbor:"5,keyasint"`
 	// Leaving is set once the process has begun to shut down.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// Replica is the random number of a keeper's data folder.
+	Replica uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // FindNodes asks for the live entries and keepers; it also announces the sender.
@@ -92,8 +84,6 @@
 func (Done) message()         {}
 func (WatchConfig) message()  {}
 func (ConfigUpdate) message() {}
-func (ChangeConfig) message() {}
-func (ChangeAnswer) message() {}
 func (FindNodes) message()    {}
 func (Nodes) message()        {}
 func (Announce) message()     {}
--- /dev/null
+++ b/wire/keeper.go
@@ -0,0 +1,33 @@
+package wire
+
+// Codes 30 to 39: keepers.
+var (
+	_ = register(30, AskKeeper{})
+	_ = register(31, KeeperState{})
+)
+
+// AskKeeper asks a keeper what it holds; the answer is KeeperState.
+type AskKeeper struct{}
+
+// KeeperState answers AskKeeper.
+type KeeperState struct {
+	Self   AgreeID      `cbor:"1,keyasint"`
+	Groups []GroupState `cbor:"2,keyasint"`
+}
+
+// GroupState is a keeper's replica of one group.
+type GroupState struct {
+	Group uint64 `cbor:"1,keyasint"`
+	// Members is empty while the replica has not joined the group.
+	Members []AgreeMember `cbor:"2,keyasint,omitempty"`
+	Leads   bool          `cbor:"3,keyasint,omitempty"`
+	Term    uint64        `cbor:"4,keyasint"`
+	// Commit and Last are indices of the log.
+	Commit uint64 `cbor:"5,keyasint"`
+	Last   uint64 `cbor:"6,keyasint"`
+	// Leader is the name of the known leader.
+	Leader string `cbor:"7,keyasint,omitempty"`
+}
+
+func (AskKeeper) message()   {}
+func (KeeperState) message() {}
