stand: send open-loop load from plans and compare runs

Choices of policy need figures: response over ideal, goodput and wasted messages by kind, and starts as the targets saw them.

Ruled out: latency from the real send time, which hides a stalled server. Requests sent again by the HTTP transport itself, which it does for those with an Idempotency-Key: they would count as one.

--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,226 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cyclamenrelay.example/dummy"
+	"cyclamenrelay.example/load"
+	"cyclamenrelay.example/plan"
+	"cyclamenrelay.example/units"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+func onePhase(clients int, length time.Duration, kinds ...plan.Kind) plan.Plan {
+	return plan.Plan{
+		Name: "p", Seed: 3, Slots: 1, Clients: clients, Load: 1, NetworkTime: units.Duration(10 * time.Millisecond), Kinds: kinds,
+		Phases: []plan.Phase{{Name: "x", Length: units.Duration(length)}},
+	}
+}
+
+func kind(name string, rate float64) plan.Kind {
+	d := units.Duration(90 * time.Millisecond)
+	return plan.Kind{Name: name, Rate: rate, RunTime: plan.RunTime{Min: d, Max: d}}
+}
+
+// complete answers a request as a target does, through an entry.
+func complete(w http.ResponseWriter, r *http.Request) {
+	var s dummy.Spec
+	b, _ := io.ReadAll(r.Body)
+	_ = json.Unmarshal(b, &s)
+	w.Header().Set("Relay-Outcome", "complete")
+	_, _ = fmt.Fprintf(w, `{"request":%q}`, s.Request)
+}
+
+// A server that stalls for the whole run is charged from each intended send
+// time, although one client can only send one request at a time.
+func TestStalledServerIsChargedFromTheIntendedTime(t *testing.T) {
+	release := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		complete(w, r)
+	}))
+	defer srv.Close()
+	p := onePhase(1, 10*time.Second, kind("a", 20))
+	clock := clockwork.NewFakeClock()
+	start := clock.Now()
+	out := make(chan load.Result, 1)
+	go func() {
+		res, err := load.Run(context.Background(), p, load.Options{Run: "r", Entries: []string{srv.URL}, Clock: clock})
+		if err != nil {
+			t.Error(err)
+		}
+		out <- res
+	}()
+	var arrivals []plan.Arrival
+	for src := plan.NewSource(p, "r"); ; {
+		a, ok := src.Next()
+		if !ok {
+			break
+		}
+		arrivals = append(arrivals, a)
+		if d := start.Add(a.At).Sub(clock.Now()); d > 0 {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+			cancel()
+			clock.Advance(d)
+		}
+	}
+	close(release)
+	k := (<-out).Kinds[0]
+	assert.Equal(t, k.Complete, int64(len(arrivals)))
+	end := clock.Since(start)
+	near := func(got, want float64) {
+		assert.Assert(t, got > 0.98*want && got < 1.02*want, "%v, want %v", got, want)
+	}
+	near(k.Latency.P999, float64((end - arrivals[0].At).Milliseconds()))
+	near(k.Latency.P50, float64((end - arrivals[len(arrivals)/2].At).Milliseconds()))
+	near(k.Ratio.P999, (end-arrivals[0].At).Seconds()/0.1)
+}
+
+func TestCountsAddUp(t *testing.T) {
+	var n, wasted atomic.Int64
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/requests", func(w http.ResponseWriter, r *http.Request) {
+		wasted.Add(1)
+		switch n.Add(1) % 6 {
+		case 0:
+			w.Header().Set("Relay-Outcome", "failed")
+			w.WriteHeader(502)
+		case 1:
+			w.Header().Set("Relay-Outcome", "notRun")
+			w.WriteHeader(503)
+			_, _ = io.WriteString(w, `{"outcome":"notRun","code":"queueFull"}`)
+		case 2:
+			w.WriteHeader(500)
+		case 3:
+			w.Header().Set("Relay-Outcome", "complete")
+			_, _ = io.WriteString(w, `{"request":"another"}`)
+		default:
+			complete(w, r)
+		}
+	})
+	mux.HandleFunc("POST /v1/jobs", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(202) })
+	mux.HandleFunc("GET /v1/jobs/{key}/answer", func(w http.ResponseWriter, r *http.Request) {
+		if n.Add(1)%2 == 0 {
+			complete(w, r)
+		}
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, "relay_wasted_messages_total{kind=\"a\",cause=\"retry\"} %d\nother 1\n", 5+wasted.Load())
+	})
+	srv := httptest.NewServer(mux)
+	defer srv.Close()
+	job := kind("job", 20)
+	job.Tasks = 3
+	res, err := load.Run(context.Background(), onePhase(8, 300*time.Millisecond, kind("a", 400), job), load.Options{
+		Run: "r", Entries: []string{srv.URL, srv.URL}, Metrics: []string{srv.URL + "/metrics"}, Clock: clockwork.NewRealClock(),
+	})
+	assert.NilError(t, err)
+	a, j := res.Kinds[0], res.Kinds[1]
+	assert.Assert(t, a.Sent > 50 && j.Sent > 0)
+	assert.Equal(t, a.Sent, a.Complete+a.Failed+a.NotRun+a.Lost+a.Wrong)
+	assert.Assert(t, min(a.Complete, a.Failed, a.NotRun, a.Lost, a.Wrong) > 0)
+	assert.Equal(t, a.Refusals["notRun 503 queueFull"], a.NotRun)
+	assert.Equal(t, a.Refusals["failed 502"], a.Failed)
+	assert.Equal(t, a.Refusals["lost 500"], a.Lost)
+	assert.Equal(t, j.Complete, j.Sent)
+	assert.Equal(t, res.Wasted["retry"], float64(a.Sent)/float64(a.Sent+j.Sent))
+}
+
+func TestStartLogsJudge(t *testing.T) {
+	var log bytes.Buffer
+	start := func(id string) { fmt.Fprintf(&log, "{\"event\":\"start\",\"request\":%q}\n", id) }
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Relay-Idempotent") == "false" {
+			assert.Check(t, r.Header.Get("Idempotency-Key") != "")
+			complete(w, r)
+			return
+		}
+		w.Header().Set("Relay-Outcome", "notRun")
+		w.WriteHeader(429)
+	}))
+	defer srv.Close()
+	claim := kind("claim", 100)
+	claim.Claim = true
+	p := onePhase(4, 200*time.Millisecond, claim, kind("a", 100))
+	for src := plan.NewSource(p, "r"); ; {
+		a, ok := src.Next()
+		if !ok {
+			break
+		}
+		start(a.ID)
+		if a.Kind.Claim {
+			start(a.ID)
+		}
+	}
+	start("earlier-1")
+	res, err := load.Run(context.Background(), p, load.Options{
+		Run: "r", Entries: []string{srv.URL}, Clock: clockwork.NewRealClock(),
+		StartLogs: func() ([]io.ReadCloser, error) { return []io.ReadCloser{io.NopCloser(&log)}, nil },
+	})
+	assert.NilError(t, err)
+	c, a := res.Kinds[0].Sent, res.Kinds[1].Sent
+	assert.Equal(t, res.Truth.Starts, 2*c+a)
+	assert.Equal(t, res.Truth.ClaimTwice, c)
+	assert.Equal(t, res.Truth.NotRunStarted, a)
+	assert.Assert(t, res.Truth.Broken())
+}
+
+func ExampleCompare() {
+	a := load.Result{Run: "a", Kinds: []load.KindResult{{Name: "match", Sent: 10, Complete: 10, Goodput: 5, Ratio: load.Quantiles{P50: 1.01, P99: 1.4, P999: 2}}}}
+	b := load.Result{Run: "b", Wasted: map[string]float64{"retry": 0.25}, Truth: &load.Truth{Starts: 3}}
+	var out strings.Builder
+	_ = load.Compare(&out, a, b)
+	for line := range strings.Lines(out.String()) {
+		fmt.Println(strings.Join(strings.Fields(line), " "))
+	}
+	// Output:
+	// kind measure a b
+	// match sent 10 -
+	// match complete 10 -
+	// match failed 0 -
+	// match notRun 0 -
+	// match lost 0 -
+	// match wrong 0 -
+	// match goodput/s 5.0 -
+	// match ratio p50 1.010 -
+	// match ratio p99 1.400 -
+	// match ratio p99.9 2.000 -
+	// wasted retry - 0.2500
+	// truth starts - 3
+	// truth extra starts - 0
+	// truth notRun started - 0
+	// truth claim twice - 0
+	// truth task twice - 0
+}
+
+func TestResultIsWrittenAndPlotted(t *testing.T) {
+	res := load.Result{Run: "a", Kinds: []load.KindResult{{Name: "match", Series: []int64{1, 2}, CDF: []load.Point{{Value: 1, Share: 0.5}, {Value: 2, Share: 1}}}}}
+	var b bytes.Buffer
+	assert.NilError(t, res.Write(&b))
+	got, err := load.ReadResult(&b)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, res)
+	ratio, goodput := filepath.Join(t.TempDir(), "r.svg"), filepath.Join(t.TempDir(), "g.png")
+	assert.NilError(t, res.PlotRatio(ratio))
+	assert.NilError(t, res.PlotGoodput(goodput))
+	for _, name := range []string{ratio, goodput} {
+		info, err := os.Stat(name)
+		assert.NilError(t, err)
+		assert.Assert(t, info.Size() > 0)
+	}
+}
--- /dev/null
+++ b/load/truth.go
@@ -0,0 +1,136 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"cyclamenrelay.example/dummy"
+
+	"github.com/gravitational/trace"
+)
+
+// Truth compares what callers were told with what targets started.
+type Truth struct {
+	// Starts are the starts of this run's tasks on all targets, Extra those
+	// after the first of the same task.
+	Starts int64 `json:"starts"`
+	Extra  int64 `json:"extra"`
+	// NotRunStarted counts tasks that started although the caller was told notRun.
+	NotRunStarted int64 `json:"notRunStarted"`
+	// ClaimTwice and TaskTwice count claims and tasks of jobs that started
+	// more than once.
+	ClaimTwice int64 `json:"claimTwice"`
+	TaskTwice  int64 `json:"taskTwice"`
+	// Examples are a few of the requests counted above.
+	Examples []string `json:"examples,omitempty"`
+}
+
+// Broken reports whether a promise to callers was broken.
+func (t Truth) Broken() bool { return t.NotRunStarted+t.ClaimTwice+t.TaskTwice > 0 }
+
+func (r *recorder) judge(open func() ([]io.ReadCloser, error)) (*Truth, error) {
+	files, err := open()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	starts := map[string]int64{}
+	for _, f := range files {
+		recs, err := dummy.ReadLog(f)
+		_ = f.Close()
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		for _, rec := range recs {
+			if rec.Event == dummy.EventStart && strings.HasPrefix(rec.Request, r.run+"-") {
+				starts[rec.Request]++
+			}
+		}
+	}
+	t := &Truth{}
+	for id, n := range starts {
+		r.count(t, id, n)
+	}
+	return t, nil
+}
+
+func (r *recorder) count(t *Truth, id string, n int64) {
+	t.Starts += n
+	t.Extra += n - 1
+	arrival, _, inJob := strings.Cut(id, "/")
+	broken := false
+	if r.notRun[arrival] {
+		t.NotRunStarted++
+		broken = true
+	}
+	if n > 1 && r.claims[arrival] {
+		t.ClaimTwice++
+		broken = true
+	}
+	if n > 1 && inJob {
+		t.TaskTwice++
+		broken = true
+	}
+	if broken && len(t.Examples) < maxExamples {
+		t.Examples = append(t.Examples, id)
+	}
+}
+
+const scrapeTimeout = 10 * time.Second
+
+var wastedLine = regexp.MustCompile(`^relay_wasted_messages_total\{(?:.*,)?cause="([a-zA-Z]+)"[^}]*\} ([0-9.e+]+)$`)
+
+// wasted returns the sums of the counters of wasted messages by cause.
+func wasted(ctx context.Context, o Options) (map[string]float64, error) {
+	sum := map[string]float64{}
+	for _, url := range o.Metrics {
+		if err := scrape(ctx, o.Client, url, sum); err != nil {
+			return nil, trace.Wrap(err, "metrics of %s", url)
+		}
+	}
+	return sum, nil
+}
+
+func scrape(ctx context.Context, c *http.Client, url string, sum map[string]float64) error {
+	ctx, cancel := context.WithTimeout(ctx, scrapeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		m := wastedLine.FindStringSubmatch(lines.Text())
+		if m == nil {
+			continue
+		}
+		v, err := strconv.ParseFloat(m[2], 64)
+		if err != nil {
+			return trace.BadParameter("counter %q: %v", lines.Text(), err)
+		}
+		sum[m[1]] += v
+	}
+	return trace.Wrap(lines.Err())
+}
+
+func perRequest(before, after map[string]float64, res Result) map[string]float64 {
+	var sent int64
+	for _, k := range res.Kinds {
+		sent += k.Sent
+	}
+	out := map[string]float64{}
+	for cause, v := range after {
+		out[cause] = (v - before[cause]) / float64(max(1, sent))
+	}
+	return out
+}
