load: results by phase

A flood plan needs what the other kinds kept during the flood alone, not over the whole run.

Change: results and tables by phase of the intended send time, as kind@phase. Tests of the target's bound of connections and of leaving first.

--- a/dummy/dummy_test.go
+++ b/dummy/dummy_test.go
@@ -199,6 +199,36 @@
 	assert.Equal(t, last(), "DELETE /v1/target")
 }
 
+func TestRunBoundsConnectionsAndLeavesFirst(t *testing.T) {
+	calls := make(chan string, 100)
+	agent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { calls <- r.Method }))
+	defer agent.Close()
+	clock := clockwork.NewFakeClock()
+	tgt, err := dummy.New(dummy.Config{Name: "t1", Slots: 1, Conns: 1, Agent: agent.URL, LeaveFirst: true, Clock: clock})
+	assert.NilError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	ran := make(chan error, 1)
+	go func() { ran <- tgt.Run(ctx, l) }()
+	assert.Equal(t, <-calls, "PUT")
+	b := &bench{t: t, clock: clock, srv: &httptest.Server{URL: "http://" + l.Addr().String()}}
+	out := make(chan reply, 1)
+	go func() { out <- b.call("POST", "/v1/tasks/a", "") }()
+	b.waits(2)
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = c.Read(make([]byte, 1))
+	assert.Assert(t, err != nil, "a second connection stays open")
+	stop()
+	assert.Equal(t, <-calls, "DELETE")
+	clock.Advance(dummy.DefaultRunTime)
+	assert.Equal(t, (<-out).status, 200)
+	assert.NilError(t, <-ran)
+}
+
 func TestReadLogDropsTornLine(t *testing.T) {
 	recs, err := dummy.ReadLog(strings.NewReader("{\"event\":\"start\",\"task\":\"a\"}\n{\"event\":\"en"))
 	assert.NilError(t, err)
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -126,7 +126,9 @@
 	defer srv.Close()
 	job := kind("job", 20)
 	job.Tasks = 3
-	res, err := load.Run(context.Background(), onePhase(8, 300*time.Millisecond, kind("a", 400), job), load.Options{
+	p := onePhase(8, 200*time.Millisecond, kind("a", 400), job)
+	p.Phases = append(p.Phases, plan.Phase{Name: "y", Length: units.Duration(100 * time.Millisecond)})
+	res, err := load.Run(context.Background(), p, load.Options{
 		Run: "r", Entries: []string{srv.URL, srv.URL}, Metrics: []string{srv.URL + "/metrics"}, Clock: clockwork.NewRealClock(),
 	})
 	assert.NilError(t, err)
@@ -138,6 +140,10 @@
 	assert.Equal(t, a.Refusals["failed 502"], a.Failed)
 	assert.Equal(t, a.Refusals["lost 500"], a.Lost)
 	assert.Equal(t, j.Complete, j.Sent)
+	assert.Equal(t, len(res.Phases), 2)
+	x, y := res.Phases[0].Kinds[0], res.Phases[1].Kinds[0]
+	assert.Assert(t, x.Sent > 0 && y.Sent > 0)
+	assert.DeepEqual(t, [3]int64{x.Sent + y.Sent, x.Complete + y.Complete, x.Lost + y.Lost}, [3]int64{a.Sent, a.Complete, a.Lost})
 	assert.Equal(t, res.Wasted["retry"], float64(a.Sent)/float64(a.Sent+j.Sent))
 }
 
@@ -182,7 +188,7 @@
 
 func ExampleCompare() {
 	a := load.Result{Run: "a", Kinds: []load.KindResult{{Name: "match", Sent: 10, Complete: 10, Goodput: 5, Ratio: load.Quantiles{P50: 1.01, P99: 1.4, P999: 2}}}}
-	b := load.Result{Run: "b", Wasted: map[string]float64{"retry": 0.25}, Truth: &load.Truth{Starts: 3}}
+	b := load.Result{Run: "b", Phases: []load.PhaseResult{{Name: "flood", Kinds: []load.KindResult{{Name: "match", Sent: 4}}}}, Wasted: map[string]float64{"retry": 0.25}, Truth: &load.Truth{Starts: 3}}
 	var out strings.Builder
 	_ = load.Compare(&out, a, b)
 	for line := range strings.Lines(out.String()) {
@@ -200,6 +206,16 @@
 	// match ratio p50 1.010 -
 	// match ratio p99 1.400 -
 	// match ratio p99.9 2.000 -
+	// match@flood sent - 4
+	// match@flood complete - 0
+	// match@flood failed - 0
+	// match@flood notRun - 0
+	// match@flood lost - 0
+	// match@flood wrong - 0
+	// match@flood goodput/s - 0.0
+	// match@flood ratio p50 - 0.000
+	// match@flood ratio p99 - 0.000
+	// match@flood ratio p99.9 - 0.000
 	// wasted retry - 0.2500
 	// truth starts - 3
 	// truth extra starts - 0
--- a/load/result.go
+++ b/load/result.go
@@ -26,12 +26,21 @@
 	Plan    plan.Plan    `json:"plan"`
 	Started time.Time    `json:"started"`
 	Kinds   []KindResult `json:"kinds"`
+	// Phases are the same by the phase of the intended send time, without
+	// Series and CDF; empty for a plan of one phase.
+	Phases []PhaseResult `json:"phases,omitempty"`
 	// Wasted are the wasted messages a sent request, by cause.
 	Wasted map[string]float64 `json:"wasted,omitempty"`
 	// Truth is nil when no start logs were given.
 	Truth *Truth `json:"truth,omitempty"`
 }
 
+// PhaseResult is what a run measured of the arrivals of one phase.
+type PhaseResult struct {
+	Name  string       `json:"name"`
+	Kinds []KindResult `json:"kinds"`
+}
+
 // KindResult is what a run measured of one kind. Sent is the sum of the five
 // outcomes.
 type KindResult struct {
@@ -44,7 +53,7 @@
 	// meant for another request.
 	Lost  int64 `json:"lost"`
 	Wrong int64 `json:"wrong"`
-	// Goodput is Complete over the plan's length, a second.
+	// Goodput is Complete over the length of the plan or phase, a second.
 	Goodput float64 `json:"goodput"`
 	// Ratio is response time over ideal and Latency the response time in
 	// milliseconds, both of complete work.
@@ -79,6 +88,7 @@
 
 	mu     sync.Mutex
 	kinds  map[string]*kindRecord
+	phases []map[string]*kindRecord
 	notRun map[string]bool // IDs
 	claims map[string]bool // IDs
 }
@@ -91,38 +101,56 @@
 
 func newRecorder(p plan.Plan, run string, start time.Time) *recorder {
 	r := &recorder{
-		plan: p, run: run, start: start,
-		kinds: map[string]*kindRecord{}, notRun: map[string]bool{}, claims: map[string]bool{},
+		plan: p, run: run, start: start, kinds: newRecords(p.Kinds),
+		notRun: map[string]bool{}, claims: map[string]bool{},
 	}
-	for _, k := range p.Kinds {
-		r.kinds[k.Name] = &kindRecord{
+	for range p.Phases {
+		r.phases = append(r.phases, newRecords(p.Kinds))
+	}
+	return r
+}
+
+func newRecords(kinds []plan.Kind) map[string]*kindRecord {
+	out := map[string]*kindRecord{}
+	for _, k := range kinds {
+		out[k.Name] = &kindRecord{
 			KindResult: KindResult{Name: k.Name, Refusals: map[string]int64{}},
 			ratio:      hdrhistogram.New(1, maxRatio*ratioUnit, figures),
 			latency:    hdrhistogram.New(1, maxLatency.Microseconds(), figures),
 		}
 	}
-	return r
+	return out
 }
 
 // add records the end of an arrival at the time now.
 func (r *recorder) add(a plan.Arrival, v verdict, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	k := r.kinds[a.Kind.Name]
-	k.Sent++
 	if a.Kind.Claim {
 		r.claims[a.ID] = true
 	}
+	if v.outcome == outcomeNotRun {
+		r.notRun[a.ID] = true
+	}
+	ideal := a.Ideal() + r.plan.NetworkTime.Std()
+	for _, k := range []*kindRecord{r.kinds[a.Kind.Name], r.phases[a.Phase][a.Kind.Name]} {
+		k.count(v)
+		if v.outcome == outcomeComplete {
+			k.finish(ideal, now.Sub(r.start.Add(a.At)), now.Sub(r.start))
+		}
+	}
+}
+
+func (k *kindRecord) count(v verdict) {
+	k.Sent++
 	switch v.outcome {
 	case outcomeComplete:
 		k.Complete++
-		k.finish(a.Ideal()+r.plan.NetworkTime.Std(), now.Sub(r.start.Add(a.At)), now.Sub(r.start))
 		return
 	case outcomeFailed:
 		k.Failed++
 	case outcomeNotRun:
 		k.NotRun++
-		r.notRun[a.ID] = true
 	case outcomeWrong:
 		k.Wrong++
 	default:
@@ -156,19 +184,40 @@
 	res := Result{Run: r.run, Plan: r.plan, Started: r.start}
 	for _, cfg := range r.plan.Kinds {
 		k := r.kinds[cfg.Name]
-		out := k.KindResult
-		out.Goodput = float64(k.Complete) / r.plan.Length().Seconds()
-		if k.Complete > 0 {
-			out.Ratio = quantiles(k.ratio, ratioUnit)
-			out.Latency = quantiles(k.latency, 1000)
-			out.CDF = cdf(k.ratio)
-		}
+		out := k.summary(r.plan.Length())
+		out.CDF = cdf(k.ratio)
 		res.Kinds = append(res.Kinds, out)
 	}
+	if len(r.phases) < 2 {
+		return res
+	}
+	for i, ph := range r.plan.Phases {
+		out := PhaseResult{Name: ph.Name}
+		for _, cfg := range r.plan.Kinds {
+			k := r.phases[i][cfg.Name].summary(ph.Length.Std())
+			k.Series = nil
+			out.Kinds = append(out.Kinds, k)
+		}
+		res.Phases = append(res.Phases, out)
+	}
 	return res
 }
 
+// summary returns the results of a stretch of the given length.
+func (k *kindRecord) summary(length time.Duration) KindResult {
+	out := k.KindResult
+	out.Goodput = float64(k.Complete) / length.Seconds()
+	if k.Complete > 0 {
+		out.Ratio = quantiles(k.ratio, ratioUnit)
+		out.Latency = quantiles(k.latency, 1000)
+	}
+	return out
+}
+
 func cdf(h *hdrhistogram.Histogram) []Point {
+	if h.TotalCount() == 0 {
+		return nil
+	}
 	var out []Point
 	for _, b := range h.CumulativeDistribution() {
 		out = append(out, Point{float64(b.ValueAt) / ratioUnit, b.Quantile / 100})
--- a/load/table.go
+++ b/load/table.go
@@ -49,7 +49,7 @@
 }
 
 // Compare writes a table with a column for each result. Kinds are matched by
-// name; a kind that a result lacks has a dash.
+// name, those of a phase by kind@phase; what a result lacks is a dash.
 func Compare(w io.Writer, results ...Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	cell := func(format string, v ...any) { _, _ = fmt.Fprintf(t, format+"\t", v...) }
@@ -101,8 +101,20 @@
 	{"task twice", func(t Truth) int64 { return t.TaskTwice }},
 }
 
+// rows returns the results by kind, and by kind and phase as kind@phase.
+func (r Result) rows() []KindResult {
+	out := slices.Clone(r.Kinds)
+	for _, ph := range r.Phases {
+		for _, k := range ph.Kinds {
+			k.Name += "@" + ph.Name
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
 func (r Result) measure(kind string, m metric) (float64, bool) {
-	for _, k := range r.Kinds {
+	for _, k := range r.rows() {
 		if k.Name == kind {
 			return m.value(k), true
 		}
@@ -113,7 +125,7 @@
 func kindNames(results []Result) []string {
 	var out []string
 	for _, r := range results {
-		for _, k := range r.Kinds {
+		for _, k := range r.rows() {
 			if !slices.Contains(out, k.Name) {
 				out = append(out, k.Name)
 			}
--- a/plan/arrive.go
+++ b/plan/arrive.go
@@ -10,9 +10,11 @@
 // Arrival is one request or job to send.
 type Arrival struct {
 	// At is the intended send time, counted from the start of the run.
-	At   time.Duration
-	ID   string
-	Kind *Kind
+	At time.Duration
+	// Phase is the index of the plan's phase.
+	Phase int
+	ID    string
+	Kind  *Kind
 	// RunTimes are the true run times of the tasks, one for a request.
 	RunTimes []time.Duration
 	// RunTime and Size are declared, 0 for nothing.
@@ -93,7 +95,7 @@
 
 func (s *Source) arrival(at time.Duration, k *Kind) Arrival {
 	s.sent++
-	a := Arrival{At: at, Kind: k, ID: s.run + "-" + strconv.FormatUint(s.sent, 10)}
+	a := Arrival{At: at, Phase: s.phase, Kind: k, ID: s.run + "-" + strconv.FormatUint(s.sent, 10)}
 	for range max(1, k.Tasks) {
 		a.RunTimes = append(a.RunTimes, s.draw(k.RunTime))
 	}
