steer: operators' HTTPS at each entry, with tests by relctl

Cause: relctl and package admin had no one behind them; entry.operators was set and nothing listened there. Change: steer implements admin.Backend on an entry. Targets and queued work come from small accessors of place and fleet, jobs of other entries by the messages 80 and 81. Refused tasks are counted where callers are answered (relay_answers_total), in place of a counter by kind that was used nowhere and would have grown with callers' labels. Members: the configuration's items of section member were the whole wanted membership once one was set, so that the first added keeper would have removed the others. An item now decides for its own keeper only; a keeper of the first membership, which has no item, is removed by a tombstone; a voter is removed only once every wanted keeper votes, so that a replacement never shrinks the cluster. Ruled out: setting items for all present members first, which is not one change and races with others. Jobs' states are running, complete, failed or notRun: cancelled was promised by the help but no part records it.

--- a/admin/api.go
+++ b/admin/api.go
@@ -79,7 +79,8 @@
 // JobStatus is a job as its owner or the ledger knows it.
 type JobStatus struct {
 	Key string `json:"key"`
-	// State is queued, running, complete, failed or cancelled.
+	// State is running, complete, failed or notRun; a cancelled job ends as one
+	// of the last three, by what had run.
 	State string `json:"state"`
 	Tasks int    `json:"tasks"`
 	// Done and Failed count ended tasks; they are known at the owner only.
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/model"
 )
 
@@ -19,6 +20,7 @@
 func writeOutcome(w http.ResponseWriter, o model.Outcome) {
 	h := w.Header()
 	h.Set(HeaderOutcome, model.OutcomeName(o))
+	meter.Answers(model.OutcomeName(o)).Inc()
 	switch o := o.(type) {
 	case model.Complete:
 		if o.Type != "" {
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -191,6 +191,11 @@
 		Key: j.spec.Key, State: j.state, Tasks: len(j.results), Ended: j.count,
 		Reason: j.reason, Owner: owner, Age: now.Sub(j.began),
 	}
+	for _, r := range j.results {
+		if r.ID != "" && r.Complete == nil {
+			s.Failed++
+		}
+	}
 	if answer && j.state != stateOpen {
 		s.Results = j.results
 	}
--- a/keeper/tend.go
+++ b/keeper/tend.go
@@ -67,31 +67,28 @@
 	return live
 }
 
-// desired returns the names of the keepers that the configuration has as
-// members, nil while operators have set none.
+// desired returns for each keeper that operators have decided on whether it
+// shall be a member. The others stay what they are.
 func (k *Keeper) desired() map[string]bool {
 	c := k.groups[0].machine.(*state.Config)
-	var names map[string]bool
+	names := map[string]bool{}
 	for _, i := range c.Since(0).Items {
-		if i.Key.Section == model.SectionMember && i.Value != nil {
-			if names == nil {
-				names = map[string]bool{}
-			}
-			names[i.Key.Name] = true
+		if i.Key.Section == model.SectionMember {
+			names[i.Key.Name] = i.Value != nil
 		}
 	}
 	return names
 }
 
-// nextChange returns the next step, one member at a time, to a membership of
-// the desired keepers with the replicas that they have now. A lost replica is
+// nextChange returns the next step, one member at a time, to the desired
+// membership with the replicas that its keepers have now. A lost replica is
 // replaced by its keeper's new one: learner first, then the old one goes once
 // the learner has caught up, then the learner becomes a voter. So at no time
 // do more replicas have to be alive than before.
 func nextChange(st agree.Status, desired map[string]bool, live map[string]agree.ID) (agree.ChangeMember, bool) {
 	wanted := func(name string) bool {
-		if desired != nil {
-			return desired[name]
+		if want, decided := desired[name]; decided {
+			return want
 		}
 		return slices.ContainsFunc(st.Members, func(m agree.Member) bool { return m.ID.Name == name })
 	}
@@ -117,6 +114,9 @@
 		}
 		return agree.ChangeMember{Member: agree.Member{ID: m.ID, Voter: true}}, true
 	}
+	if adding(st.Members, desired) {
+		return agree.ChangeMember{}, false
+	}
 	for _, m := range st.Members {
 		if !wanted(m.ID.Name) {
 			return agree.ChangeMember{Member: m, Remove: true}, true
@@ -125,6 +125,17 @@
 	return agree.ChangeMember{}, false
 }
 
+// adding reports whether a keeper that shall be a member does not vote yet. No
+// voter is removed before, so that a replacement never makes the cluster smaller.
+func adding(ms agree.Membership, desired map[string]bool) bool {
+	for name, want := range desired {
+		if _, votes := voterOf(ms, name); want && !votes {
+			return true
+		}
+	}
+	return false
+}
+
 func voterOf(ms agree.Membership, name string) (agree.Member, bool) {
 	for _, m := range ms {
 		if m.Voter && m.ID.Name == name {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -21,9 +21,9 @@
 	return metrics.GetOrCreateCounter(`relay_wasted_messages_total{cause="` + cause + `"}`)
 }
 
-// Outcomes counts the outcomes that callers got, by kind of work.
-func Outcomes(kind, outcome string) *metrics.Counter {
-	return metrics.GetOrCreateCounter(`relay_outcomes_total{kind="` + kind + `",outcome="` + outcome + `"}`)
+// Answers counts the outcomes that callers got: complete, failed or notRun.
+func Answers(outcome string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`relay_answers_total{outcome="` + outcome + `"}`)
 }
 
 // Starts counts the starts sent to agents.
--- /dev/null
+++ b/place/look.go
@@ -0,0 +1,36 @@
+package place
+
+import (
+	"time"
+
+	"cyclamenrelay.example/fleet"
+	"cyclamenrelay.example/model"
+)
+
+// Waiting is a queued task.
+type Waiting struct {
+	Labels   model.Labels
+	Selector string
+	Urgency  int
+	// Waited is the time since the task arrived.
+	Waited time.Duration
+	// NoTarget is set while no target may take the task.
+	NoTarget bool
+}
+
+// Targets returns the targets as operators see them.
+func (c *Core) Targets() []fleet.View { return c.fleet.Views(c.now) }
+
+// Waiting returns the queued tasks in no order.
+func (c *Core) Waiting() []Waiting {
+	out := make([]Waiting, 0, c.queue.Len())
+	for _, r := range c.requests {
+		if r.item.Queued() {
+			out = append(out, Waiting{
+				Labels: r.task.Labels, Selector: r.task.Selector, Urgency: r.item.Urgency,
+				Waited: c.now.Sub(r.arrived), NoTarget: r.item.Class.Size() == 0,
+			})
+		}
+	}
+	return out
+}
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -20,12 +20,14 @@
 	"cyclamenrelay.example/place"
 	"cyclamenrelay.example/route"
 	"cyclamenrelay.example/spread"
+	"cyclamenrelay.example/steer"
 	"cyclamenrelay.example/wire"
 )
 
 // builder makes the services of a process from its settings.
 type builder struct {
 	s      conf.Settings
+	id     *keys.Identity
 	clock  clockwork.Clock
 	log    *zap.Logger
 	k      *kernel.Kernel
@@ -36,7 +38,7 @@
 
 func build(s conf.Settings, id *keys.Identity, log *zap.Logger) (*kernel.Kernel, error) {
 	clock := clockwork.NewRealClock()
-	b := &builder{s: s, clock: clock, log: log, k: kernel.New(log)}
+	b := &builder{s: s, id: id, clock: clock, log: log, k: kernel.New(log)}
 	b.node = link.New(link.Options{Address: s.Node.Listen, Keys: id, Log: log, Clock: clock})
 	self := wire.Node{
 		Name: s.Node.Name, Address: s.Node.Advertise, DataCentre: s.Node.DataCentre, Roles: s.Node.Roles,
@@ -88,6 +90,9 @@
 		Listen: b.s.Entry.Callers, MaxBody: int64(b.s.Entry.MaxBody), RequestTimeout: time.Duration(b.s.Entry.RequestTimeout),
 		Clock: b.clock, Log: b.log, View: b.view,
 	}))
+	b.k.Add(steer.New(steer.Options{
+		Listen: b.s.Entry.Operators, Identity: b.id, Keepers: client, Clock: b.clock, Log: b.log, View: b.view,
+	}))
 }
 
 func (b *builder) agent() {
--- a/relctl/jobs.go
+++ b/relctl/jobs.go
@@ -21,7 +21,7 @@
 }
 
 type listJobs struct {
-	State string `long:"state" value-name:"STATE" description:"only jobs in this state: queued, running, complete, failed or cancelled"`
+	State string `long:"state" value-name:"STATE" description:"only jobs in this state: running, complete, failed or notRun"`
 	Limit int    `long:"limit" value-name:"N" default:"100" description:"the most jobs to show"`
 
 	a *app
--- a/state/config.go
+++ b/state/config.go
@@ -139,9 +139,14 @@
 	if ch.Expected != item.Count {
 		return c.refuse(ch, fmt.Sprintf("conflict: expected count %d, the item has %d by %q", ch.Expected, item.Count, item.Operator))
 	}
-	if ch.Value == nil && item.Value == nil {
+	// The first keepers are members without an item: one that is removed gets a tombstone.
+	first := ch.Key.Section == model.SectionMember && item.Count == 0
+	if ch.Value == nil && item.Value == nil && !first {
 		return c.refuse(ch, "there is no such item")
 	}
+	if ch.Value == nil && !validName(ch.Key.Name) {
+		return c.refuse(ch, "the item's name is no name")
+	}
 	if ch.Value != nil {
 		if err := Check(ch.Key, ch.Value); err != nil {
 			return c.refuse(ch, err.Error())
--- /dev/null
+++ b/steer/members.go
@@ -0,0 +1,189 @@
+package steer
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	"cyclamenrelay.example/admin"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/wire"
+)
+
+// maxConflicts bounds the tries of the second half of a replacement.
+const maxConflicts = 5
+
+// Members implements admin.Backend: the keepers that the newest membership of
+// the configuration's group names, and those that shall be added to it.
+func (s *Service) Members(ctx context.Context) ([]admin.MemberStatus, error) {
+	states := s.askKeepers(ctx)
+	byName := map[string]*admin.MemberStatus{}
+	cfg := s.Config()
+	for _, i := range cfg.Items(model.SectionMember) {
+		m := &admin.MemberStatus{Name: i.Key.Name}
+		if json.Unmarshal(i.Value, &m.Member) == nil {
+			m.Voter = false
+			byName[m.Name] = m
+		}
+	}
+	members, commit := membership(states)
+	for _, m := range members {
+		row := byName[m.ID.Name]
+		if row == nil {
+			row = &admin.MemberStatus{Name: m.ID.Name}
+			byName[m.ID.Name] = row
+		}
+		row.Voter = row.Voter || m.Voter
+	}
+	for _, n := range s.finder.Nodes(keys.Keeper) {
+		if row := byName[n.Name]; row != nil && row.Address == "" {
+			row.Address, row.DataCentre = n.Address, n.DataCentre
+		}
+	}
+	var out []admin.MemberStatus
+	for _, row := range byName {
+		row.Count = cfg.Item(model.ItemKey{Section: model.SectionMember, Name: row.Name}).Count
+		describe(row, states, commit)
+		out = append(out, *row)
+	}
+	slices.SortFunc(out, func(a, b admin.MemberStatus) int { return strings.Compare(a.Name, b.Name) })
+	return out, nil
+}
+
+// membership returns the newest known members and commit index of the
+// configuration's group.
+func membership(states []wire.KeeperState) (members []wire.AgreeMember, commit uint64) {
+	for _, k := range states {
+		if g := k.Groups[0]; len(g.Members) > 0 && (g.Commit >= commit || members == nil) {
+			members, commit = g.Members, g.Commit
+		}
+	}
+	return members, commit
+}
+
+// describe adds what the keeper says of itself.
+func describe(row *admin.MemberStatus, states []wire.KeeperState, commit uint64) {
+	row.Behind = commit
+	for _, k := range states {
+		if k.Self.Name != row.Name {
+			continue
+		}
+		row.Up = true
+		row.Behind = commit - min(commit, k.Groups[0].Commit)
+		for _, g := range k.Groups {
+			if g.Leads {
+				row.Leads++
+			}
+		}
+	}
+}
+
+// askKeepers returns the states of the keepers that answer.
+func (s *Service) askKeepers(ctx context.Context) []wire.KeeperState {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	states := map[string]wire.KeeperState{}
+	for _, addr := range s.finder.Addresses(keys.Keeper) {
+		wg.Go(func() {
+			a, err := s.node.Call(ctx, link.To{Address: addr, Role: keys.Keeper}, wire.AskKeeper{})
+			k, ok := a.(wire.KeeperState)
+			if err != nil || !ok || len(k.Groups) == 0 {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			states[k.Self.Name] = k
+		})
+	}
+	wg.Wait()
+	var out []wire.KeeperState
+	for _, k := range states {
+		out = append(out, k)
+	}
+	return out
+}
+
+// ChangeMember implements admin.Backend. Each action is idempotent by its ID,
+// a replacement too: its second change has an ID that follows from the first.
+func (s *Service) ChangeMember(ctx context.Context, c admin.MemberChange) (model.ChangeResult, error) {
+	change := model.Change{
+		ID: c.ID, Operator: c.Operator, Expected: c.Expected,
+		Key: model.ItemKey{Section: model.SectionMember, Name: c.Name},
+	}
+	if c.Action == admin.MemberRemove {
+		if err := s.mayRemove(ctx, change.Key); err != nil {
+			return model.ChangeResult{}, err
+		}
+		return s.Change(ctx, change)
+	}
+	var err error
+	change.Value, err = json.Marshal(model.Member{Address: c.Address, DataCentre: c.DataCentre, Voter: true})
+	if err != nil {
+		return model.ChangeResult{}, trace.Wrap(err)
+	}
+	res, err := s.Change(ctx, change)
+	if err != nil || !res.Accepted || c.Action != admin.MemberReplace {
+		return res, err
+	}
+	if err := s.drop(ctx, c); err != nil {
+		return model.ChangeResult{}, trace.ConnectionProblem(err,
+			"%s is added but %s is not removed yet, resend the change: %v", c.Name, c.Replaces, err)
+	}
+	return res, nil
+}
+
+// mayRemove refuses the removal of what is no member, and of the last one.
+func (s *Service) mayRemove(ctx context.Context, key model.ItemKey) error {
+	members, err := s.Members(ctx)
+	if err != nil {
+		return err
+	}
+	others := 0
+	known := s.Config().Item(key).Count > 0
+	for _, m := range members {
+		if m.Name == key.Name {
+			known = true
+		} else if m.Voter {
+			others++
+		}
+	}
+	if !known && len(members) > 0 {
+		return trace.NotFound("%s is no member", key.Name)
+	}
+	if others == 0 {
+		return trace.LimitExceeded("no other voting keeper is known: the removal is refused")
+	}
+	return nil
+}
+
+// drop removes the member that a replacement replaces. A conflict tells the
+// count to expect next; an item that is deleted already is what is wanted.
+func (s *Service) drop(ctx context.Context, c admin.MemberChange) error {
+	key := model.ItemKey{Section: model.SectionMember, Name: c.Replaces}
+	item := s.Config().Item(key)
+	for range maxConflicts {
+		if item.Count > 0 && item.Value == nil {
+			return nil
+		}
+		res, err := s.Change(ctx, model.Change{ID: dropID(c.ID, item.Count), Operator: c.Operator, Key: key, Expected: item.Count})
+		if err != nil || res.Accepted {
+			return err
+		}
+		item = res.Item
+	}
+	return trace.CompareFailed("%s is changed by others at the same time", c.Replaces)
+}
+
+func dropID(id string, count uint64) string {
+	return uuid.NewSHA1(uuid.NameSpaceOID, []byte(id+"/"+strconv.FormatUint(count, 10))).String()
+}
--- /dev/null
+++ b/steer/steer.go
@@ -0,0 +1,102 @@
+// Package steer does for operators what their HTTP interface offers: it makes
+// changes of the configuration and shows targets, work, jobs and keepers.
+package steer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/admin"
+	"cyclamenrelay.example/jobs"
+	"cyclamenrelay.example/kernel"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/route"
+	"cyclamenrelay.example/spread"
+)
+
+// ServiceName is the name that other services find the service by.
+const ServiceName = "steer"
+
+// Log carries commands and queries to the log groups; leader.Client is one.
+type Log interface {
+	Propose(ctx context.Context, group uint32, command []byte) ([]byte, error)
+	Query(ctx context.Context, group uint32, query []byte) ([]byte, error)
+}
+
+// Options configure a Service.
+type Options struct {
+	// Listen is the IP address and TCP port of the operators' HTTPS.
+	Listen   string
+	Identity *keys.Identity
+	Keepers  Log
+	Clock    clockwork.Clock
+	Log      *zap.Logger
+	View     *spread.View
+}
+
+// Service is the operators' side of an entry. It implements admin.Backend.
+type Service struct {
+	opts   Options
+	began  time.Time
+	node   *link.Node
+	finder *member.Finder
+	router *route.Router
+	jobs   *jobs.Manager
+
+	mu      sync.Mutex
+	entries map[string]time.Time // when each entry was last there
+	refused samples
+}
+
+var _ admin.Backend = (*Service)(nil)
+
+// New returns a service that does not listen yet.
+func New(opts Options) *Service {
+	return &Service{opts: opts, began: opts.Clock.Now(), entries: map[string]time.Time{}}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return ServiceName }
+
+// Start implements kernel.Starter.
+func (s *Service) Start(k *kernel.Kernel) (err error) {
+	if s.node, err = kernel.Find[*link.Node](k, link.ServiceName); err != nil {
+		return err
+	}
+	if s.finder, err = kernel.Find[*member.Finder](k, member.ServiceName); err != nil {
+		return err
+	}
+	if s.router, err = kernel.Find[*route.Router](k, route.ServiceName); err != nil {
+		return err
+	}
+	if s.jobs, err = kernel.Find[*jobs.Manager](k, jobs.ServiceName); err != nil {
+		return err
+	}
+	link.On(s.node.Mux(), s.listed, keys.Entry)
+	return nil
+}
+
+// Run implements kernel.Service: it serves operators until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	srv := admin.NewServer(s, s.opts.Identity, s.opts.Clock, s.opts.Log)
+	srv.Addr = s.opts.Listen
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wg.Go(func() { s.watch(ctx) })
+	err := srv.ListenAndServeTLS("", "")
+	if ctx.Err() != nil {
+		return nil
+	}
+	return trace.Wrap(err)
+}
--- /dev/null
+++ b/steer/targets.go
@@ -0,0 +1,86 @@
+package steer
+
+import (
+	"cmp"
+	"slices"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"cyclamenrelay.example/admin"
+	"cyclamenrelay.example/conf"
+	"cyclamenrelay.example/fleet"
+	"cyclamenrelay.example/label"
+	"cyclamenrelay.example/place"
+	"cyclamenrelay.example/rules"
+)
+
+// Targets implements admin.Backend: targets with the labels and states that
+// the configuration gives them.
+func (s *Service) Targets() []admin.TargetStatus {
+	versions := map[string]uint64{}
+	for _, a := range s.router.Agents() {
+		versions[a.Self.Name] = a.Version
+	}
+	var views []fleet.View
+	s.router.Look(func(c *place.Core) { views = c.Targets() })
+	set, _ := rules.Compile(s.Config())
+	out := make([]admin.TargetStatus, 0, len(views))
+	for _, v := range views {
+		t, drained := set.Target(v.Target)
+		state, reason := stateOf(v.Health, drained)
+		out = append(out, admin.TargetStatus{
+			Name: t.Name, DataCentre: t.DataCentre, Labels: t.Labels, State: state, Reason: reason,
+			Slots: t.Slots, Free: min(v.Free, t.Slots), Agent: v.Agent, Version: versions[v.Agent],
+		})
+	}
+	return out
+}
+
+func stateOf(h fleet.Health, drained bool) (state, reason string) {
+	switch {
+	case h == fleet.Silent:
+		return admin.TargetLost, "its agent has not been heard"
+	case h == fleet.Leaving:
+		return admin.TargetDraining, "it is leaving"
+	case drained:
+		return admin.TargetDraining, "a drain selects it"
+	case h == fleet.Probation:
+		return admin.TargetProbation, "it failed much of its work"
+	}
+	return admin.TargetUp, ""
+}
+
+// queuedKey tells groups of queued work apart.
+type queuedKey struct {
+	labels, selector string
+	urgency          int
+}
+
+// Queued implements admin.Backend, the oldest work first.
+func (s *Service) Queued(work label.Selector) []admin.QueuedWork {
+	groups := map[queuedKey]*admin.QueuedWork{}
+	for _, w := range s.waiting() {
+		if !work.Matches(w.Labels) {
+			continue
+		}
+		key := queuedKey{labels.FormatLabels(labels.Set(w.Labels)), w.Selector, w.Urgency}
+		g := groups[key]
+		if g == nil {
+			g = &admin.QueuedWork{Labels: w.Labels, Selector: w.Selector, Urgency: w.Urgency}
+			groups[key] = g
+		}
+		g.Tasks++
+		g.Oldest = max(g.Oldest, conf.Duration(w.Waited))
+	}
+	var out []admin.QueuedWork
+	for _, g := range groups {
+		out = append(out, *g)
+	}
+	slices.SortFunc(out, func(a, b admin.QueuedWork) int { return cmp.Compare(b.Oldest, a.Oldest) })
+	return out
+}
+
+func (s *Service) waiting() (out []place.Waiting) {
+	s.router.Look(func(c *place.Core) { out = c.Waiting() })
+	return out
+}
--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -324,14 +324,5 @@
 
 // relctl runs the operators' command line against an entry.
 func (d *deployment) relctl(entry int, args ...string) (string, int) {
-	all := append([]string{
-		"--server", "https://" + d.operators(entry), "--ca", d.path("ca.pem"),
-		"--cert", d.path("operator.pem"), "--key", d.path("operator-key.pem"),
-	}, args...)
-	cmd := exec.Command(filepath.Join(programs, "relctl"), all...)
-	out, err := cmd.CombinedOutput()
-	if err != nil && cmd.ProcessState == nil {
-		d.t.Fatal(err)
-	}
-	return string(out), cmd.ProcessState.ExitCode()
+	return d.relctlAs("operator", entry, args...)
 }
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -63,6 +63,8 @@
 	Age    time.Duration `cbor:"7,keyasint,omitempty"`
 	// Results is the answer, when asked for and there.
 	Results []Result `cbor:"8,keyasint,omitempty"`
+	// Failed counts the ended tasks that are not complete; it is known at the owner only.
+	Failed int `cbor:"9,keyasint,omitempty"`
 }
 
 func (Fence) message()    {}
--- /dev/null
+++ b/wire/oper.go
@@ -0,0 +1,23 @@
+package wire
+
+// Codes 80 to 89: operators.
+var (
+	_ = register(80, AskJobs{})
+	_ = register(81, JobList{})
+)
+
+// AskJobs asks an entry for the jobs that it owns; the answer is JobList.
+type AskJobs struct {
+	// State is that of JobState, empty for any.
+	State string `cbor:"1,keyasint,omitempty"`
+	// Limit is the most jobs to answer with.
+	Limit int `cbor:"2,keyasint"`
+}
+
+// JobList answers AskJobs, the newest job first, without results.
+type JobList struct {
+	Jobs []JobState `cbor:"1,keyasint,omitempty"`
+}
+
+func (AskJobs) message() {}
+func (JobList) message() {}
