--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -137,11 +137,11 @@
 // writeState answers with a job's state; an answer carries its tasks' outcomes,
 // and is 202 while there is none yet.
 func writeState(w http.ResponseWriter, st wire.JobState, answer bool) {
-	status := http.StatusOK
-	if st.State == "open" {
-		status = http.StatusAccepted
+	status := http.StatusAccepted
+	if st.State != "open" {
+		status = http.StatusOK
+		w.Header().Set(HeaderOutcome, st.State)
 	}
-	w.Header().Set(HeaderOutcome, st.State)
 	var tasks []taskAnswer
 	if answer {
 		for _, r := range st.Results {
