--- a/load/load_test.go
+++ b/load/load_test.go
@@ -186,6 +186,47 @@
 	assert.Assert(t, res.Truth.Broken())
 }
 
+// A target behind a fake entry: its own start log agrees with the outcomes.
+func TestTargetsStartLogAgrees(t *testing.T) {
+	log, err := os.Create(filepath.Join(t.TempDir(), "start.log"))
+	assert.NilError(t, err)
+	defer func() { _ = log.Close() }()
+	tgt, err := dummy.New(dummy.Config{Name: "t1", Slots: 2, Conns: 64, StartLog: log})
+	assert.NilError(t, err)
+	worker := httptest.NewServer(tgt.Handler())
+	defer worker.Close()
+	var n atomic.Int64
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		resp, err := http.Post(fmt.Sprintf("%s/v1/tasks/%d", worker.URL, n.Add(1)), "application/json", r.Body)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		w.Header().Set("Relay-Outcome", "complete")
+		if resp.StatusCode == http.StatusTooManyRequests {
+			w.Header().Set("Relay-Outcome", resp.Header.Get("Relay-Outcome"))
+		}
+		w.WriteHeader(resp.StatusCode)
+		_, _ = io.Copy(w, resp.Body)
+	}))
+	defer entry.Close()
+	k := kind("a", 200)
+	k.RunTime.Min, k.RunTime.Max, k.AnswerBytes = 0, units.Duration(50*time.Millisecond), 500
+	res, err := load.Run(context.Background(), onePhase(32, 500*time.Millisecond, k), load.Options{
+		Run: "r", Entries: []string{entry.URL}, Clock: clockwork.NewRealClock(),
+		StartLogs: func() ([]io.ReadCloser, error) {
+			f, err := os.Open(log.Name())
+			return []io.ReadCloser{f}, err
+		},
+	})
+	assert.NilError(t, err)
+	a := res.Kinds[0]
+	assert.Assert(t, a.Complete > 0)
+	assert.Equal(t, a.Complete+a.NotRun, a.Sent)
+	assert.DeepEqual(t, *res.Truth, load.Truth{Starts: a.Complete})
+}
+
 func ExampleCompare() {
 	a := load.Result{Run: "a", Kinds: []load.KindResult{{Name: "match", Sent: 10, Complete: 10, Goodput: 5, Ratio: load.Quantiles{P50: 1.01, P99: 1.4, P999: 2}}}}
 	b := load.Result{Run: "b", Phases: []load.PhaseResult{{Name: "flood", Kinds: []load.KindResult{{Name: "match", Sent: 4}}}}, Wasted: map[string]float64{"retry": 0.25}, Truth: &load.Truth{Starts: 3}}
