--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -145,7 +145,7 @@
 }
 
 func (m *Manager) propose(ctx context.Context, key string, c ledger.Command) (ledger.Result, error) {
-	ctx, span := spans.Start(ctx, "keeper")
+	ctx, span := spans.Start(ctx, "ledger")
 	defer span.End()
 	b, err := ledger.Commands.Encode(c)
 	if err != nil {
--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -7,6 +7,7 @@
 	"cyclamenrelay.example/agree"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/spans"
 	"cyclamenrelay.example/state"
 	"cyclamenrelay.example/wire"
 )
@@ -15,6 +16,8 @@
 const watchWait = 500 * time.Millisecond
 
 func (k *Keeper) propose(ctx context.Context, _ link.Peer, m wire.Propose) wire.Message {
+	ctx, span := spans.Start(spans.Extract(ctx, m.Trace), "keeper")
+	defer span.End()
 	r := k.request(ctx, request{group: uint64(m.Group), command: m.Command, reply: make(chan reply, 1)})
 	if r.refused != nil {
 		return *r.refused
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -15,6 +15,7 @@
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/spans"
 	"cyclamenrelay.example/wire"
 )
 
@@ -50,7 +51,7 @@
 // command must be idempotent. The error is Unsent when no keeper can have
 // received it.
 func (c *Client) Propose(ctx context.Context, group uint32, command []byte) ([]byte, error) {
-	a, err := c.do(ctx, group, wire.Propose{Group: group, Command: command})
+	a, err := c.do(ctx, group, wire.Propose{Group: group, Command: command, Trace: spans.Inject(ctx)})
 	if err != nil {
 		return nil, err
 	}
--- a/wire/ledger.go
+++ b/wire/ledger.go
@@ -13,6 +13,8 @@
 type Propose struct {
 	Group   uint32 `cbor:"1,keyasint"`
 	Command []byte `cbor:"2,keyasint"`
+	// Trace is the W3C trace context of the sender's span.
+	Trace string `cbor:"3,keyasint,omitempty"`
 }
 
 // Proposed answers Propose with the state machine's answer.
