--- a/agree/elect.go
+++ b/agree/elect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/wire"
 )
 
@@ -13,36 +14,36 @@
 
 // leased reports whether a leader is in office, so that votes are not given.
 func (n *Node) leased() bool {
-	return n.role == Leader || n.leader != ID{} && n.now-n.heardAt < n.cfg.Election
+	return n.role == rlog.Leader || n.leader != rlog.ID{} && n.now-n.heardAt < n.cfg.Election
 }
 
 // setTerm enters a newer term.
 func (n *Node) setTerm(term uint64) {
-	n.hard.Term, n.hard.Vote = term, ID{}
-	n.leader = ID{}
+	n.hard.Term, n.hard.Vote = term, rlog.ID{}
+	n.leader = rlog.ID{}
 	n.verified = n.hard.Commit
 	n.partial = partialSnapshot{}
-	n.writer.markHard()
+	n.writer.MarkHard()
 }
 
-func (n *Node) becomeFollower(term uint64, leader ID) {
-	if n.role == Leader {
+func (n *Node) becomeFollower(term uint64, leader rlog.ID) {
+	if n.role == rlog.Leader {
 		n.resign()
 	}
 	if term > n.hard.Term {
 		n.setTerm(term)
 	}
-	if n.role != Follower {
+	if n.role != rlog.Follower {
 		n.resetElection()
 	}
-	n.role, n.leader = Follower, leader
+	n.role, n.leader = rlog.Follower, leader
 }
 
 // heard notes a message of the leader of this term.
-func (n *Node) heard(from ID) {
-	invariant(n.role != Leader, "term %d has the leaders %v and %v", n.hard.Term, n.cfg.ID, from)
+func (n *Node) heard(from rlog.ID) {
+	rlog.Invariant(n.role != rlog.Leader, "term %d has the leaders %v and %v", n.hard.Term, n.cfg.ID, from)
 	if n.leader != from {
-		invariant(n.leader == ID{}, "term %d has the leaders %v and %v", n.hard.Term, n.leader, from)
+		rlog.Invariant(n.leader == rlog.ID{}, "term %d has the leaders %v and %v", n.hard.Term, n.leader, from)
 		n.becomeFollower(n.hard.Term, from)
 	}
 	n.heardAt = n.now
@@ -51,11 +52,11 @@
 
 // preCampaign asks whether an election could be won, without disturbing anyone.
 func (n *Node) preCampaign() {
-	n.role, n.leader = PreCandidate, ID{}
-	n.votes = map[ID]bool{n.cfg.ID: true}
-	for _, m := range n.members.current() {
+	n.role, n.leader = rlog.PreCandidate, rlog.ID{}
+	n.votes = map[rlog.ID]bool{n.cfg.ID: true}
+	for _, m := range n.members.Current() {
 		if m.Voter && m.ID != n.cfg.ID {
-			n.sends = append(n.sends, Send{To: m.ID, Term: n.hard.Term + 1, Body: n.voteRequest(true, false)})
+			n.sends = append(n.sends, rlog.Send{To: m.ID, Term: n.hard.Term + 1, Body: n.voteRequest(true, false)})
 		}
 	}
 	n.countVotes()
@@ -64,11 +65,11 @@
 // campaign starts an election. The requests leave once the own vote is synced.
 func (n *Node) campaign(transfer bool) {
 	n.setTerm(n.hard.Term + 1)
-	n.role, n.hard.Vote = Candidate, n.cfg.ID
+	n.role, n.hard.Vote = rlog.Candidate, n.cfg.ID
 	n.resetElection()
-	n.votes = map[ID]bool{}
-	n.ownVote = n.writer.seq()
-	for _, m := range n.members.current() {
+	n.votes = map[rlog.ID]bool{}
+	n.ownVote = n.writer.Seq()
+	for _, m := range n.members.Current() {
 		if m.Voter && m.ID != n.cfg.ID {
 			n.promise(m.ID, n.voteRequest(false, transfer), n.ownVote)
 		}
@@ -76,16 +77,16 @@
 }
 
 func (n *Node) voteRequest(pre, transfer bool) wire.AgreeVote {
-	return wire.AgreeVote{LastIndex: n.log.last(), LastTerm: n.log.lastTerm(), Pre: pre, Transfer: transfer}
+	return wire.AgreeVote{LastIndex: n.log.Last(), LastTerm: n.log.LastTerm(), Pre: pre, Transfer: transfer}
 }
 
-func (n *Node) onVote(m Receive, b wire.AgreeVote) {
-	free := n.hard.Vote == m.From || n.hard.Vote == ID{} && n.leader == ID{} || b.Pre && m.Term > n.hard.Term
-	last, lastTerm := n.log.last(), n.log.lastTerm()
+func (n *Node) onVote(m rlog.Receive, b wire.AgreeVote) {
+	free := n.hard.Vote == m.From || n.hard.Vote == rlog.ID{} && n.leader == rlog.ID{} || b.Pre && m.Term > n.hard.Term
+	last, lastTerm := n.log.Last(), n.log.LastTerm()
 	upToDate := b.LastTerm > lastTerm || b.LastTerm == lastTerm && b.LastIndex >= last
 	granted := free && upToDate
 	if b.Pre {
-		a := Send{To: m.From, Term: n.hard.Term, Body: wire.AgreeVoteAnswer{Pre: true, Granted: granted}}
+		a := rlog.Send{To: m.From, Term: n.hard.Term, Body: wire.AgreeVoteAnswer{Pre: true, Granted: granted}}
 		if granted {
 			a.Term = m.Term
 		}
@@ -94,19 +95,19 @@
 	}
 	if granted && n.hard.Vote != m.From {
 		n.hard.Vote = m.From
-		n.writer.markHard()
+		n.writer.MarkHard()
 		n.resetElection()
 	}
-	n.promise(m.From, wire.AgreeVoteAnswer{Granted: granted}, n.writer.hardSeq)
+	n.promise(m.From, wire.AgreeVoteAnswer{Granted: granted}, n.writer.HardSeq())
 }
 
-func (n *Node) onVoteAnswer(m Receive, b wire.AgreeVoteAnswer) {
+func (n *Node) onVoteAnswer(m rlog.Receive, b wire.AgreeVoteAnswer) {
 	switch {
 	case !b.Granted:
 		return
-	case b.Pre && (n.role != PreCandidate || m.Term != n.hard.Term+1):
+	case b.Pre && (n.role != rlog.PreCandidate || m.Term != n.hard.Term+1):
 		return
-	case !b.Pre && (n.role != Candidate || m.Term != n.hard.Term):
+	case !b.Pre && (n.role != rlog.Candidate || m.Term != n.hard.Term):
 		return
 	}
 	n.votes[m.From] = true
@@ -114,7 +115,7 @@
 }
 
 func (n *Node) countVotes() {
-	granted, members := 0, n.members.current()
+	granted, members := 0, n.members.Current()
 	for _, m := range members {
 		if m.Voter && n.votes[m.ID] {
 			granted++
@@ -123,7 +124,7 @@
 	if granted <= members.Voters()/2 {
 		return
 	}
-	if n.role == PreCandidate {
+	if n.role == rlog.PreCandidate {
 		n.campaign(false)
 		return
 	}
@@ -131,7 +132,7 @@
 }
 
 func (n *Node) onTimeoutNow() {
-	if n.role == Follower && n.self() {
+	if n.role == rlog.Follower && n.self() {
 		n.campaign(true)
 	}
 }
--- a/agree/follow.go
+++ b/agree/follow.go
@@ -1,64 +1,40 @@
 package agree
 
 import (
+	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/wire"
 )
 
-func (n *Node) onAppend(from ID, b wire.AgreeAppend) {
-	if !wellFormed(b, n.hard.Term) {
+func (n *Node) onAppend(from rlog.ID, b wire.AgreeAppend) {
+	if !rlog.WellFormed(b, n.hard.Term) {
 		return
 	}
 	end := b.PrevIndex + uint64(len(b.Entries))
 	if commit := n.hard.Commit; b.PrevIndex < commit {
 		// The committed prefix is that of every later leader.
 		if end <= commit {
-			n.promise(from, wire.AgreeAppendAnswer{Index: commit}, n.writer.seq())
+			n.promise(from, wire.AgreeAppendAnswer{Index: commit}, n.writer.Seq())
 			return
 		}
 		b.Entries = b.Entries[commit-b.PrevIndex:]
 		b.PrevIndex = commit
-		b.PrevTerm, _ = n.log.term(commit)
+		b.PrevTerm, _ = n.log.Term(commit)
 	}
-	if t, ok := n.log.term(b.PrevIndex); !ok || t != b.PrevTerm {
-		a := wire.AgreeAppendAnswer{Index: b.PrevIndex, Reject: true, Hint: n.hint(b)}
-		n.promise(from, a, n.writer.hardSeq)
+	if t, ok := n.log.Term(b.PrevIndex); !ok || t != b.PrevTerm {
+		a := wire.AgreeAppendAnswer{Index: b.PrevIndex, Reject: true, Hint: n.log.Hint(b, n.hard.Commit)}
+		n.promise(from, a, n.writer.HardSeq())
 		return
 	}
 	n.merge(b.Entries)
 	n.verified = max(n.verified, end)
 	n.commitTo(min(b.Commit, n.verified))
-	n.promise(from, wire.AgreeAppendAnswer{Index: end}, n.writer.seq())
-}
-
-// wellFormed reports whether the entries follow the previous one in order.
-func wellFormed(b wire.AgreeAppend, term uint64) bool {
-	last := b.PrevTerm
-	for i := range b.Entries {
-		e := &b.Entries[i]
-		if e.Index != b.PrevIndex+1+uint64(i) || e.Term < last || e.Term > term {
-			return false
-		}
-		last = e.Term
-	}
-	return true
-}
-
-// hint returns the highest index at which the leader's log may match.
-func (n *Node) hint(b wire.AgreeAppend) uint64 {
-	i := min(n.log.last(), b.PrevIndex-1)
-	for i > n.hard.Commit {
-		if t, _ := n.log.term(i); t <= b.PrevTerm {
-			break
-		}
-		i--
-	}
-	return i
+	n.promise(from, wire.AgreeAppendAnswer{Index: end}, n.writer.Seq())
 }
 
 // merge appends the entries that the log does not have; a conflict replaces the tail.
-func (n *Node) merge(entries []Entry) {
+func (n *Node) merge(entries []rlog.Entry) {
 	for i, e := range entries {
-		t, ok := n.log.term(e.Index)
+		t, ok := n.log.Term(e.Index)
 		if ok && t == e.Term {
 			continue
 		}
@@ -71,27 +47,27 @@
 }
 
 func (n *Node) truncate(from uint64) {
-	invariant(from > n.hard.Commit, "entry %d conflicts, committed is %d", from, n.hard.Commit)
-	invariant(from > n.verified, "entry %d conflicts, verified is %d", from, n.verified)
-	n.log.truncate(from)
-	n.members = n.members.truncate(from)
-	n.writer.markTruncate(from)
+	rlog.Invariant(from > n.hard.Commit, "entry %d conflicts, committed is %d", from, n.hard.Commit)
+	rlog.Invariant(from > n.verified, "entry %d conflicts, verified is %d", from, n.verified)
+	n.log.Truncate(from)
+	n.members = n.members.Truncate(from)
+	n.writer.MarkTruncate(from)
 }
 
-func (n *Node) appendEntries(entries []Entry) {
-	invariant(entries[0].Index == n.log.last()+1, "entry %d does not follow %d", entries[0].Index, n.log.last())
-	n.log.entries = append(n.log.entries, entries...)
+func (n *Node) appendEntries(entries []rlog.Entry) {
+	rlog.Invariant(entries[0].Index == n.log.Last()+1, "entry %d does not follow %d", entries[0].Index, n.log.Last())
+	n.log.Append(entries...)
 	for _, e := range entries {
-		n.members = n.members.with(e)
+		n.members = n.members.With(e)
 	}
-	n.writer.markAppend(entries[0].Index)
+	n.writer.MarkAppend(entries[0].Index)
 }
 
-func (n *Node) onHeartbeat(from ID, b wire.AgreeHeartbeat) {
+func (n *Node) onHeartbeat(from rlog.ID, b wire.AgreeHeartbeat) {
 	n.commitTo(min(b.Commit, n.verified))
 	n.learnFreshness(b)
 	a := wire.AgreeHeartbeatAnswer{Seq: b.Seq, Verified: n.verified, Epoch: n.epoch, Sent: n.now}
-	n.promise(from, a, n.writer.hardSeq)
+	n.promise(from, a, n.writer.HardSeq())
 }
 
 // partialSnapshot is a snapshot of which not all chunks have come.
@@ -100,9 +76,9 @@
 	data  []byte
 }
 
-func (n *Node) onSnapshot(from ID, b wire.AgreeSnapshot) {
+func (n *Node) onSnapshot(from rlog.ID, b wire.AgreeSnapshot) {
 	if b.Index <= n.hard.Commit {
-		n.promise(from, wire.AgreeSnapshotAnswer{Index: b.Index, Done: true}, n.writer.seq())
+		n.promise(from, wire.AgreeSnapshotAnswer{Index: b.Index, Done: true}, n.writer.Seq())
 		return
 	}
 	if b.Total > n.cfg.MaxSnapshot || b.Offset+uint64(len(b.Data)) > b.Total || len(b.Members) == 0 {
@@ -119,42 +95,42 @@
 		n.send(from, wire.AgreeSnapshotAnswer{Index: b.Index, Offset: got})
 		return
 	}
-	n.install(Snapshot{Index: b.Index, Term: b.Term, Members: b.Members, Data: n.partial.data})
+	n.install(rlog.Snapshot{Index: b.Index, Term: b.Term, Members: b.Members, Data: n.partial.data})
 	n.partial = partialSnapshot{}
-	n.promise(from, wire.AgreeSnapshotAnswer{Index: b.Index, Done: true}, n.writer.seq())
+	n.promise(from, wire.AgreeSnapshotAnswer{Index: b.Index, Done: true}, n.writer.Seq())
 }
 
-func (n *Node) install(s Snapshot) {
+func (n *Node) install(s rlog.Snapshot) {
 	n.verified = max(n.verified, s.Index)
-	if t, ok := n.log.term(s.Index); ok && t == s.Term {
+	if t, ok := n.log.Term(s.Index); ok && t == s.Term {
 		// The log holds it already; entries after it may have been promised.
 		n.commitTo(s.Index)
 		return
 	}
 	n.apply()
-	n.writer.markTruncate(n.log.baseIndex + 1)
-	n.log = entryLog{baseIndex: s.Index, baseTerm: s.Term}
-	n.members = memberLog{{s.Index, s.Members}}
+	n.writer.MarkTruncate(n.log.Base() + 1)
+	n.log = rlog.NewLog(s.Index, s.Term)
+	n.members = rlog.NewMemberLog(s.Index, s.Members)
 	n.snap, n.snapWanted, n.sinceSnapshot = s, false, 0
-	n.writer.markSnapshot(s)
+	n.writer.MarkSnapshot(s)
 	n.commitTo(s.Index)
 	n.applied = n.hard.Commit
-	n.events = append(n.events, Install{s})
+	n.events = append(n.events, rlog.Install{Snapshot: s})
 }
 
 // compacted takes over a snapshot made here, and drops what it covers.
-func (n *Node) compacted(c Compacted) {
-	invariant(c.Index <= n.applied, "snapshot of %d, applied is %d", c.Index, n.applied)
+func (n *Node) compacted(c rlog.Compacted) {
+	rlog.Invariant(c.Index <= n.applied, "snapshot of %d, applied is %d", c.Index, n.applied)
 	n.snapWanted = false
 	if c.Index <= n.snap.Index {
 		return
 	}
-	t, _ := n.log.term(c.Index)
-	n.snap = Snapshot{Index: c.Index, Term: t, Members: n.members.at(c.Index), Data: c.Data}
+	t, _ := n.log.Term(c.Index)
+	n.snap = rlog.Snapshot{Index: c.Index, Term: t, Members: n.members.At(c.Index), Data: c.Data}
 	n.sinceSnapshot = 0
-	n.writer.markSnapshot(n.snap)
+	n.writer.MarkSnapshot(n.snap)
 	if c.Index > n.cfg.KeepEntries {
-		n.log.compact(c.Index - n.cfg.KeepEntries)
-		n.members = n.members.compact(n.log.baseIndex)
+		n.log.Compact(c.Index - n.cfg.KeepEntries)
+		n.members = n.members.Compact(n.log.Base())
 	}
 }
--- a/agree/node.go
+++ b/agree/node.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"cyclamenrelay.example/rlog"
+	"cyclamenrelay.example/track"
 	"cyclamenrelay.example/wire"
 )
 
@@ -12,34 +14,34 @@
 	epoch uint64
 	now   time.Duration
 
-	role   Role
-	hard   HardState
-	leader ID
-	log    entryLog
-	snap   Snapshot
+	role   rlog.Role
+	hard   rlog.HardState
+	leader rlog.ID
+	log    rlog.Log
+	snap   rlog.Snapshot
 	// members is the membership by the log; the newest applies, committed or not.
-	members memberLog
+	members rlog.MemberLog
 	// verified is the index up to which the log matches the leader's of this term.
 	verified uint64
 	applied  uint64
 
 	electionAt time.Duration // when the next election starts
 	heardAt    time.Duration // when the leader was last heard
-	votes      map[ID]bool
+	votes      map[rlog.ID]bool
 	ownVote    uint64 // the write that holds the candidate's own vote
 
-	writer  writer
+	writer  rlog.Writer
 	lead    leadership
-	fresh   freshness
-	pending freshness // proven, but not applied up to its index yet
+	fresh   track.Freshness
+	pending track.Freshness // proven, but not applied up to its index yet
 	partial partialSnapshot
 
 	sinceSnapshot int // bytes applied since the last snapshot
 	snapWanted    bool
-	reported      RoleChanged
-	sends         []Effect
-	events        []Effect
-	out           []Effect
+	reported      rlog.RoleChanged
+	sends         []rlog.Send
+	events        []rlog.Effect
+	out           []rlog.Effect
 }
 
 // New returns the replica that continues from cfg.Stored.
@@ -47,30 +49,30 @@
 	cfg = cfg.withDefaults()
 	s := cfg.Stored
 	n := &Node{cfg: cfg, epoch: cfg.Rand.Uint64() | 1, hard: s.Hard, snap: s.Snapshot}
-	n.log = entryLog{baseIndex: s.Snapshot.Index, baseTerm: s.Snapshot.Term}
-	n.members = memberLog{{s.Snapshot.Index, s.Snapshot.Members}}
+	n.log = rlog.NewLog(s.Snapshot.Index, s.Snapshot.Term)
+	n.members = rlog.NewMemberLog(s.Snapshot.Index, s.Snapshot.Members)
 	for _, e := range s.Entries {
 		if e.Index <= s.Snapshot.Index {
 			continue
 		}
-		invariant(e.Index == n.log.last()+1 && e.Term >= n.log.lastTerm() && e.Term <= s.Hard.Term,
-			"stored entry %d of term %d does not follow %d", e.Index, e.Term, n.log.last())
-		n.log.entries = append(n.log.entries, e)
-		n.members = n.members.with(e)
+		rlog.Invariant(e.Index == n.log.Last()+1 && e.Term >= n.log.LastTerm() && e.Term <= s.Hard.Term,
+			"stored entry %d of term %d does not follow %d", e.Index, e.Term, n.log.Last())
+		n.log.Append(e)
+		n.members = n.members.With(e)
 	}
 	n.hard.Commit = max(n.hard.Commit, s.Snapshot.Index)
-	invariant(n.hard.Commit <= n.log.last(), "stored commit %d is after the last entry %d", n.hard.Commit, n.log.last())
+	rlog.Invariant(n.hard.Commit <= n.log.Last(), "stored commit %d is after the last entry %d", n.hard.Commit, n.log.Last())
 	n.applied, n.verified = s.Snapshot.Index, n.hard.Commit
-	n.writer.stable = n.log.last()
-	n.reported = RoleChanged{Role: Follower, Term: n.hard.Term}
-	n.cfg.Stored = Stored{}
+	n.writer = rlog.NewWriter(n.log.Last())
+	n.reported = rlog.RoleChanged{Role: rlog.Follower, Term: n.hard.Term}
+	n.cfg.Stored = rlog.Stored{}
 	return n
 }
 
 // Step handles the inputs and returns the effects, which are valid until the
 // next step. Now is the time on the process's monotonic clock.
-func (n *Node) Step(now time.Duration, inputs ...Input) []Effect {
-	invariant(now >= n.now, "the clock went back from %v to %v", n.now, now)
+func (n *Node) Step(now time.Duration, inputs ...rlog.Input) []rlog.Effect {
+	rlog.Invariant(now >= n.now, "the clock went back from %v to %v", n.now, now)
 	if n.electionAt == 0 {
 		n.now = now
 		n.resetElection()
@@ -82,36 +84,36 @@
 		n.handle(in)
 	}
 	n.finish()
-	invariant(n.hard.Term >= term, "the term went back from %d to %d", term, n.hard.Term)
-	invariant(n.hard.Commit >= commit, "the commit index went back from %d to %d", commit, n.hard.Commit)
-	invariant(n.applied <= n.hard.Commit && n.hard.Commit <= n.log.last(),
-		"applied %d, commit %d, last %d", n.applied, n.hard.Commit, n.log.last())
+	rlog.Invariant(n.hard.Term >= term, "the term went back from %d to %d", term, n.hard.Term)
+	rlog.Invariant(n.hard.Commit >= commit, "the commit index went back from %d to %d", commit, n.hard.Commit)
+	rlog.Invariant(n.applied <= n.hard.Commit && n.hard.Commit <= n.log.Last(),
+		"applied %d, commit %d, last %d", n.applied, n.hard.Commit, n.log.Last())
 	return n.out
 }
 
-func (n *Node) handle(in Input) {
+func (n *Node) handle(in rlog.Input) {
 	switch in := in.(type) {
-	case Tick:
+	case rlog.Tick:
 		n.tick()
-	case Receive:
+	case rlog.Receive:
 		n.receive(in)
-	case Persisted:
+	case rlog.Persisted:
 		n.persisted(in.Seq)
-	case Propose:
+	case rlog.Propose:
 		n.propose(in)
-	case Read:
+	case rlog.Read:
 		n.read(in.ID)
-	case ChangeMember:
+	case rlog.ChangeMember:
 		n.changeMember(in)
-	case Transfer:
+	case rlog.Transfer:
 		n.startTransfer()
-	case Compacted:
+	case rlog.Compacted:
 		n.compacted(in)
 	}
 }
 
 func (n *Node) tick() {
-	if n.role == Leader {
+	if n.role == rlog.Leader {
 		n.leaderTick()
 		return
 	}
@@ -125,9 +127,9 @@
 }
 
 // self reports whether this replica is a voter.
-func (n *Node) self() bool { return n.members.current().isVoter(n.cfg.ID) }
+func (n *Node) self() bool { return n.members.Current().IsVoter(n.cfg.ID) }
 
-func (n *Node) receive(m Receive) {
+func (n *Node) receive(m rlog.Receive) {
 	if m.Body == nil || m.From == n.cfg.ID {
 		return
 	}
@@ -160,20 +162,20 @@
 }
 
 // receiveOld tells the sender of an older term about the newer one.
-func (n *Node) receiveOld(m Receive) {
+func (n *Node) receiveOld(m rlog.Receive) {
 	switch b := m.Body.(type) {
 	case wire.AgreeAppend, wire.AgreeHeartbeat, wire.AgreeSnapshot:
-		n.promise(m.From, wire.AgreeHeartbeatAnswer{}, n.writer.hardSeq)
+		n.promise(m.From, wire.AgreeHeartbeatAnswer{}, n.writer.HardSeq())
 	case wire.AgreeVote:
 		if b.Pre {
-			n.promise(m.From, wire.AgreeVoteAnswer{Pre: true}, n.writer.hardSeq)
+			n.promise(m.From, wire.AgreeVoteAnswer{Pre: true}, n.writer.HardSeq())
 		}
 	}
 }
 
 // receiveNew handles a newer term; it reports whether the message is to be
 // handled further.
-func (n *Node) receiveNew(m Receive) bool {
+func (n *Node) receiveNew(m rlog.Receive) bool {
 	switch b := m.Body.(type) {
 	case wire.AgreeVote:
 		if n.leased() && !b.Transfer {
@@ -187,31 +189,33 @@
 			return true
 		}
 	}
-	n.becomeFollower(m.Term, ID{})
+	n.becomeFollower(m.Term, rlog.ID{})
 	return true
 }
 
 // finish completes a step: what the inputs together caused is sent at once.
 func (n *Node) finish() {
-	if n.role == Leader {
+	if n.role == rlog.Leader {
 		n.advanceCommit()
 		n.serveReads()
 		n.replicate()
 	}
 	n.apply()
 	n.advanceFreshness()
-	if n.role == Leader {
+	if n.role == rlog.Leader {
 		n.releaseReads()
 		n.leaveIfRemoved()
 	}
-	if r := (RoleChanged{n.role, n.hard.Term, n.leader}); r != n.reported {
+	if r := (rlog.RoleChanged{Role: n.role, Term: n.hard.Term, Leader: n.leader}); r != n.reported {
 		n.reported = r
 		n.events = append(n.events, r)
 	}
-	if p, ok := n.writer.next(n.hard, &n.log); ok {
+	if p, ok := n.writer.Next(n.hard, &n.log); ok {
 		n.out = append(n.out, p)
 	}
-	n.out = append(n.out, n.sends...)
+	for _, m := range n.sends {
+		n.out = append(n.out, m)
+	}
 	n.out = append(n.out, n.events...)
 }
 
@@ -219,45 +223,53 @@
 	if n.applied == n.hard.Commit {
 		return
 	}
-	es := n.log.slice(n.applied+1, n.hard.Commit)
+	es := n.log.Slice(n.applied+1, n.hard.Commit)
 	for i := range es {
 		n.sinceSnapshot += len(es[i].Data)
 	}
-	n.events = append(n.events, Apply{Entries: es, Proposals: n.lead.take(es)})
+	n.events = append(n.events, rlog.Apply{Entries: es, Proposals: n.lead.proposals.Take(es)})
 	n.applied = n.hard.Commit
 	due := n.applied-n.snap.Index >= n.cfg.SnapshotEntries || n.sinceSnapshot >= n.cfg.SnapshotBytes
 	if due && !n.snapWanted {
 		n.snapWanted = true
-		n.events = append(n.events, SnapshotWanted{})
+		n.events = append(n.events, rlog.SnapshotWanted{})
 	}
 }
 
 func (n *Node) commitTo(i uint64) { n.hard.Commit = max(n.hard.Commit, i) }
 
 // send sends a message that promises nothing beyond what is synced.
-func (n *Node) send(to ID, body wire.AgreeBody) {
-	n.sends = append(n.sends, Send{To: to, Term: n.hard.Term, Body: body})
+func (n *Node) send(to rlog.ID, body wire.AgreeBody) {
+	n.sends = append(n.sends, rlog.Send{To: to, Term: n.hard.Term, Body: body})
 }
 
 // promise sends a message once the write with seq is synced.
-func (n *Node) promise(to ID, body wire.AgreeBody, seq uint64) {
-	if seq <= n.writer.synced {
+func (n *Node) promise(to rlog.ID, body wire.AgreeBody, seq uint64) {
+	if seq <= n.writer.Synced() {
 		n.send(to, body)
 		return
 	}
-	n.writer.held = append(n.writer.held, heldSend{seq, Send{To: to, Term: n.hard.Term, Body: body}})
+	n.writer.Hold(seq, rlog.Send{To: to, Term: n.hard.Term, Body: body})
+}
+
+func (n *Node) persisted(seq uint64) {
+	n.sends = append(n.sends, n.writer.Persisted(seq, n.hard.Term)...)
+	if n.role == rlog.Candidate && n.ownVote <= seq {
+		n.votes[n.cfg.ID] = true
+		n.countVotes()
+	}
 }
 
 // Status returns the state of the replica.
-func (n *Node) Status() Status {
-	s := Status{
+func (n *Node) Status() rlog.Status {
+	s := rlog.Status{
 		Role: n.role, Term: n.hard.Term, Leader: n.leader, Commit: n.hard.Commit,
-		Last: n.log.last(), Members: n.members.current(),
+		Last: n.log.Last(), Members: n.members.Current(),
 	}
-	if n.role == Leader {
-		s.Match = make(map[ID]uint64, len(n.lead.peers))
+	if n.role == rlog.Leader {
+		s.Match = make(map[rlog.ID]uint64, len(n.lead.peers))
 		for _, p := range n.lead.peers {
-			s.Match[p.id] = p.match
+			s.Match[p.ID] = p.Match
 		}
 	}
 	return s
--- a/agree/node_test.go
+++ b/agree/node_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cyclamenrelay.example/agree"
+	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/wire"
 
 	"gotest.tools/v3/assert"
@@ -13,28 +14,28 @@
 
 var calm = faults{maxDelay: time.Millisecond}
 
-func id(name string) agree.ID { return agree.ID{Name: name, Incarnation: 1} }
+func id(name string) rlog.ID { return rlog.ID{Name: name, Incarnation: 1} }
 
-func threeVoters() agree.Membership {
-	var m agree.Membership
+func threeVoters() rlog.Membership {
+	var m rlog.Membership
 	for _, x := range []string{"a", "b", "c"} {
-		m = m.With(agree.Member{ID: id(x), Voter: true})
+		m = m.With(rlog.Member{ID: id(x), Voter: true})
 	}
 	return m
 }
 
-func newNode(st agree.Stored) *agree.Node {
+func newNode(st rlog.Stored) *agree.Node {
 	return agree.New(agree.Config{ID: id("a"), Stored: st, Rand: rand.New(rand.NewPCG(1, 1)), Election: election})
 }
 
-func receive(from string, term uint64, b wire.AgreeBody) agree.Input {
-	return agree.Receive{From: id(from), Term: term, Body: b}
+func receive(from string, term uint64, b wire.AgreeBody) rlog.Input {
+	return rlog.Receive{From: id(from), Term: term, Body: b}
 }
 
 // sent returns the first message of type B among the effects.
-func sent[B wire.AgreeBody](es []agree.Effect) (B, bool) {
+func sent[B wire.AgreeBody](es []rlog.Effect) (B, bool) {
 	for _, e := range es {
-		if s, ok := e.(agree.Send); ok {
+		if s, ok := e.(rlog.Send); ok {
 			if b, ok := s.Body.(B); ok {
 				return b, true
 			}
@@ -67,17 +68,17 @@
 func (s *sim) isolate(r *replica) { s.cut = map[string]int{r.id.Name: 1} }
 
 func TestOnlyEntriesOfTheOwnTermAreCommittedByCounting(t *testing.T) {
-	st := agree.Bootstrap(threeVoters(), nil)
+	st := rlog.Bootstrap(threeVoters(), nil)
 	st.Hard.Term = 3
-	st.Entries = []agree.Entry{{Index: 2, Term: 2}}
+	st.Entries = []rlog.Entry{{Index: 2, Term: 2}}
 	n := newNode(st)
-	n.Step(time.Second, agree.Tick{})
-	n.Step(2*time.Second, agree.Tick{})
+	n.Step(time.Second, rlog.Tick{})
+	n.Step(2*time.Second, rlog.Tick{})
 	n.Step(2*time.Second, receive("b", 4, wire.AgreeVoteAnswer{Pre: true, Granted: true}))
-	n.Step(2*time.Second, agree.Persisted{Seq: 1})
+	n.Step(2*time.Second, rlog.Persisted{Seq: 1})
 	n.Step(2*time.Second, receive("b", 4, wire.AgreeVoteAnswer{Granted: true}))
-	n.Step(2*time.Second, agree.Persisted{Seq: 2})
-	assert.Equal(t, n.Status().Role, agree.Leader)
+	n.Step(2*time.Second, rlog.Persisted{Seq: 2})
+	assert.Equal(t, n.Status().Role, rlog.Leader)
 	n.Step(2*time.Second, receive("b", 4, wire.AgreeAppendAnswer{Index: 2}))
 	assert.Equal(t, n.Status().Commit, uint64(1))
 	n.Step(2*time.Second, receive("b", 4, wire.AgreeAppendAnswer{Index: 3}))
@@ -85,24 +86,35 @@
 }
 
 func TestPromisesWaitForTheDisk(t *testing.T) {
-	n := newNode(agree.Bootstrap(threeVoters(), nil))
+	n := newNode(rlog.Bootstrap(threeVoters(), nil))
 	out := n.Step(time.Second, receive("b", 2, wire.AgreeVote{LastIndex: 1, LastTerm: 1}))
 	_, ok := sent[wire.AgreeVoteAnswer](out)
 	assert.Assert(t, !ok, "the vote left before it was synced")
-	v, ok := sent[wire.AgreeVoteAnswer](n.Step(time.Second, agree.Persisted{Seq: 1}))
+	v, ok := sent[wire.AgreeVoteAnswer](n.Step(time.Second, rlog.Persisted{Seq: 1}))
 	assert.Assert(t, ok && v.Granted)
-	out = n.Step(time.Second, receive("b", 2, wire.AgreeAppend{PrevIndex: 1, PrevTerm: 1, Entries: []agree.Entry{{Index: 2, Term: 2}}}))
+	out = n.Step(time.Second, receive("b", 2, wire.AgreeAppend{PrevIndex: 1, PrevTerm: 1, Entries: []rlog.Entry{{Index: 2, Term: 2}}}))
 	_, ok = sent[wire.AgreeAppendAnswer](out)
 	assert.Assert(t, !ok, "the acknowledgement left before the entry was synced")
-	a, ok := sent[wire.AgreeAppendAnswer](n.Step(time.Second, agree.Persisted{Seq: 2}))
+	a, ok := sent[wire.AgreeAppendAnswer](n.Step(time.Second, rlog.Persisted{Seq: 2}))
 	assert.Assert(t, ok && a.Index == 2)
 	v, ok = sent[wire.AgreeVoteAnswer](n.Step(time.Second, receive("c", 2, wire.AgreeVote{LastIndex: 9, LastTerm: 2})))
 	assert.Assert(t, ok && !v.Granted, "second vote in a term")
 }
 
+func TestLeaderCountsItselfOnceSynced(t *testing.T) {
+	n := newNode(rlog.Bootstrap(threeVoters(), nil))
+	n.Step(time.Second)
+	n.Step(2*time.Second, rlog.Tick{}, receive("b", 2, wire.AgreeVoteAnswer{Pre: true, Granted: true}))
+	n.Step(2*time.Second, rlog.Persisted{Seq: 1}, receive("b", 2, wire.AgreeVoteAnswer{Granted: true}))
+	n.Step(2*time.Second, receive("b", 2, wire.AgreeAppendAnswer{Index: 2}))
+	assert.Equal(t, n.Status().Commit, uint64(1))
+	n.Step(2*time.Second, rlog.Persisted{Seq: 2})
+	assert.Equal(t, n.Status().Commit, uint64(2))
+}
+
 func TestLateAppendsDoNotTruncate(t *testing.T) {
-	n := newNode(agree.Bootstrap(threeVoters(), nil))
-	es := []agree.Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}, {Index: 4, Term: 2}}
+	n := newNode(rlog.Bootstrap(threeVoters(), nil))
+	es := []rlog.Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}, {Index: 4, Term: 2}}
 	n.Step(time.Second, receive("b", 2, wire.AgreeAppend{PrevIndex: 1, PrevTerm: 1, Entries: es}))
 	n.Step(time.Second, receive("b", 2, wire.AgreeAppend{PrevIndex: 1, PrevTerm: 1, Entries: es[:1], Commit: 2}))
 	n.Step(time.Second, receive("b", 1, wire.AgreeAppend{PrevIndex: 1, PrevTerm: 1, Commit: 4}))
@@ -123,7 +135,21 @@
 		}
 	}
 	assert.Equal(t, l.node.Status().Term, term)
-	assert.Equal(t, l.node.Status().Role, agree.Leader)
+	assert.Equal(t, l.node.Status().Role, rlog.Leader)
+}
+
+func TestFollowerWithoutALinkToTheLeaderDoesNotDisturb(t *testing.T) {
+	s := newSim(t, 1, 3, calm)
+	l := s.elect()
+	term := l.node.Status().Term
+	for _, r := range s.reps {
+		if r != l {
+			s.severed = [2]rlog.ID{l.id, r.id}
+			s.pass(2 * time.Second)
+		}
+	}
+	assert.Equal(t, l.node.Status().Term, term)
+	assert.Equal(t, l.node.Status().Role, rlog.Leader)
 }
 
 func TestCutOffLeaderServesNothingAndStepsDown(t *testing.T) {
@@ -131,12 +157,12 @@
 	old := s.elect()
 	s.isolate(old)
 	s.ops[1<<40] = op{call: s.now, at: old.id}
-	s.step(old, agree.Read{ID: 1 << 40})
-	s.step(old, agree.Propose{ID: 1 << 41})
+	s.step(old, rlog.Read{ID: 1 << 40})
+	s.step(old, rlog.Propose{ID: 1 << 41})
 	s.pass(3 * election)
-	assert.Equal(t, old.node.Status().Role, agree.Follower)
-	assert.Equal(t, s.drops[1<<40], agree.ReasonNotLeader)
-	assert.Equal(t, s.drops[1<<41], agree.ReasonUnknown)
+	assert.Equal(t, old.node.Status().Role, rlog.Follower)
+	assert.Equal(t, s.drops[1<<40], rlog.ReasonNotLeader)
+	assert.Equal(t, s.drops[1<<41], rlog.ReasonUnknown)
 	s.write(5)
 	s.cut = nil
 	s.pass(time.Second)
@@ -183,22 +209,22 @@
 func TestMembershipChangesAreRefused(t *testing.T) {
 	s := newSim(t, 1, 3, calm)
 	s.elect()
-	again := agree.ID{Name: "a", Incarnation: 2}
-	assert.Equal(t, s.drops[s.change(agree.Member{ID: id("x"), Voter: true}, false)], agree.ReasonInvalid)
-	ok := s.change(agree.Member{ID: again}, false)
-	assert.Equal(t, s.drops[s.change(agree.Member{ID: id("y")}, false)], agree.ReasonChanging)
+	again := rlog.ID{Name: "a", Incarnation: 2}
+	assert.Equal(t, s.drops[s.change(rlog.Member{ID: id("x"), Voter: true}, false)], rlog.ReasonInvalid)
+	ok := s.change(rlog.Member{ID: again}, false)
+	assert.Equal(t, s.drops[s.change(rlog.Member{ID: id("y")}, false)], rlog.ReasonChanging)
 	s.pass(time.Second)
 	assert.Assert(t, s.changes[ok])
-	assert.Equal(t, s.drops[s.change(agree.Member{ID: again, Voter: true}, false)], agree.ReasonInvalid, "the host has a vote")
-	s.change(agree.Member{ID: id("y")}, false)
+	assert.Equal(t, s.drops[s.change(rlog.Member{ID: again, Voter: true}, false)], rlog.ReasonInvalid, "the host has a vote")
+	s.change(rlog.Member{ID: id("y")}, false)
 	s.pass(time.Second)
-	assert.Equal(t, s.drops[s.change(agree.Member{ID: id("y"), Voter: true}, false)], agree.ReasonLagging)
+	assert.Equal(t, s.drops[s.change(rlog.Member{ID: id("y"), Voter: true}, false)], rlog.ReasonLagging)
 }
 
 func TestRemovedLeaderHandsOver(t *testing.T) {
 	s := newSim(t, 1, 3, calm)
 	old := s.elect()
-	s.change(agree.Member{ID: old.id}, true)
+	s.change(rlog.Member{ID: old.id}, true)
 	s.pass(time.Second)
 	l := s.leader()
 	assert.Assert(t, l != nil && l != old)
@@ -210,7 +236,7 @@
 func TestTransferLosesNoTime(t *testing.T) {
 	s := newSim(t, 1, 3, calm)
 	old := s.elect()
-	s.step(old, agree.Transfer{})
+	s.step(old, rlog.Transfer{})
 	s.pass(election / 2)
 	assert.Assert(t, s.leader() != nil && s.leader() != old)
 }
--- a/agree/sim_test.go
+++ b/agree/sim_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cyclamenrelay.example/agree"
+	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/wire"
 
 	"github.com/anishathalye/porcupine"
@@ -29,30 +30,29 @@
 
 // replica is a host with its disk; node is nil while it is down.
 type replica struct {
-	id      agree.ID
+	id      rlog.ID
 	node    *agree.Node
-	stored  agree.Stored
-	writes  []agree.Persist
+	stored  rlog.Stored
+	writes  []rlog.Persist
 	synced  time.Duration // when the oldest of writes is synced
 	origin  time.Duration // of its clock
 	state   [registers]uint64
 	applied uint64
 	upAt    time.Duration
 	lost    bool
-	frozen  bool
 }
 
 type letter struct {
 	at       time.Duration
-	from, to agree.ID
-	send     agree.Send
+	from, to rlog.ID
+	send     rlog.Send
 }
 
 type op struct {
 	key   int
 	value uint64 // written, 0 for a read
 	call  time.Duration
-	at    agree.ID
+	at    rlog.ID
 }
 
 // sim runs replicas over a faulty network and checks safety across them.
@@ -64,9 +64,10 @@
 	reps      []*replica
 	net       []letter
 	cut       map[string]int // side of the partition by name
+	severed   [2]rlog.ID     // the ends of one broken link
 	healAt    time.Duration
-	leaders   map[uint64]agree.ID
-	committed []agree.Entry // by index-1; the first two are placeholders
+	leaders   map[uint64]rlog.ID
+	committed []rlog.Entry // by index-1; the first two are placeholders
 	seenAt    []time.Duration
 	ops       map[uint64]op
 	nextOp    uint64
@@ -75,21 +76,21 @@
 	repairing bool
 	installs  int
 	changes   map[uint64]bool
-	drops     map[uint64]agree.Reason
+	drops     map[uint64]rlog.Reason
 }
 
 func newSim(t testing.TB, seed uint64, voters int, f faults) *sim {
 	s := &sim{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), f: f, now: time.Second, leaders: map[uint64]agree.ID{},
-		committed: make([]agree.Entry, 2), seenAt: make([]time.Duration, 2),
-		ops: map[uint64]op{}, changes: map[uint64]bool{}, drops: map[uint64]agree.Reason{},
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), f: f, now: time.Second, leaders: map[uint64]rlog.ID{},
+		committed: make([]rlog.Entry, 2), seenAt: make([]time.Duration, 2),
+		ops: map[uint64]op{}, changes: map[uint64]bool{}, drops: map[uint64]rlog.Reason{},
 	}
-	var m agree.Membership
+	var m rlog.Membership
 	for i := range voters {
-		m = m.With(agree.Member{ID: agree.ID{Name: string(rune('a' + i)), Incarnation: 1}, Voter: true})
+		m = m.With(rlog.Member{ID: rlog.ID{Name: string(rune('a' + i)), Incarnation: 1}, Voter: true})
 	}
 	for _, x := range m {
-		s.reps = append(s.reps, &replica{id: x.ID, stored: agree.Bootstrap(m, s.encode([registers]uint64{}))})
+		s.reps = append(s.reps, &replica{id: x.ID, stored: rlog.Bootstrap(m, s.encode([registers]uint64{}))})
 	}
 	for _, r := range s.reps {
 		s.start(r)
@@ -140,19 +141,19 @@
 }
 
 // store does a write as a disk does it.
-func store(st *agree.Stored, p agree.Persist) {
+func store(st *rlog.Stored, p rlog.Persist) {
 	st.Hard = p.Hard
 	if p.Snapshot != nil {
 		st.Snapshot = *p.Snapshot
-		st.Entries = slices.DeleteFunc(slices.Clone(st.Entries), func(e agree.Entry) bool { return e.Index <= p.Snapshot.Index })
+		st.Entries = slices.DeleteFunc(slices.Clone(st.Entries), func(e rlog.Entry) bool { return e.Index <= p.Snapshot.Index })
 	}
 	if p.Truncate > 0 {
-		st.Entries = slices.DeleteFunc(slices.Clone(st.Entries), func(e agree.Entry) bool { return e.Index >= p.Truncate })
+		st.Entries = slices.DeleteFunc(slices.Clone(st.Entries), func(e rlog.Entry) bool { return e.Index >= p.Truncate })
 	}
 	st.Entries = append(st.Entries, p.Entries...)
 }
 
-func (s *sim) find(id agree.ID) *replica {
+func (s *sim) find(id rlog.ID) *replica {
 	for _, r := range s.reps {
 		if r.id == id {
 			return r
@@ -161,7 +162,7 @@
 	return nil
 }
 
-func (s *sim) step(r *replica, ins ...agree.Input) {
+func (s *sim) step(r *replica, ins ...rlog.Input) {
 	if r.node == nil {
 		return
 	}
@@ -170,37 +171,38 @@
 	}
 }
 
-func (s *sim) effect(r *replica, e agree.Effect) {
+func (s *sim) effect(r *replica, e rlog.Effect) {
 	switch e := e.(type) {
-	case agree.Persist:
+	case rlog.Persist:
 		if len(r.writes) == 0 {
-			r.synced = s.now + time.Duration(s.rng.Int64N(int64(4*time.Millisecond)))
+			// One sync in ten takes long.
+			r.synced = s.now + time.Duration(s.rng.Int64N(int64(4*time.Millisecond)))<<(5*s.bit(0.1))
 		}
 		r.writes = append(r.writes, e)
-	case agree.Send:
+	case rlog.Send:
 		s.post(r.id, e)
-	case agree.Apply:
+	case rlog.Apply:
 		s.apply(r, e)
-	case agree.Install:
+	case rlog.Install:
 		s.installs++
 		r.state, r.applied = s.decode(e.Snapshot.Data), e.Snapshot.Index
-	case agree.ReadReady:
+	case rlog.ReadReady:
 		assert.Assert(s.t, r.applied >= e.Index)
 		for _, id := range e.IDs {
 			if o, ok := s.ops[id]; ok {
 				s.done(id, o, r.state[o.key])
 			}
 		}
-	case agree.SnapshotWanted:
-		s.step(r, agree.Compacted{Index: r.applied, Data: s.encode(r.state)})
-	case agree.Dropped:
+	case rlog.SnapshotWanted:
+		s.step(r, rlog.Compacted{Index: r.applied, Data: s.encode(r.state)})
+	case rlog.Dropped:
 		s.drops[e.ID] = e.Reason
-		if e.Reason == agree.ReasonUnknown {
+		if e.Reason == rlog.ReasonUnknown {
 			s.unknown(e.ID)
 		}
 		delete(s.ops, e.ID)
-	case agree.RoleChanged:
-		if e.Role == agree.Leader {
+	case rlog.RoleChanged:
+		if e.Role == rlog.Leader {
 			old, ok := s.leaders[e.Term]
 			assert.Assert(s.t, !ok || old == r.id, "term %d has two leaders", e.Term)
 			s.leaders[e.Term] = r.id
@@ -210,7 +212,7 @@
 	}
 }
 
-func (s *sim) apply(r *replica, a agree.Apply) {
+func (s *sim) apply(r *replica, a rlog.Apply) {
 	for i, e := range a.Entries {
 		assert.Equal(s.t, e.Index, r.applied+1)
 		r.applied = e.Index
@@ -220,7 +222,7 @@
 			assert.Equal(s.t, e.Index, uint64(len(s.committed)))
 			s.committed, s.seenAt = append(s.committed, e), append(s.seenAt, s.now)
 		}
-		if e.Kind == agree.KindCommand {
+		if e.Kind == rlog.KindCommand {
 			var c [2]uint64
 			assert.NilError(s.t, wire.UnmarshalValue(e.Data, &c))
 			r.state[c[0]] = c[1]
@@ -237,7 +239,7 @@
 	}
 }
 
-func (s *sim) post(from agree.ID, m agree.Send) {
+func (s *sim) post(from rlog.ID, m rlog.Send) {
 	for range 1 + s.bit(s.f.dup) {
 		if s.bit(s.f.loss) == 0 {
 			at := s.now + 500*time.Microsecond + time.Duration(s.rng.Int64N(int64(s.f.maxDelay)+1))
@@ -282,17 +284,19 @@
 	o := op{key: s.rng.IntN(registers), call: s.now, at: r.id}
 	if s.rng.IntN(2) == 0 {
 		s.ops[s.nextOp] = o
-		s.step(r, agree.Read{ID: s.nextOp})
+		s.step(r, rlog.Read{ID: s.nextOp})
 		return
 	}
 	o.value = s.nextOp
 	s.ops[s.nextOp] = o
 	data, err := wire.MarshalValue([2]uint64{uint64(o.key), o.value})
 	assert.NilError(s.t, err)
-	s.step(r, agree.Propose{ID: s.nextOp, Data: data})
+	s.step(r, rlog.Propose{ID: s.nextOp, Data: data})
 }
 
-func (s *sim) separated(a, b agree.ID) bool { return s.cut[a.Name] != s.cut[b.Name] }
+func (s *sim) separated(a, b rlog.ID) bool {
+	return s.cut[a.Name] != s.cut[b.Name] || s.severed == [2]rlog.ID{a, b} || s.severed == [2]rlog.ID{b, a}
+}
 
 // advance lets one tick pass.
 func (s *sim) advance() {
@@ -309,7 +313,7 @@
 		s.net = rest
 		for _, l := range due {
 			if r := s.find(l.to); r != nil && !s.separated(l.from, l.to) {
-				s.step(r, agree.Receive{From: l.from, Term: l.send.Term, Body: l.send.Body})
+				s.step(r, rlog.Receive{From: l.from, Term: l.send.Term, Body: l.send.Body})
 			}
 		}
 		for _, r := range s.reps {
@@ -320,13 +324,13 @@
 		if r.node == nil && s.now >= r.upAt && !r.lost {
 			s.start(r)
 		}
-		s.step(r, agree.Tick{})
+		s.step(r, rlog.Tick{})
 		s.checkFresh(r)
 	}
 }
 
 func (s *sim) sync(r *replica) {
-	if r.node == nil || len(r.writes) == 0 || s.now < r.synced || r.frozen {
+	if r.node == nil || len(r.writes) == 0 || s.now < r.synced {
 		return
 	}
 	for _, p := range r.writes {
@@ -334,7 +338,7 @@
 	}
 	seq := r.writes[len(r.writes)-1].Seq
 	r.writes = nil
-	s.step(r, agree.Persisted{Seq: seq})
+	s.step(r, rlog.Persisted{Seq: seq})
 }
 
 // checkFresh checks that no entry was committed anywhere before the proven time.
@@ -351,7 +355,7 @@
 func (s *sim) leader() *replica {
 	var best *replica
 	for _, r := range s.reps {
-		if r.node != nil && r.node.Status().Role == agree.Leader &&
+		if r.node != nil && r.node.Status().Role == rlog.Leader &&
 			(best == nil || best.node.Status().Term < r.node.Status().Term) {
 			best = r
 		}
@@ -360,9 +364,9 @@
 }
 
 // change asks the leader for a change and returns its ID.
-func (s *sim) change(m agree.Member, remove bool) uint64 {
+func (s *sim) change(m rlog.Member, remove bool) uint64 {
 	s.nextOp++
-	s.step(s.leader(), agree.ChangeMember{ID: s.nextOp, Member: m, Remove: remove})
+	s.step(s.leader(), rlog.ChangeMember{ID: s.nextOp, Member: m, Remove: remove})
 	return s.nextOp
 }
 
@@ -380,9 +384,9 @@
 		case r.lost && in:
 			s.change(m, true)
 		case !r.lost && !in:
-			s.change(agree.Member{ID: r.id}, false)
+			s.change(rlog.Member{ID: r.id}, false)
 		case !r.lost && !m.Voter:
-			s.change(agree.Member{ID: r.id, Voter: true}, false)
+			s.change(rlog.Member{ID: r.id, Voter: true}, false)
 		default:
 			continue
 		}
@@ -397,9 +401,9 @@
 // wipe destroys the disk of a replica; another one comes in its place.
 func (s *sim) wipe(r *replica) {
 	s.crash(r)
-	r.lost, r.stored = true, agree.Stored{}
+	r.lost, r.stored = true, rlog.Stored{}
 	s.repairing = true
-	n := &replica{id: agree.ID{Name: r.id.Name, Incarnation: r.id.Incarnation + 1}, upAt: s.now + 50*time.Millisecond}
+	n := &replica{id: rlog.ID{Name: r.id.Name, Incarnation: r.id.Incarnation + 1}, upAt: s.now + 50*time.Millisecond}
 	s.reps = append(s.reps, n)
 }
 
@@ -413,12 +417,12 @@
 		s.wipe(r)
 	}
 	if l := s.leader(); l != nil && s.bit(s.f.transfer) == 1 {
-		s.step(l, agree.Transfer{})
+		s.step(l, rlog.Transfer{})
 	}
 	if !r.lost && !s.repairing && s.bit(s.f.change) == 1 {
 		if l := s.leader(); l != nil {
 			s.repairing = true
-			s.change(agree.Member{ID: r.id}, true)
+			s.change(rlog.Member{ID: r.id}, true)
 		}
 	}
 	if s.now >= s.healAt {
--- a/agree/events.go
+++ b/rlog/events.go
@@ -1,4 +1,4 @@
-package agree
+package rlog
 
 import "cyclamenrelay.example/wire"
 
@@ -119,6 +119,17 @@
 // SnapshotWanted asks for a Compacted input.
 type SnapshotWanted struct{}
 
+// Role is the role of a replica in its group.
+type Role uint8
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
 // RoleChanged reports a new role, term or leader.
 type RoleChanged struct {
 	Role   Role
@@ -134,3 +145,15 @@
 func (Dropped) effect()        {}
 func (SnapshotWanted) effect() {}
 func (RoleChanged) effect()    {}
+
+// Status describes a replica for logs and metrics.
+type Status struct {
+	Role    Role
+	Term    uint64
+	Leader  ID
+	Commit  uint64
+	Last    uint64
+	Members Membership
+	// Match is the synced index of each other member, at the leader.
+	Match map[ID]uint64
+}
--- /dev/null
+++ b/rlog/log.go
@@ -0,0 +1,109 @@
+package rlog
+
+import (
+	"slices"
+
+	"cyclamenrelay.example/wire"
+)
+
+// Log holds the entries after a base. Slices of it stay valid: entries
+// are never overwritten in place.
+type Log struct {
+	baseIndex, baseTerm uint64
+	entries             []Entry
+}
+
+// NewLog returns an empty log after the entry at index.
+func NewLog(index, term uint64) Log { return Log{baseIndex: index, baseTerm: term} }
+
+// Base returns the index after which entries are held.
+func (l *Log) Base() uint64 { return l.baseIndex }
+
+// Append appends entries; a gap breaks an invariant.
+func (l *Log) Append(es ...Entry) {
+	Invariant(es[0].Index == l.Last()+1 && es[0].Term >= l.LastTerm(),
+		"entry %d of term %d does not follow %d", es[0].Index, es[0].Term, l.Last())
+	l.entries = append(l.entries, es...)
+}
+
+// Last returns the index of the last entry.
+func (l *Log) Last() uint64 { return l.baseIndex + uint64(len(l.entries)) }
+
+// LastTerm returns the term of the last entry.
+func (l *Log) LastTerm() uint64 {
+	t, _ := l.Term(l.Last())
+	return t
+}
+
+// Term returns the term of the entry at i, false when i is not held.
+func (l *Log) Term(i uint64) (uint64, bool) {
+	switch {
+	case i == l.baseIndex:
+		return l.baseTerm, true
+	case i < l.baseIndex || i > l.Last():
+		return 0, false
+	}
+	return l.entries[i-l.baseIndex-1].Term, true
+}
+
+// Slice returns the entries from first to last.
+func (l *Log) Slice(first, last uint64) []Entry {
+	return l.entries[first-l.baseIndex-1 : last-l.baseIndex : last-l.baseIndex]
+}
+
+// Limited returns entries from first of at most maxBytes, at least one if there is one.
+func (l *Log) Limited(first uint64, maxBytes int) []Entry {
+	es := l.Slice(first, l.Last())
+	size := 0
+	for i := range es {
+		size += len(es[i].Data) + EntryOverhead
+		if size > maxBytes && i > 0 {
+			return es[:i:i]
+		}
+	}
+	return es
+}
+
+// Truncate drops the entries from index on.
+func (l *Log) Truncate(from uint64) {
+	l.entries = slices.Clip(l.entries[:from-l.baseIndex-1])
+}
+
+// Compact drops the entries up to index to.
+func (l *Log) Compact(to uint64) {
+	if to <= l.baseIndex {
+		return
+	}
+	t, _ := l.Term(to)
+	l.entries = slices.Clone(l.entries[to-l.baseIndex:])
+	l.baseIndex, l.baseTerm = to, t
+}
+
+// EntryOverhead is the encoded size of an entry without its data, in bytes.
+const EntryOverhead = 24
+
+// Hint returns the highest index at which a leader's log may match, when its
+// append does not. The log matches up to commit.
+func (l *Log) Hint(b wire.AgreeAppend, commit uint64) uint64 {
+	i := min(l.Last(), b.PrevIndex-1)
+	for i > commit {
+		if t, _ := l.Term(i); t <= b.PrevTerm {
+			break
+		}
+		i--
+	}
+	return i
+}
+
+// WellFormed reports whether the entries follow the previous one in order.
+func WellFormed(b wire.AgreeAppend, term uint64) bool {
+	last := b.PrevTerm
+	for i := range b.Entries {
+		e := &b.Entries[i]
+		if e.Index != b.PrevIndex+1+uint64(i) || e.Term < last || e.Term > term {
+			return false
+		}
+		last = e.Term
+	}
+	return true
+}
--- /dev/null
+++ b/rlog/member.go
@@ -0,0 +1,128 @@
+package rlog
+
+import (
+	"cmp"
+	"slices"
+
+	"cyclamenrelay.example/wire"
+)
+
+// Membership is the members of a group, sorted by ID. It is not changed in place.
+type Membership []Member
+
+func compareID(a, b ID) int {
+	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+// Find returns the member with the ID, false when there is none.
+func (m Membership) Find(id ID) (Member, bool) {
+	for _, x := range m {
+		if x.ID == id {
+			return x, true
+		}
+	}
+	return Member{}, false
+}
+
+// With returns m with the member added or replaced.
+func (m Membership) With(x Member) Membership {
+	out := append(m.Without(x.ID), x)
+	slices.SortFunc(out, func(a, b Member) int { return compareID(a.ID, b.ID) })
+	return out
+}
+
+// Without returns m without the member.
+func (m Membership) Without(id ID) Membership {
+	return slices.DeleteFunc(slices.Clone(m), func(x Member) bool { return x.ID == id })
+}
+
+// Voters returns the number of voters.
+func (m Membership) Voters() int {
+	v := 0
+	for _, x := range m {
+		if x.Voter {
+			v++
+		}
+	}
+	return v
+}
+
+// IsVoter reports whether the ID is that of a voter.
+func (m Membership) IsVoter(id ID) bool {
+	x, _ := m.Find(id)
+	return x.Voter
+}
+
+// Change returns m after the change, and why it is not allowed otherwise.
+func (m Membership) Change(c ChangeMember) (Membership, bool) {
+	old, exists := m.Find(c.Member.ID)
+	switch {
+	case c.Remove:
+		ok := exists && (!old.Voter || m.Voters() > 1)
+		return m.Without(c.Member.ID), ok
+	case !exists:
+		return m.With(c.Member), !c.Member.Voter
+	case old.Voter || !c.Member.Voter:
+		return m, false
+	}
+	for _, x := range m {
+		if x.Voter && x.ID.Name == c.Member.ID.Name {
+			return m, false
+		}
+	}
+	return m.With(c.Member), true
+}
+
+// MemberLog is the history of the membership that the log holds.
+type MemberLog []memberAt
+
+// NewMemberLog returns the history that begins with m at index.
+func NewMemberLog(index uint64, m Membership) MemberLog { return MemberLog{{index, m}} }
+
+// Newest returns the index of the current membership.
+func (l MemberLog) Newest() uint64 { return l[len(l)-1].index }
+
+type memberAt struct {
+	index   uint64
+	members Membership
+}
+
+// Current returns the newest membership.
+func (l MemberLog) Current() Membership { return l[len(l)-1].members }
+
+// At returns the membership after the entry at index.
+func (l MemberLog) At(index uint64) Membership {
+	for i := len(l) - 1; i > 0; i-- {
+		if l[i].index <= index {
+			return l[i].members
+		}
+	}
+	return l[0].members
+}
+
+// With returns the history after the entry.
+func (l MemberLog) With(e Entry) MemberLog {
+	if e.Kind != KindMembers {
+		return l
+	}
+	var m Membership
+	err := wire.UnmarshalValue(e.Data, &m)
+	Invariant(err == nil, "membership at index %d: %v", e.Index, err)
+	return append(l, memberAt{e.Index, m})
+}
+
+// Truncate returns the history without the entries from index on.
+func (l MemberLog) Truncate(from uint64) MemberLog {
+	for len(l) > 1 && l[len(l)-1].index >= from {
+		l = l[:len(l)-1]
+	}
+	return l
+}
+
+// Compact returns the history that is needed after index to.
+func (l MemberLog) Compact(to uint64) MemberLog {
+	for len(l) > 1 && l[1].index <= to {
+		l = l[1:]
+	}
+	return l
+}
--- /dev/null
+++ b/track/peer.go
@@ -0,0 +1,193 @@
+// Package track holds what the leader of a replicated log keeps track of: its
+// followers, the rounds of heartbeats with the reads they cover, and the
+// proposals that are not committed yet.
+package track
+
+import (
+	"slices"
+	"time"
+
+	"cyclamenrelay.example/rlog"
+	"cyclamenrelay.example/wire"
+)
+
+// Peer is what a leader knows of another member.
+type Peer struct {
+	ID    rlog.ID
+	Voter bool
+	// Match is the last index known to be synced there, Next the next to send.
+	Match, Next uint64
+	// Probing is set until the follower's log is known to match up to Next.
+	Probing bool
+	// ActiveAt is when the last message was received.
+	ActiveAt time.Duration
+	// AckSeq is the newest round of heartbeats answered.
+	AckSeq uint64
+	// Epoch and Echo are of its last heartbeat answer, received at EchoAt.
+	Epoch        uint64
+	Echo, EchoAt time.Duration
+
+	inflight int           // unanswered appends
+	sentAt   time.Duration // last append, chunk or progress
+	snapshot *rlog.Snapshot
+	offset   int  // bytes of the snapshot received
+	chunked  bool // the chunk at offset is unanswered
+}
+
+// Waiting reports whether an append or a chunk is unanswered.
+func (p *Peer) Waiting() bool { return p.inflight > 0 || p.chunked }
+
+// Installing reports whether a snapshot is being sent.
+func (p *Peer) Installing() bool { return p.snapshot != nil }
+
+// Overdue reports whether an answer has been missing for longer than d.
+func (p *Peer) Overdue(now, d time.Duration) bool { return p.Waiting() && now-p.sentAt >= d }
+
+// Reset makes what was not answered be sent again.
+func (p *Peer) Reset() {
+	p.inflight, p.chunked = 0, false
+	if p.snapshot == nil {
+		p.Next, p.Probing = p.Match+1, true
+	}
+}
+
+// MayAppend reports whether another append may be sent.
+func (p *Peer) MayAppend(maxInflight int) bool {
+	switch {
+	case p.snapshot != nil:
+		return false
+	case p.Probing:
+		return p.inflight == 0
+	}
+	return p.inflight < maxInflight
+}
+
+// Appended notes that n entries from Next on were sent.
+func (p *Peer) Appended(now time.Duration, n int) {
+	if p.inflight == 0 {
+		p.sentAt = now
+	}
+	p.inflight++
+	if !p.Probing {
+		p.Next += uint64(n)
+	}
+}
+
+// Accepted notes that the follower has synced the log up to i. It reports
+// whether this is news.
+func (p *Peer) Accepted(now time.Duration, i uint64) bool {
+	p.inflight, p.sentAt = max(0, p.inflight-1), now
+	if i < p.Match || p.snapshot != nil && i < p.snapshot.Index {
+		return false
+	}
+	p.Match = i
+	p.Next = max(p.Next, i+1)
+	p.Probing, p.snapshot, p.chunked = false, nil, false
+	return true
+}
+
+// Rejected notes that the follower's log does not match at index, and may match
+// at hint. It reports whether this is news.
+func (p *Peer) Rejected(index, hint uint64) bool {
+	stale := index <= p.Match || p.Probing && index != p.Next-1
+	if stale || p.snapshot != nil {
+		return false
+	}
+	p.Next = max(p.Match, min(index-1, hint)) + 1
+	p.Probing, p.inflight = true, 0
+	return true
+}
+
+// Beat notes the answer to a heartbeat.
+func (p *Peer) Beat(now time.Duration, b wire.AgreeHeartbeatAnswer) {
+	p.AckSeq = max(p.AckSeq, b.Seq)
+	if b.Epoch != p.Epoch || b.Sent > p.Echo {
+		p.Epoch, p.Echo, p.EchoAt = b.Epoch, b.Sent, now
+	}
+}
+
+// Install begins to send a snapshot.
+func (p *Peer) Install(s rlog.Snapshot) {
+	p.snapshot, p.offset, p.chunked, p.inflight = &s, 0, false, 0
+}
+
+// Chunk returns the next chunk of the snapshot, false while one is unanswered.
+func (p *Peer) Chunk(now time.Duration, maxBytes int) (wire.AgreeSnapshot, bool) {
+	if p.chunked {
+		return wire.AgreeSnapshot{}, false
+	}
+	s := p.snapshot
+	p.chunked, p.sentAt = true, now
+	return wire.AgreeSnapshot{
+		Index: s.Index, Term: s.Term, Members: s.Members,
+		Offset: uint64(p.offset), Total: uint64(len(s.Data)),
+		Data: s.Data[p.offset:min(len(s.Data), p.offset+maxBytes)],
+	}, true
+}
+
+// Received notes the answer to a chunk. It reports whether the snapshot is
+// installed and synced there.
+func (p *Peer) Received(b wire.AgreeSnapshotAnswer) bool {
+	if p.snapshot == nil || b.Index != p.snapshot.Index {
+		return false
+	}
+	p.chunked = false
+	p.offset = int(min(b.Offset, uint64(len(p.snapshot.Data))))
+	return b.Done
+}
+
+// Peers are the other members of a group, sorted by ID.
+type Peers []*Peer
+
+// Sync returns the peers of the membership. A new one is probed from next on.
+func (ps Peers) Sync(m rlog.Membership, self rlog.ID, next uint64, now time.Duration) Peers {
+	var out Peers
+	for _, x := range m {
+		if x.ID == self {
+			continue
+		}
+		p := ps.Find(x.ID)
+		if p == nil {
+			p = &Peer{ID: x.ID, Next: next, Probing: true, ActiveAt: now}
+		}
+		p.Voter = x.Voter
+		out = append(out, p)
+	}
+	return out
+}
+
+// Find returns the peer with the ID, nil when there is none.
+func (ps Peers) Find(id rlog.ID) *Peer {
+	for _, p := range ps {
+		if p.ID == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// Quorum returns the highest value that a quorum of the voters has reached. The
+// own values are those of the leader when it is a voter.
+func (ps Peers) Quorum(of func(*Peer) uint64, own ...uint64) uint64 {
+	var buf [16]uint64
+	vs := append(buf[:0], own...)
+	for _, p := range ps {
+		if p.Voter {
+			vs = append(vs, of(p))
+		}
+	}
+	slices.Sort(vs)
+	return vs[(len(vs)-1)/2]
+}
+
+// MostAdvanced returns the voter with the longest log of those heard since the
+// time, nil when there is none.
+func (ps Peers) MostAdvanced(since time.Duration) *Peer {
+	var best *Peer
+	for _, p := range ps {
+		if p.Voter && p.ActiveAt > since && (best == nil || p.Match > best.Match) {
+			best = p
+		}
+	}
+	return best
+}
