group: many groups of a process in one batch per peer and one write per turn

Cause: 21 keepers share many groups; single messages and syncs would not scale. Ruled out: one heartbeat for all groups of a peer, which would couple their terms. Change: Host steps each group at most once a turn, batches messages by receiver (1 MB bound) and writes by turn, and ignores batches for another identity. Invariants on hot paths no longer allocate their arguments. Conclusion: green with -race.

--- a/agree/elect.go
+++ b/agree/elect.go
@@ -41,7 +41,6 @@
 
 // heard notes a message of the leader of this term.
 func (n *Node) heard(from rlog.ID) {
-	rlog.Invariant(n.role != rlog.Leader, "term %d has the leaders %v and %v", n.hard.Term, n.cfg.ID, from)
 	if n.leader != from {
 		rlog.Invariant(n.leader == rlog.ID{}, "term %d has the leaders %v and %v", n.hard.Term, n.leader, from)
 		n.becomeFollower(n.hard.Term, from)
--- a/agree/follow.go
+++ b/agree/follow.go
@@ -55,7 +55,6 @@
 }
 
 func (n *Node) appendEntries(entries []rlog.Entry) {
-	rlog.Invariant(entries[0].Index == n.log.Last()+1, "entry %d does not follow %d", entries[0].Index, n.log.Last())
 	n.log.Append(entries...)
 	for _, e := range entries {
 		n.members = n.members.With(e)
--- a/agree/node.go
+++ b/agree/node.go
@@ -72,7 +72,9 @@
 // Step handles the inputs and returns the effects, which are valid until the
 // next step. Now is the time on the process's monotonic clock.
 func (n *Node) Step(now time.Duration, inputs ...rlog.Input) []rlog.Effect {
-	rlog.Invariant(now >= n.now, "the clock went back from %v to %v", n.now, now)
+	if now < n.now {
+		rlog.Broken("the clock went back from %v to %v", n.now, now)
+	}
 	if n.electionAt == 0 {
 		n.now = now
 		n.resetElection()
@@ -84,10 +86,12 @@
 		n.handle(in)
 	}
 	n.finish()
-	rlog.Invariant(n.hard.Term >= term, "the term went back from %d to %d", term, n.hard.Term)
-	rlog.Invariant(n.hard.Commit >= commit, "the commit index went back from %d to %d", commit, n.hard.Commit)
-	rlog.Invariant(n.applied <= n.hard.Commit && n.hard.Commit <= n.log.Last(),
-		"applied %d, commit %d, last %d", n.applied, n.hard.Commit, n.log.Last())
+	if n.hard.Term < term || n.hard.Commit < commit {
+		rlog.Broken("went back from term %d, commit %d to term %d, commit %d", term, commit, n.hard.Term, n.hard.Commit)
+	}
+	if n.applied > n.hard.Commit || n.hard.Commit > n.log.Last() {
+		rlog.Broken("applied %d, commit %d, last %d", n.applied, n.hard.Commit, n.log.Last())
+	}
 	return n.out
 }
 
--- a/agree/peer.go
+++ b/agree/peer.go
@@ -71,7 +71,9 @@
 }
 
 func (n *Node) accepted(p *track.Peer, i uint64) {
-	rlog.Invariant(i <= n.log.Last(), "%v acknowledges %d, the last entry is %d", p.ID, i, n.log.Last())
+	if i > n.log.Last() {
+		rlog.Broken("%v acknowledges %d, the last entry is %d", p.ID, i, n.log.Last())
+	}
 	if p.Accepted(n.now, i) {
 		n.continueTransfer(p)
 	}
--- a/group/host.go
+++ b/group/host.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cyclamenrelay.example/agree"
+	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/wire"
 )
 
@@ -29,7 +30,7 @@
 // To is an input of one group; it is ignored when the group is not here.
 type To struct {
 	Group uint64
-	Input agree.Input
+	Input rlog.Input
 }
 
 func (Tick) input()    {}
@@ -47,13 +48,13 @@
 // Part is the write of one group.
 type Part struct {
 	Group   uint64
-	Persist agree.Persist
+	Persist rlog.Persist
 }
 
 // Event is an effect of one group besides writes and messages.
 type Event struct {
 	Group  uint64
-	Effect agree.Effect
+	Effect rlog.Effect
 }
 
 // Output is what a turn asks for. Events are valid until the next turn.
@@ -65,22 +66,23 @@
 
 // Host steps the replicas of one process. It is not safe for concurrent use.
 type Host struct {
-	self   agree.ID
+	self   rlog.ID
 	groups map[uint64]*replica
 	order  []*replica // by group
 	issued uint64
 	writes []*Write // issued and not synced
 	events []Event
+	sizes  []int // bytes of the batches of this turn
 }
 
 type replica struct {
 	group  uint64
 	node   *agree.Node
-	inputs []agree.Input
+	inputs []rlog.Input
 }
 
 // NewHost returns a host without groups. The ID is that of all its replicas.
-func NewHost(self agree.ID) *Host {
+func NewHost(self rlog.ID) *Host {
 	return &Host{self: self, groups: map[uint64]*replica{}}
 }
 
@@ -122,16 +124,16 @@
 	}
 	var out Output
 	var parts []Part
-	h.events = h.events[:0]
+	h.events, h.sizes = h.events[:0], h.sizes[:0]
 	for _, r := range h.order {
 		if len(r.inputs) == 0 {
 			continue
 		}
 		for _, e := range r.node.Step(now, r.inputs...) {
 			switch e := e.(type) {
-			case agree.Persist:
+			case rlog.Persist:
 				parts = append(parts, Part{r.group, e})
-			case agree.Send:
+			case rlog.Send:
 				out.Batches = h.batch(out.Batches, r.group, e)
 			default:
 				h.events = append(h.events, Event{r.group, e})
@@ -153,19 +155,19 @@
 	switch in := in.(type) {
 	case Tick:
 		for _, r := range h.order {
-			r.inputs = append(r.inputs, agree.Tick{})
+			r.inputs = append(r.inputs, rlog.Tick{})
 		}
 	case Receive:
 		if in.Batch.To != h.self {
 			return
 		}
 		for _, m := range in.Batch.Messages {
-			h.give(m.Group, agree.Receive{From: in.Batch.From, Term: m.Term, Body: m.Body()})
+			h.give(m.Group, rlog.Receive{From: in.Batch.From, Term: m.Term, Body: m.Body()})
 		}
 	case Synced:
 		for len(h.writes) > 0 && h.writes[0].Seq <= in.Seq {
 			for _, p := range h.writes[0].Parts {
-				h.give(p.Group, agree.Persisted{Seq: p.Persist.Seq})
+				h.give(p.Group, rlog.Persisted{Seq: p.Persist.Seq})
 			}
 			h.writes = h.writes[1:]
 		}
@@ -174,40 +176,41 @@
 	}
 }
 
-func (h *Host) give(group uint64, in agree.Input) {
+func (h *Host) give(group uint64, in rlog.Input) {
 	if r := h.groups[group]; r != nil {
 		r.inputs = append(r.inputs, in)
 	}
 }
 
 // batch adds a message to the last batch of its receiver, or to a new one.
-func (h *Host) batch(bs []wire.AgreeBatch, group uint64, s agree.Send) []wire.AgreeBatch {
+func (h *Host) batch(bs []wire.AgreeBatch, group uint64, s rlog.Send) []wire.AgreeBatch {
 	m := wire.NewAgreeMessage(group, s.Term, s.Body)
+	bytes := size(m)
 	for i := len(bs) - 1; i >= 0; i-- {
 		if bs[i].To != s.To {
 			continue
 		}
-		if size(bs[i].Messages)+size([]wire.AgreeMessage{m}) > maxBatch {
+		if h.sizes[i]+bytes > maxBatch {
 			break
 		}
+		h.sizes[i] += bytes
 		bs[i].Messages = append(bs[i].Messages, m)
 		return bs
 	}
+	h.sizes = append(h.sizes, bytes)
 	return append(bs, wire.AgreeBatch{From: h.self, To: s.To, Messages: []wire.AgreeMessage{m}})
 }
 
-// size returns the bytes of data in the messages.
-func size(ms []wire.AgreeMessage) int {
+// size returns the bytes of data in a message.
+func size(m wire.AgreeMessage) int {
 	n := 0
-	for _, m := range ms {
-		if m.Append != nil {
-			for i := range m.Append.Entries {
-				n += len(m.Append.Entries[i].Data)
-			}
-		}
-		if m.Snapshot != nil {
-			n += len(m.Snapshot.Data)
+	if m.Append != nil {
+		for i := range m.Append.Entries {
+			n += len(m.Append.Entries[i].Data)
 		}
 	}
+	if m.Snapshot != nil {
+		n += len(m.Snapshot.Data)
+	}
 	return n
 }
--- a/rlog/log.go
+++ b/rlog/log.go
@@ -21,8 +21,9 @@
 
 // Append appends entries; a gap breaks an invariant.
 func (l *Log) Append(es ...Entry) {
-	Invariant(es[0].Index == l.Last()+1 && es[0].Term >= l.LastTerm(),
-		"entry %d of term %d does not follow %d", es[0].Index, es[0].Term, l.Last())
+	if es[0].Index != l.Last()+1 || es[0].Term < l.LastTerm() {
+		Broken("entry %d of term %d does not follow %d", es[0].Index, es[0].Term, l.Last())
+	}
 	l.entries = append(l.entries, es...)
 }
 
--- a/rlog/values.go
+++ b/rlog/values.go
@@ -61,6 +61,12 @@
 // Invariant panics when ok is false: going on would lose or fork state.
 func Invariant(ok bool, format string, args ...any) {
 	if !ok {
-		panic("agree: broken invariant: " + fmt.Sprintf(format, args...))
+		Broken(format, args...)
 	}
 }
+
+// Broken panics with a broken invariant. On hot paths it stands behind a plain
+// condition, so that no arguments are allocated while all is well.
+func Broken(format string, args ...any) {
+	panic("agree: broken invariant: " + fmt.Sprintf(format, args...))
+}
--- a/rlog/write.go
+++ b/rlog/write.go
@@ -97,7 +97,9 @@
 // Persisted notes that the writes up to seq are synced. It returns the messages
 // that waited for them, but for those of other terms.
 func (w *Writer) Persisted(seq, term uint64) []Send {
-	Invariant(seq <= w.issued, "write %d is reported, %d were issued", seq, w.issued)
+	if seq > w.issued {
+		Broken("write %d is reported, %d were issued", seq, w.issued)
+	}
 	w.synced = max(w.synced, seq)
 	done := 0
 	for ; done < len(w.writes) && w.writes[done].seq <= seq; done++ {
--- a/track/round.go
+++ b/track/round.go
@@ -129,6 +129,8 @@
 	if foreign > 0 {
 		ids = append(make([]uint64, foreign, len(es)), ids...)
 	}
-	rlog.Invariant(len(ids) == len(es), "%d proposals for %d entries", len(ids), len(es))
+	if len(ids) != len(es) {
+		rlog.Broken("%d proposals for %d entries", len(ids), len(es))
+	}
 	return ids
 }
