--- a/agree/follow.go
+++ b/agree/follow.go
@@ -128,8 +128,10 @@
 	n.snap = rlog.Snapshot{Index: c.Index, Term: t, Members: n.members.At(c.Index), Data: c.Data}
 	n.sinceSnapshot = 0
 	n.writer.MarkSnapshot(n.snap)
-	if c.Index > n.cfg.KeepEntries {
-		n.log.Compact(c.Index - n.cfg.KeepEntries)
+	// A follower that is being sent an older snapshot goes on with the log after it.
+	keep := min(c.Index, n.lead.peers.Installed(n.now-n.cfg.Election))
+	if keep > n.cfg.KeepEntries {
+		n.log.Compact(keep - n.cfg.KeepEntries)
 		n.members = n.members.Compact(n.log.Base())
 	}
 }
--- a/agree/node_test.go
+++ b/agree/node_test.go
@@ -185,6 +185,20 @@
 	s.converged()
 }
 
+func TestGroupGrowsFromOneVoter(t *testing.T) {
+	s := newSim(t, 1, 1, calm)
+	s.elect()
+	s.write(100)
+	s.reps = append(s.reps, &replica{id: id("b")}, &replica{id: id("c")})
+	for range 20 {
+		s.pass(50 * time.Millisecond)
+		s.operator()
+		s.client()
+	}
+	assert.Equal(t, s.leader().node.Status().Members.Voters(), 3)
+	s.converged()
+}
+
 func TestSecondHostLostRightAfterRepair(t *testing.T) {
 	s := newSim(t, 1, 3, calm)
 	s.elect()
--- a/agree/sim_test.go
+++ b/agree/sim_test.go
@@ -470,6 +470,8 @@
 		if !r.lost {
 			assert.Equal(s.t, r.applied, l.applied, "%v lags", r.id)
 			assert.Equal(s.t, r.state, l.state)
+			_, age, ok := r.node.Fresh(s.now - r.origin)
+			assert.Assert(s.t, ok && age <= 4*heartbeat, "%v: age %v", r.id, age)
 		}
 	}
 	for id := range s.ops {
--- a/agree/types.go
+++ b/agree/types.go
@@ -42,7 +42,7 @@
 
 func (c Config) withDefaults() Config {
 	orDefault(&c.Heartbeat, 50*time.Millisecond)
-	orDefault(&c.Election, 20*c.Heartbeat)
+	orDefault(&c.Election, 10*c.Heartbeat)
 	orDefault(&c.Resend, 4*c.Heartbeat)
 	orDefault(&c.MaxBytes, 256<<10)
 	orDefault(&c.MaxInflight, 64)
--- a/rlog/events.go
+++ b/rlog/events.go
@@ -100,12 +100,12 @@
 
 // The reasons.
 const (
-	ReasonNotLeader Reason = iota // not appended; ask the leader
-	ReasonBusy                    // not appended; too much is uncommitted
-	ReasonUnknown                 // leadership was lost; it may still be committed
-	ReasonChanging                // not appended; another change is not committed yet
-	ReasonLagging                 // not appended; the learner has not caught up
-	ReasonInvalid                 // not appended; the change is not allowed
+	ReasonNotLeader Reason = iota + 1 // not appended; ask the leader
+	ReasonBusy                        // not appended; too much is uncommitted
+	ReasonUnknown                     // leadership was lost; it may still be committed
+	ReasonChanging                    // not appended; another change is not committed yet
+	ReasonLagging                     // not appended; the learner has not caught up
+	ReasonInvalid                     // not appended; the change is not allowed
 )
 
 // Dropped reports that the outcome will not come from this replica.
--- a/track/peer.go
+++ b/track/peer.go
@@ -4,6 +4,7 @@
 package track
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -166,6 +167,18 @@
 	return nil
 }
 
+// Installed returns the index of the oldest snapshot that is being sent to a
+// peer heard since the time, the highest index when there is none.
+func (ps Peers) Installed(since time.Duration) uint64 {
+	oldest := uint64(math.MaxUint64)
+	for _, p := range ps {
+		if p.snapshot != nil && p.ActiveAt > since {
+			oldest = min(oldest, p.snapshot.Index)
+		}
+	}
+	return oldest
+}
+
 // Quorum returns the highest value that a quorum of the voters has reached. The
 // own values are those of the leader when it is a voter.
 func (ps Peers) Quorum(of func(*Peer) uint64, own ...uint64) uint64 {
