--- a/agree/node_test.go
+++ b/agree/node_test.go
@@ -25,7 +25,7 @@
 }
 
 func newNode(st rlog.Stored) *agree.Node {
-	return agree.New(agree.Config{ID: id("a"), Stored: st, Rand: rand.New(rand.NewPCG(1, 1)), Election: election})
+	return agree.New(agree.Config{ID: id("a"), Stored: st, Rand: rand.New(rand.NewPCG(1, 1)), Election: election, KeepEntries: 1})
 }
 
 func receive(from string, term uint64, b wire.AgreeBody) rlog.Input {
@@ -101,11 +101,40 @@
 	assert.Assert(t, ok && !v.Granted, "second vote in a term")
 }
 
-func TestLeaderCountsItselfOnceSynced(t *testing.T) {
+// newLeader returns a leader of term 2 whose own entry 2 is not synced yet.
+func newLeader() *agree.Node {
 	n := newNode(rlog.Bootstrap(threeVoters(), nil))
 	n.Step(time.Second)
 	n.Step(2*time.Second, rlog.Tick{}, receive("b", 2, wire.AgreeVoteAnswer{Pre: true, Granted: true}))
 	n.Step(2*time.Second, rlog.Persisted{Seq: 1}, receive("b", 2, wire.AgreeVoteAnswer{Granted: true}))
+	return n
+}
+
+func TestLogBehindASentSnapshotIsKept(t *testing.T) {
+	n := newLeader()
+	n.Step(2*time.Second, rlog.Propose{ID: 1}, rlog.Propose{ID: 2}, rlog.Propose{ID: 3})
+	n.Step(2*time.Second, rlog.Persisted{Seq: 3}, receive("c", 2, wire.AgreeAppendAnswer{Index: 5}))
+	assert.Equal(t, n.Status().Commit, uint64(5))
+	out := n.Step(2*time.Second, receive("b", 2, wire.AgreeAppendAnswer{Index: 1, Reject: true}))
+	s, ok := sent[wire.AgreeSnapshot](out)
+	assert.Assert(t, ok && s.Index == 1)
+	n.Step(2*time.Second, rlog.Compacted{Index: 5})
+	out = n.Step(2*time.Second, receive("b", 2, wire.AgreeSnapshotAnswer{Index: 1, Done: true}))
+	a, ok := sent[wire.AgreeAppend](out)
+	assert.Assert(t, ok && a.PrevIndex == 1 && len(a.Entries) == 4)
+}
+
+func TestSnapshotThatTheLogCoversKeepsTheTail(t *testing.T) {
+	n := newNode(rlog.Bootstrap(threeVoters(), nil))
+	es := []rlog.Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}, {Index: 4, Term: 2}}
+	n.Step(time.Second, receive("b", 2, wire.AgreeAppend{PrevIndex: 1, PrevTerm: 1, Entries: es}))
+	n.Step(time.Second, receive("b", 2, wire.AgreeSnapshot{Index: 3, Term: 2, Members: threeVoters()}))
+	assert.Equal(t, n.Status().Last, uint64(4), "an entry that may be acknowledged was dropped")
+	assert.Equal(t, n.Status().Commit, uint64(3))
+}
+
+func TestLeaderCountsItselfOnceSynced(t *testing.T) {
+	n := newLeader()
 	n.Step(2*time.Second, receive("b", 2, wire.AgreeAppendAnswer{Index: 2}))
 	assert.Equal(t, n.Status().Commit, uint64(1))
 	n.Step(2*time.Second, rlog.Persisted{Seq: 2})
