--- a/keeper/boot.go
+++ b/keeper/boot.go
@@ -7,10 +7,10 @@
 
 	"go.uber.org/zap"
 
-	"cyclamenrelay.example/agree"
 	"cyclamenrelay.example/disk"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/wire"
 )
 
@@ -36,7 +36,7 @@
 			if members == nil {
 				continue
 			}
-			s := agree.Bootstrap(members, r.machine.Snapshot())
+			s := rlog.Bootstrap(members, r.machine.Snapshot())
 			batch[uint32(g)] = disk.Update{
 				Snapshot: diskSnapshot(s.Snapshot),
 				Hard:     &disk.Hard{Term: s.Hard.Term, Commit: s.Hard.Commit},
@@ -54,7 +54,7 @@
 	})
 }
 
-func (k *Keeper) mustAdd(g uint64, s agree.Stored) {
+func (k *Keeper) mustAdd(g uint64, s rlog.Stored) {
 	if err := k.add(g, s); err != nil {
 		panic("keeper: the first state cannot be restored: " + err.Error())
 	}
@@ -62,18 +62,18 @@
 
 // firstMembers returns the membership that a group starts with, nil when it
 // must not be started here.
-func (k *Keeper) firstMembers(g uint64, states []wire.KeeperState) agree.Membership {
-	fresh := agree.Membership{}.With(agree.Member{ID: k.self, Voter: true})
+func (k *Keeper) firstMembers(g uint64, states []wire.KeeperState) rlog.Membership {
+	fresh := rlog.Membership{}.With(rlog.Member{ID: k.self, Voter: true})
 	for _, s := range states {
 		if g >= uint64(len(s.Groups)) {
 			return nil
 		}
 		o := s.Groups[g]
 		if len(o.Members) == 0 && o.Last == 0 {
-			fresh = fresh.With(agree.Member{ID: s.Self, Voter: true})
+			fresh = fresh.With(rlog.Member{ID: s.Self, Voter: true})
 			continue
 		}
-		if m, ok := agree.Membership(o.Members).Find(k.self); ok && m.Voter && o.Last == 1 {
+		if m, ok := rlog.Membership(o.Members).Find(k.self); ok && m.Voter && o.Last == 1 {
 			return o.Members
 		}
 		return nil
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -20,6 +20,7 @@
 	"cyclamenrelay.example/ledger"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/state"
 	"cyclamenrelay.example/wire"
 )
@@ -59,7 +60,7 @@
 	finder *member.Finder
 	table  *member.Table
 	store  *disk.Store
-	self   agree.ID
+	self   rlog.ID
 	start  time.Time
 	inputs chan any // group.Input, request or look
 	writes chan *group.Write
@@ -102,7 +103,7 @@
 		return trace.Wrap(err, "data folder %s", k.opts.Folder)
 	}
 	id, created := k.store.Identity()
-	k.self = agree.ID{Name: name, Incarnation: id.Incarnation}
+	k.self = rlog.ID{Name: name, Incarnation: id.Incarnation}
 	k.finder.SetReplica(id.Incarnation)
 	k.opts.Log.Info("data folder open", zap.Bool("created", created), zap.Uint64("replica", id.Incarnation))
 	k.host = group.NewHost(k.self)
@@ -136,7 +137,7 @@
 }
 
 // add adds the replica of a group with its state machine.
-func (k *Keeper) add(g uint64, s agree.Stored) error {
+func (k *Keeper) add(g uint64, s rlog.Stored) error {
 	var m state.Machine = ledger.New()
 	if g == 0 {
 		m = state.NewConfig()
@@ -179,9 +180,9 @@
 		leads := 0
 		k.look(func() {
 			for g, r := range k.groups {
-				if s := r.node.Status(); s.Role == agree.Leader && s.Members.Voters() > 1 {
+				if s := r.node.Status(); s.Role == rlog.Leader && s.Members.Voters() > 1 {
 					leads++
-					k.input(group.To{Group: g, Input: agree.Transfer{}})
+					k.input(group.To{Group: g, Input: rlog.Transfer{}})
 				}
 			}
 		})
--- a/keeper/loop.go
+++ b/keeper/loop.go
@@ -8,10 +8,10 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
-	"cyclamenrelay.example/agree"
 	"cyclamenrelay.example/group"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/wire"
 )
 
@@ -82,14 +82,14 @@
 	}
 }
 
-func (k *Keeper) event(r *replica, e agree.Effect) {
+func (k *Keeper) event(r *replica, e rlog.Effect) {
 	switch e := e.(type) {
-	case agree.Apply:
+	case rlog.Apply:
 		r.apply(e)
 		if r.id == 0 {
 			k.announceChange()
 		}
-	case agree.Install:
+	case rlog.Install:
 		if err := r.machine.Restore(e.Snapshot.Data); err != nil {
 			panic("keeper: a snapshot of the leader cannot be restored: " + err.Error())
 		}
@@ -97,13 +97,13 @@
 		if r.id == 0 {
 			k.announceChange()
 		}
-	case agree.ReadReady:
+	case rlog.ReadReady:
 		r.answerReads(e.IDs)
-	case agree.Dropped:
+	case rlog.Dropped:
 		r.drop(e)
-	case agree.SnapshotWanted:
-		k.input(group.To{Group: r.id, Input: agree.Compacted{Index: r.applied, Data: r.machine.Snapshot()}})
-	case agree.RoleChanged:
+	case rlog.SnapshotWanted:
+		k.input(group.To{Group: r.id, Input: rlog.Compacted{Index: r.applied, Data: r.machine.Snapshot()}})
+	case rlog.RoleChanged:
 		k.opts.Log.Info("role changed", zap.Uint64("group", r.id), zap.Uint8("role", uint8(e.Role)),
 			zap.Uint64("term", e.Term), zap.String("leader", e.Leader.Name))
 	}
--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"cyclamenrelay.example/agree"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/spans"
 	"cyclamenrelay.example/state"
 	"cyclamenrelay.example/wire"
@@ -103,7 +103,7 @@
 		for g := range uint64(k.opts.Groups + 1) {
 			st := k.groups[g].node.Status()
 			s.Groups = append(s.Groups, wire.GroupState{
-				Group: g, Members: st.Members, Leads: st.Role == agree.Leader, Term: st.Term,
+				Group: g, Members: st.Members, Leads: st.Role == rlog.Leader, Term: st.Term,
 				Commit: st.Commit, Last: st.Last, Leader: st.Leader.Name,
 			})
 		}
--- a/keeper/tend.go
+++ b/keeper/tend.go
@@ -7,11 +7,11 @@
 
 	"go.uber.org/zap"
 
-	"cyclamenrelay.example/agree"
 	"cyclamenrelay.example/group"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/ledger"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/state"
 )
 
@@ -33,7 +33,7 @@
 			desired := k.desired()
 			for g, r := range k.groups {
 				st := r.node.Status()
-				if st.Role != agree.Leader {
+				if st.Role != rlog.Leader {
 					continue
 				}
 				if c, ok := nextChange(st, desired, live); ok {
@@ -57,11 +57,11 @@
 }
 
 // liveReplicas returns the replicas that are alive, by keeper.
-func (k *Keeper) liveReplicas() map[string]agree.ID {
-	live := map[string]agree.ID{k.self.Name: k.self}
+func (k *Keeper) liveReplicas() map[string]rlog.ID {
+	live := map[string]rlog.ID{k.self.Name: k.self}
 	for _, n := range slices.Concat(k.table.Live(), k.finder.Nodes(keys.Keeper)) {
 		if n.Replica != 0 && n.Name != k.self.Name {
-			live[n.Name] = agree.ID{Name: n.Name, Incarnation: n.Replica}
+			live[n.Name] = rlog.ID{Name: n.Name, Incarnation: n.Replica}
 		}
 	}
 	return live
@@ -88,23 +88,23 @@
 // replaced by its keeper's new one: learner first, then the old one goes once
 // the learner has caught up, then the learner becomes a voter. So at no time
 // do more replicas have to be alive than before.
-func nextChange(st agree.Status, desired map[string]bool, live map[string]agree.ID) (agree.ChangeMember, bool) {
+func nextChange(st rlog.Status, desired map[string]bool, live map[string]rlog.ID) (rlog.ChangeMember, bool) {
 	wanted := func(name string) bool {
 		if desired != nil {
 			return desired[name]
 		}
-		return slices.ContainsFunc(st.Members, func(m agree.Member) bool { return m.ID.Name == name })
+		return slices.ContainsFunc(st.Members, func(m rlog.Member) bool { return m.ID.Name == name })
 	}
 	for _, m := range st.Members {
 		now, alive := live[m.ID.Name]
 		stale := alive && now != m.ID
 		if !m.Voter && (stale || !wanted(m.ID.Name)) {
-			return agree.ChangeMember{Member: m, Remove: true}, true
+			return rlog.ChangeMember{Member: m, Remove: true}, true
 		}
 	}
 	for name, id := range live {
 		if _, in := st.Members.Find(id); !in && wanted(name) {
-			return agree.ChangeMember{Member: agree.Member{ID: id}}, true
+			return rlog.ChangeMember{Member: rlog.Member{ID: id}}, true
 		}
 	}
 	for _, m := range st.Members {
@@ -113,25 +113,25 @@
 		}
 		old, lost := voterOf(st.Members, m.ID.Name)
 		if lost {
-			return agree.ChangeMember{Member: old, Remove: true}, true
+			return rlog.ChangeMember{Member: old, Remove: true}, true
 		}
-		return agree.ChangeMember{Member: agree.Member{ID: m.ID, Voter: true}}, true
+		return rlog.ChangeMember{Member: rlog.Member{ID: m.ID, Voter: true}}, true
 	}
 	for _, m := range st.Members {
 		if !wanted(m.ID.Name) {
-			return agree.ChangeMember{Member: m, Remove: true}, true
+			return rlog.ChangeMember{Member: m, Remove: true}, true
 		}
 	}
-	return agree.ChangeMember{}, false
+	return rlog.ChangeMember{}, false
 }
 
-func voterOf(ms agree.Membership, name string) (agree.Member, bool) {
+func voterOf(ms rlog.Membership, name string) (rlog.Member, bool) {
 	for _, m := range ms {
 		if m.Voter && m.ID.Name == name {
 			return m, true
 		}
 	}
-	return agree.Member{}, false
+	return rlog.Member{}, false
 }
 
 // expire has the ledger groups that this keeper leads drop old records.
@@ -139,7 +139,7 @@
 	var led []uint64
 	k.look(func() {
 		for g, r := range k.groups {
-			if g != 0 && r.node.Status().Role == agree.Leader {
+			if g != 0 && r.node.Status().Role == rlog.Leader {
 				led = append(led, g)
 			}
 		}
--- a/keeper/write.go
+++ b/keeper/write.go
@@ -7,9 +7,9 @@
 
 	"github.com/gravitational/trace"
 
-	"cyclamenrelay.example/agree"
 	"cyclamenrelay.example/disk"
 	"cyclamenrelay.example/group"
+	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/wire"
 )
 
@@ -91,7 +91,7 @@
 	return true
 }
 
-func diskSnapshot(s agree.Snapshot) *disk.Snapshot {
+func diskSnapshot(s rlog.Snapshot) *disk.Snapshot {
 	m, err := wire.MarshalValue(s.Members)
 	if err != nil {
 		panic("keeper: membership cannot be encoded: " + err.Error())
@@ -99,39 +99,39 @@
 	return &disk.Snapshot{Index: s.Index, Term: s.Term, Members: m, Data: s.Data}
 }
 
-func voteText(id agree.ID) string {
-	if id == (agree.ID{}) {
+func voteText(id rlog.ID) string {
+	if id == (rlog.ID{}) {
 		return ""
 	}
 	return id.Name + "#" + strconv.FormatUint(id.Incarnation, 10)
 }
 
-func parseVote(s string) (agree.ID, error) {
+func parseVote(s string) (rlog.ID, error) {
 	if s == "" {
-		return agree.ID{}, nil
+		return rlog.ID{}, nil
 	}
 	name, inc, ok := strings.Cut(s, "#")
 	n, err := strconv.ParseUint(inc, 10, 64)
 	if !ok || err != nil {
-		return agree.ID{}, trace.BadParameter("vote %q cannot be read", s)
+		return rlog.ID{}, trace.BadParameter("vote %q cannot be read", s)
 	}
-	return agree.ID{Name: name, Incarnation: n}, nil
+	return rlog.ID{Name: name, Incarnation: n}, nil
 }
 
 // storedOf returns a group's state as the log core takes it.
-func storedOf(l disk.Loaded) (s agree.Stored, err error) {
-	s.Hard = agree.HardState{Term: l.Hard.Term, Commit: l.Hard.Commit}
+func storedOf(l disk.Loaded) (s rlog.Stored, err error) {
+	s.Hard = rlog.HardState{Term: l.Hard.Term, Commit: l.Hard.Commit}
 	if s.Hard.Vote, err = parseVote(l.Hard.Vote); err != nil {
 		return s, err
 	}
 	if l.Snapshot != nil {
-		s.Snapshot = agree.Snapshot{Index: l.Snapshot.Index, Term: l.Snapshot.Term, Data: l.Snapshot.Data}
+		s.Snapshot = rlog.Snapshot{Index: l.Snapshot.Index, Term: l.Snapshot.Term, Data: l.Snapshot.Data}
 		if err := wire.UnmarshalValue(l.Snapshot.Members, &s.Snapshot.Members); err != nil {
 			return s, err
 		}
 	}
 	for _, e := range l.Entries {
-		s.Entries = append(s.Entries, agree.Entry{Index: e.Index, Term: e.Term, Kind: e.Kind, Data: e.Data})
+		s.Entries = append(s.Entries, rlog.Entry{Index: e.Index, Term: e.Term, Kind: e.Kind, Data: e.Data})
 	}
 	return s, nil
 }
