member, route: messages that do not grow with the square of the processes

Cause: each agent asked every keeper for the whole list of processes each second (33,000 agents times the list of about 180), and entries told each other their teams' use (the square of the entries). Change: a list is sent only when its digest has changed; agents ask one keeper, every 2 to 4 s; entries report to one hub, chosen alike by all, and get the sum. An agent serves at most 8 entries, so that its heartbeats stay under 10 KB/s. The agent compiles a configuration once a version.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,7 +47,7 @@
 
 	mu       sync.Mutex
 	target   *lease
-	steer    steered
+	set      *rules.Set
 	seq      uint64
 	core     *share.Core
 	slots    int
@@ -64,6 +64,7 @@
 		wake:    make(chan struct{}, 1),
 		stepped: make(chan struct{}, 1),
 		log:     newJournal(opts.Clock),
+		set:     set,
 		core:    share.New(share.DefaultSettings(0), set),
 		waiting: map[string]chan *model.NotRun{},
 		idle:    make(chan struct{}),
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -17,7 +17,7 @@
 	announceInterval = 500 * time.Millisecond
 	announceTimeout  = 2 * time.Second
 	// maxEntries bounds the entries that one agent serves.
-	maxEntries = 16
+	maxEntries = 8
 )
 
 func (a *Agent) announceSoon() {
--- a/agent/slots.go
+++ b/agent/slots.go
@@ -100,8 +100,10 @@
 		case <-a.stepped:
 		case <-changed:
 			changed = a.opts.View.Changed()
-			set, _ := rules.Compile(a.opts.View.Config())
-			a.step(share.Configured{Rules: set})
+			cfg := a.opts.View.Config()
+			a.mu.Lock()
+			a.stepLocked(share.Configured{Rules: a.compiled(cfg)})
+			a.mu.Unlock()
 		case <-a.opts.Clock.After(a.wait()):
 			a.step(share.Tick{})
 		}
@@ -132,20 +134,17 @@
 	}
 }
 
-// steered is what the configuration says of the target.
-type steered struct {
-	version uint64
-	of      *lease
-	drained bool
+// compiled returns the compiled configuration. It is called with mu held.
+func (a *Agent) compiled(cfg model.Config) *rules.Set {
+	if a.set.Version() != cfg.Version() {
+		a.set, _ = rules.Compile(cfg)
+	}
+	return a.set
 }
 
 // drained reports whether the operators drain the target. It is called with mu
 // held and a target present.
 func (a *Agent) drained(cfg model.Config) bool {
-	if a.steer.of != a.target || a.steer.version != cfg.Version() {
-		set, _ := rules.Compile(cfg)
-		_, d := set.Target(a.target.target)
-		a.steer = steered{cfg.Version(), a.target, d}
-	}
-	return a.steer.drained
+	_, d := a.compiled(cfg).Target(a.target.target)
+	return d
 }
--- a/keeper/nodes.go
+++ b/keeper/nodes.go
@@ -20,6 +20,11 @@
 			t.Heard(m.Self)
 		}
 		t.Heard(self())
-		return wire.Nodes{Nodes: t.Live()}
+		nodes := t.Live()
+		a := wire.Nodes{Digest: member.Digest(nodes)}
+		if a.Digest != m.Known {
+			a.Nodes = nodes
+		}
+		return a
 	}, keys.Entry, keys.Keeper, keys.Agent)
 }
--- a/member/finder.go
+++ b/member/finder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -18,8 +19,11 @@
 const ServiceName = "member"
 
 const (
+	// findInterval is the time between an entry's or a keeper's announcements.
 	findInterval = time.Second
-	findTimeout  = time.Second
+	// agentInterval is the least time between an agent's questions.
+	agentInterval = 2 * time.Second
+	findTimeout   = time.Second
 	// NodeLease is how long a process counts as alive after it was heard of.
 	NodeLease = 5 * time.Second
 )
@@ -35,11 +39,14 @@
 	mu    sync.Mutex
 	self  wire.Node
 	found map[string]wire.Node
+	// answers holds the newest list of each keeper, by its address.
+	answers map[string]wire.Nodes
+	turn    int
 }
 
 // NewFinder returns a finder that starts from the addresses in join.
 func NewFinder(node *link.Node, clock clockwork.Clock, log *zap.Logger, self wire.Node, join []string) *Finder {
-	return &Finder{node: node, clock: clock, log: log, self: self, join: join, found: map[string]wire.Node{}}
+	return &Finder{node: node, clock: clock, log: log, self: self, join: join, found: map[string]wire.Node{}, answers: map[string]wire.Nodes{}}
 }
 
 // Name implements kernel.Service.
@@ -100,50 +107,93 @@
 // Run implements kernel.Service.
 func (f *Finder) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		f.round(ctx)
+		known := f.round(ctx)
+		pause := findInterval
+		if known && !f.announces() {
+			pause = agentInterval + rand.N(agentInterval)
+		}
 		select {
 		case <-ctx.Done():
-		case <-f.clock.After(findInterval):
+		case <-f.clock.After(pause):
 		}
 	}
 	return nil
 }
 
-// round announces this process to every keeper and takes the union of their answers.
-func (f *Finder) round(ctx context.Context) {
+// announces reports whether this process is one that keepers keep in their tables.
+func (f *Finder) announces() bool {
+	roles := f.Self().Roles
+	return slices.Contains(roles, string(keys.Entry)) || slices.Contains(roles, string(keys.Keeper))
+}
+
+// round asks the keepers for the live processes, and reports whether any is
+// known. An entry or a keeper announces itself to every keeper; an agent asks
+// one, since there are many agents.
+func (f *Finder) round(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	addrs := f.Addresses(keys.Keeper)
-	for _, a := range f.join {
-		if !slices.Contains(addrs, a) {
-			addrs = append(addrs, a)
+	if !f.announces() {
+		addrs = f.one(addrs)
+	} else {
+		for _, a := range f.join {
+			if !slices.Contains(addrs, a) {
+				addrs = append(addrs, a)
+			}
 		}
 	}
-	answers := make([]wire.Nodes, len(addrs))
 	var wg sync.WaitGroup
-	for i, addr := range addrs {
-		wg.Go(func() {
-			m, err := f.node.Call(ctx, link.To{Address: addr}, wire.FindNodes{Self: f.Self()})
-			if err != nil {
-				f.log.Debug("process not reached", zap.String("address", addr), zap.Error(err))
-				return
-			}
-			answers[i], _ = m.(wire.Nodes)
-		})
+	for _, addr := range addrs {
+		wg.Go(func() { f.ask(ctx, addr) })
 	}
 	wg.Wait()
+	return f.merge(addrs)
+}
+
+// one returns one address: the keepers in turn, and now and then one to join by,
+// in case none of the known ones lives.
+func (f *Finder) one(addrs []string) []string {
+	all := slices.Concat(addrs, f.join)
+	if len(all) == 0 {
+		return nil
+	}
+	f.turn++
+	return all[f.turn%len(all) : f.turn%len(all)+1]
+}
+
+// ask keeps a keeper's answer; one that does not answer is forgotten.
+func (f *Finder) ask(ctx context.Context, addr string) {
+	f.mu.Lock()
+	q := wire.FindNodes{Self: f.self, Known: f.answers[addr].Digest}
+	f.mu.Unlock()
+	m, err := f.node.Call(ctx, link.To{Address: addr}, q)
+	a, ok := m.(wire.Nodes)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err != nil || !ok:
+		f.log.Debug("process not reached", zap.String("address", addr), zap.Error(err))
+		delete(f.answers, addr)
+	case a.Digest != q.Known:
+		f.answers[addr] = a
+	}
+}
+
+// merge takes the union of the answers of the asked keepers. While none
+// answers, the last known processes stay.
+func (f *Finder) merge(asked []string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	found := map[string]wire.Node{}
-	for _, a := range answers {
-		for _, n := range a.Nodes {
+	for _, addr := range asked {
+		for _, n := range f.answers[addr].Nodes {
 			if old, ok := found[n.Name]; !ok || n.Incarnation >= old.Incarnation {
 				found[n.Name] = n
 			}
 		}
 	}
-	if len(found) == 0 {
-		return
+	if len(found) > 0 {
+		f.found = found
 	}
-	f.mu.Lock()
-	f.found = found
-	f.mu.Unlock()
+	return len(f.found) > 0
 }
--- a/member/table.go
+++ b/member/table.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"cyclamenrelay.example/wire"
@@ -67,3 +68,12 @@
 	}
 	return r.node, true
 }
+
+// Digest identifies a list of processes; it is never 0.
+func Digest(nodes []wire.Node) uint64 {
+	b, err := wire.MarshalValue(nodes)
+	if err != nil {
+		panic("member: processes cannot be encoded: " + err.Error())
+	}
+	return max(xxhash.Sum64(b), 1)
+}
--- a/route/route.go
+++ b/route/route.go
@@ -29,7 +29,6 @@
 
 const (
 	maxEvents   = 1 << 14
-	useInterval = time.Second
 	postTimeout = time.Second
 )
 
@@ -55,6 +54,7 @@
 	calls   map[callKey]context.CancelFunc
 	asked   map[string]chan wire.Message
 	nodes   map[string]agentRow
+	uses    map[string]usage
 }
 
 // agentRow is the newest announcement of an agent.
@@ -92,6 +92,7 @@
 		calls:   map[callKey]context.CancelFunc{},
 		asked:   map[string]chan wire.Message{},
 		nodes:   map[string]agentRow{},
+		uses:    map[string]usage{},
 	}
 }
 
@@ -178,14 +179,6 @@
 	return wire.Done{}
 }
 
-func (r *Router) teamUse(_ context.Context, p link.Peer, m wire.TeamUse) wire.Message {
-	if m.Entry != p.Name {
-		return wire.Refused{Reason: "the sender's name is not the certificate's"}
-	}
-	r.send(event{in: place.PeerUse{Use: m}})
-	return wire.Done{}
-}
-
 // Run implements kernel.Service: it is the one goroutine that owns the core.
 func (r *Router) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
@@ -244,21 +237,6 @@
 	r.step(ctx, wg, place.Configured{Rules: set})
 }
 
-// reportUse tells the other entries what the teams use here, while a team has a quota.
-func (r *Router) reportUse(ctx context.Context, wg *sync.WaitGroup) {
-	if len(r.opts.View.Config().Items(model.SectionTeam)) == 0 {
-		return
-	}
-	use := r.core.TeamUse(r.finder.Self().Name)
-	for _, e := range r.finder.Nodes(keys.Entry) {
-		if e.Name != use.Entry {
-			r.post(ctx, wg, func(ctx context.Context) error {
-				return r.node.Post(ctx, link.To{Address: e.Address, Role: keys.Entry}, use)
-			})
-		}
-	}
-}
-
 func (r *Router) post(ctx context.Context, wg *sync.WaitGroup, f func(context.Context) error) {
 	wg.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, postTimeout)
--- /dev/null
+++ b/route/teams.go
@@ -0,0 +1,88 @@
+package route
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/place"
+	"cyclamenrelay.example/wire"
+)
+
+const (
+	useInterval = time.Second
+	useLife     = 5 * time.Second
+	// othersName stands for all other entries in the hub's answer.
+	othersName = "*"
+)
+
+// usage is what another entry last reported of its teams.
+type usage struct {
+	at  time.Time
+	use wire.TeamUse
+}
+
+// reportUse tells the hub what the teams use here, and takes what they use at
+// all other entries, while a team has a quota. The hub is one entry that all
+// choose alike, so that the messages grow with the entries and not with their square.
+func (r *Router) reportUse(ctx context.Context, wg *sync.WaitGroup) {
+	if len(r.opts.View.Config().Items(model.SectionTeam)) == 0 {
+		return
+	}
+	hub, ok := r.hub()
+	if !ok || hub.Name == r.finder.Self().Name {
+		return
+	}
+	use := r.core.TeamUse(r.finder.Self().Name)
+	r.post(ctx, wg, func(ctx context.Context) error {
+		a, err := r.node.Call(ctx, link.To{Address: hub.Address, Role: keys.Entry}, use)
+		if others, ok := a.(wire.TeamUse); ok {
+			r.send(event{in: place.PeerUse{Use: others}})
+		}
+		return err
+	})
+}
+
+// hub returns the entry that adds up the use of teams.
+func (r *Router) hub() (wire.Node, bool) {
+	entries := r.finder.Nodes(keys.Entry)
+	if len(entries) == 0 {
+		return wire.Node{}, false
+	}
+	return model.Rendezvous("teams", entries, func(n wire.Node) string { return n.Name })[0], true
+}
+
+// teamUse takes an entry's report and answers with the use at all others.
+func (r *Router) teamUse(_ context.Context, p link.Peer, m wire.TeamUse) wire.Message {
+	if m.Entry != p.Name {
+		return wire.Refused{Reason: "the sender's name is not the certificate's"}
+	}
+	r.send(event{in: place.PeerUse{Use: m}})
+	others := wire.TeamUse{Entry: othersName, Teams: map[string]int{}}
+	r.Look(func(c *place.Core) {
+		now := r.opts.Clock.Now()
+		r.uses[m.Entry] = usage{at: now, use: m}
+		for team, n := range c.TeamUse("").Teams {
+			others.Teams[team] += n
+		}
+		for name, u := range r.uses {
+			if now.Sub(u.at) > useLife {
+				delete(r.uses, name)
+				continue
+			}
+			if name == m.Entry {
+				continue
+			}
+			for team, n := range u.use.Teams {
+				others.Teams[team] += n
+			}
+		}
+	})
+	r.opts.Log.Debug("team use", zap.String("entry", m.Entry), zap.Int("teams", len(m.Teams)))
+	return others
+}
--- a/wire/common.go
+++ b/wire/common.go
@@ -55,11 +55,14 @@
 // FindNodes asks for the live entries and keepers; it also announces the sender.
 type FindNodes struct {
 	Self Node `cbor:"1,keyasint"`
+	// Known is the digest of the nodes that the sender has from this keeper, 0 for none.
+	Known uint64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Nodes answers FindNodes.
+// Nodes answers FindNodes. Nodes is left out when Digest is what the sender knew.
 type Nodes struct {
-	Nodes []Node `cbor:"1,keyasint"`
+	Nodes  []Node `cbor:"1,keyasint,omitempty"`
+	Digest uint64 `cbor:"2,keyasint"`
 }
 
 // Announce is sent by an agent to an entry when it starts, when its target
--- a/wire/demand.go
+++ b/wire/demand.go
@@ -39,8 +39,9 @@
 	ID uint64 `cbor:"1,keyasint"`
 }
 
-// TeamUse tells another entry how many slots each team uses and waits for at
-// the sender, so that the entries divide the teams' quotas by demand. The answer is Done.
+// TeamUse tells the entry that adds it up how many slots each team uses and
+// waits for at the sender, so that the entries divide the teams' quotas by
+// demand. The answer is a TeamUse of all other entries together.
 type TeamUse struct {
 	Entry string         `cbor:"1,keyasint"`
 	Teams map[string]int `cbor:"2,keyasint"`
