--- a/rlog/events.go
+++ b/rlog/events.go
@@ -59,6 +59,8 @@
 
 // Persist is a write. The runtime applies the parts in the order of the fields,
 // syncs, and then reports Persisted. Writes of a group are done in order.
+// After a snapshot the entries may begin anywhere up to its index + 1, or leave
+// a gap below it; what is read back up to its index is ignored.
 type Persist struct {
 	Seq  uint64
 	Hard HardState
