--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -12,8 +12,12 @@
 	"cyclamenrelay.example/wire"
 )
 
-// watchWait is the longest wait for a change of the configuration.
-const watchWait = 500 * time.Millisecond
+const (
+	// watchWait is the longest wait for a change of the configuration.
+	watchWait = 500 * time.Millisecond
+	// maxCommand bounds a command, in bytes.
+	maxCommand = 1 << 20
+)
 
 func (k *Keeper) propose(ctx context.Context, _ link.Peer, m wire.Propose) wire.Message {
 	ctx, span := spans.Start(spans.Extract(ctx, m.Trace), "keeper")
@@ -38,6 +42,9 @@
 }
 
 func (k *Keeper) request(ctx context.Context, q request) reply {
+	if len(q.command) > maxCommand {
+		return reply{refused: &wire.Refused{Reason: "the command is too large"}}
+	}
 	if q.group > uint64(k.opts.Groups) {
 		return reply{refused: &wire.Refused{Reason: "there is no such group"}}
 	}
