--- a/place/sim_test.go
+++ b/place/sim_test.go
@@ -234,7 +234,7 @@
 	t.ran++
 	a.ran++
 	d := t.run
-	if s.rnd.Float64() < s.slow {
+	if s.slow > 0 && s.rnd.Float64() < s.slow {
 		d *= 10
 	}
 	res := wire.Result{ID: r.Task.ID, Complete: &model.Complete{Status: 200}}
--- /dev/null
+++ b/rules/rules_test.go
@@ -0,0 +1,41 @@
+package rules_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/rules"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestCompile(t *testing.T) {
+	d := model.Delta{To: 1}
+	add := func(s model.Section, name string, v any) {
+		b, err := json.Marshal(v)
+		assert.NilError(t, err)
+		d.Items = append(d.Items, model.Item{Key: model.ItemKey{Section: s, Name: name}, Version: 1, Value: b})
+	}
+	urgency := 7
+	add(model.SectionRule, "all", model.Rule{Order: 2, Weight: 5})
+	add(model.SectionRule, "b", model.Rule{Work: "kind=tag", Order: 1, Urgency: &urgency})
+	add(model.SectionRule, "a", model.Rule{Work: "kind=tag,team=red", Order: 1})
+	add(model.SectionRule, "broken", model.Rule{Work: "kind in"})
+	add(model.SectionOverlay, "o", model.Overlay{Targets: "rack=1", Set: map[string]string{"zone": "x"}, Remove: []string{"fast"}})
+	add(model.SectionDrain, "d", model.Drain{Targets: "zone=x"})
+	cfg, _ := model.Config{}.With(d)
+	s, errs := rules.Compile(cfg)
+	assert.Equal(t, len(errs), 1)
+	assert.Equal(t, s.Classify(model.Labels{"kind": "tag", "team": "red"}).Name, "a")
+	b := s.Classify(model.Labels{"kind": "tag"})
+	assert.Equal(t, b.Name, "b")
+	assert.Equal(t, b.UrgencyOf(&model.Task{Urgency: 1}), 7)
+	assert.Equal(t, b.Weight, 1)
+	assert.Equal(t, s.Classify(nil).Name, "all")
+	eff, drained := s.Target(model.Target{Labels: model.Labels{"rack": "1", "fast": "yes"}})
+	assert.DeepEqual(t, eff.Labels, model.Labels{"rack": "1", "zone": "x"})
+	assert.Assert(t, drained)
+	empty, _ := rules.Compile(model.Config{})
+	assert.Equal(t, empty.Classify(nil).Name, rules.Default)
+}
