--- a/place/help_test.go
+++ b/place/help_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math"
 	"slices"
+	"time"
 
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/rules"
@@ -43,3 +44,19 @@
 	v = slices.Sorted(slices.Values(v))
 	return v[min(int(q*float64(len(v))), len(v)-1)]
 }
+
+// runTime draws from 50 ms to 1 s, with 3 % of several seconds; the mean is simMean.
+func (s *sim) runTime() time.Duration {
+	if s.even {
+		return time.Duration((100 + 100*s.rnd.Float64()) * float64(time.Millisecond))
+	}
+	if s.rnd.Float64() < 0.03 {
+		return time.Duration((2 + 3*s.rnd.Float64()) * float64(time.Second))
+	}
+	return time.Duration(50 * math.Pow(20, s.rnd.Float64()) * float64(time.Millisecond))
+}
+
+var (
+	simMean     = 0.97*0.95/math.Log(20) + 0.03*3.5
+	simCapacity = 11 * simSlots / simMean
+)
--- a/place/sim_test.go
+++ b/place/sim_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -260,7 +259,7 @@
 	if _, ok := r.Outcome.(model.NotRun); ok {
 		assert.Equal(s.t, t.ran, 0, "notRun of %s that ran", r.ID)
 	}
-	k := s.tally(t.kind)
+	k := s.kinds[t.kind]
 	if t.arrived < s.from {
 		return
 	}
@@ -279,15 +278,6 @@
 	}
 }
 
-func (s *sim) tally(kind string) *tally {
-	k := s.kinds[kind]
-	if k == nil {
-		k = &tally{codes: map[model.Code]int{}}
-		s.kinds[kind] = k
-	}
-	return k
-}
-
 // mix is an open stream of Poisson arrivals of one kind over all entries.
 type mix struct {
 	kind       string
@@ -297,23 +287,8 @@
 	fails, own bool // fails at every target; not idempotent
 }
 
-// runTime draws from 50 ms to 1 s, with 3 % of several seconds; the mean is simMean.
-func (s *sim) runTime() time.Duration {
-	if s.even {
-		return time.Duration((100 + 100*s.rnd.Float64()) * float64(time.Millisecond))
-	}
-	if s.rnd.Float64() < 0.03 {
-		return time.Duration((2 + 3*s.rnd.Float64()) * float64(time.Second))
-	}
-	return time.Duration(50 * math.Pow(20, s.rnd.Float64()) * float64(time.Millisecond))
-}
-
-var (
-	simMean     = 0.97*0.95/math.Log(20) + 0.03*3.5
-	simCapacity = 11 * simSlots / simMean
-)
-
 func (s *sim) feed(m mix) {
+	s.kinds[m.kind] = &tally{codes: map[model.Code]int{}}
 	s.after(m.from, func() { s.arrive(m) })
 }
 
