--- a/fault/fault.go
+++ b/fault/fault.go
@@ -105,7 +105,7 @@
 	}
 	l := &link{
 		cfg: cfg, clock: c, rand: rnd,
-		changed: make(chan struct{}), closed: make(chan struct{}), open: map[io.Closer]bool{},
+		sources: map[string]Rules{}, changed: make(chan struct{}), closed: make(chan struct{}), open: map[io.Closer]bool{},
 	}
 	if err := l.set(cfg.Rules); err != nil {
 		return nil, err
@@ -129,6 +129,26 @@
 	return l.set(rules)
 }
 
+// SetSource sets the rules of one link for what a source address sends there
+// and gets back; they stand in place of the link's own until ClearSource.
+// The error is a trace.NotFound or a trace.BadParameter.
+func (r *Relay) SetSource(name, source string, rules Rules) error {
+	l, ok := r.links[name]
+	if !ok {
+		return trace.NotFound("link %q is unknown", name)
+	}
+	return l.setSource(source, &rules)
+}
+
+// ClearSource removes the rules of a source address. The error is a trace.NotFound.
+func (r *Relay) ClearSource(name, source string) error {
+	l, ok := r.links[name]
+	if !ok {
+		return trace.NotFound("link %q is unknown", name)
+	}
+	return l.setSource(source, nil)
+}
+
 // Addr returns the address that a link listens on, nil when it is unknown.
 func (r *Relay) Addr(name string) net.Addr {
 	if l, ok := r.links[name]; ok {
@@ -190,25 +210,46 @@
 	mu      sync.Mutex
 	rand    *rand.Rand
 	rules   Rules
-	changed chan struct{} // closed when the rules change
+	sources map[string]Rules // by the client's address
+	changed chan struct{}    // closed when the rules change
 	closed  chan struct{}
 	done    bool
 	open    map[io.Closer]bool
 }
 
-func (l *link) set(r Rules) error {
+func (r Rules) check() error {
 	if err := r.Forward.Check(); err != nil {
 		return err
 	}
-	if err := r.Back.Check(); err != nil {
+	return r.Back.Check()
+}
+
+func (l *link) set(r Rules) error {
+	if err := r.check(); err != nil {
+		return err
+	}
+	l.change(func() { l.rules = r })
+	return nil
+}
+
+func (l *link) setSource(source string, r *Rules) error {
+	if r == nil {
+		l.change(func() { delete(l.sources, source) })
+		return nil
+	}
+	if err := r.check(); err != nil {
 		return err
 	}
+	l.change(func() { l.sources[source] = *r })
+	return nil
+}
+
+func (l *link) change(f func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.rules = r
+	f()
 	close(l.changed)
 	l.changed = make(chan struct{})
-	return nil
 }
 
 func (l *link) current() Rules {
@@ -217,14 +258,18 @@
 	return l.rules
 }
 
-// rule returns the rule of a direction and the channel of its next change.
-func (l *link) rule(back bool) (Rule, <-chan struct{}) {
+// rule returns the rule of a direction for a client and the channel of the next change.
+func (l *link) rule(source string, back bool) (Rule, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	rules, ok := l.sources[source]
+	if !ok {
+		rules = l.rules
+	}
 	if back {
-		return l.rules.Back, l.changed
+		return rules.Back, l.changed
 	}
-	return l.rules.Forward, l.changed
+	return rules.Forward, l.changed
 }
 
 // chance returns true with probability p.
--- a/fault/fault_test.go
+++ b/fault/fault_test.go
@@ -106,6 +106,29 @@
 	assert.Equal(t, receive(t, c, long), "e")
 }
 
+func TestSourceRulesCutOneClient(t *testing.T) {
+	r, a := open(t, "udp", echoUDP(t), fault.Rules{})
+	b, err := net.Dial("udp", r.Addr("a").String())
+	assert.NilError(t, err)
+	defer func() { _ = b.Close() }()
+	cut := fault.Rules{Forward: fault.Rule{Cut: true}, Back: fault.Rule{Cut: true}}
+	source := a.LocalAddr().String()
+	assert.NilError(t, r.SetSource("a", source, cut))
+	echo := func(c net.Conn, wait time.Duration) string {
+		_, err := c.Write([]byte("x"))
+		assert.NilError(t, err)
+		return receive(t, c, wait)
+	}
+	assert.Equal(t, echo(a, short), "")
+	assert.Equal(t, echo(b, long), "x")
+	assert.NilError(t, r.ClearSource("a", source))
+	assert.Equal(t, echo(a, long), "x")
+	bad := fault.Rules{Back: fault.Rule{Loss: 2}}
+	assert.ErrorContains(t, r.SetSource("a", source, bad), "loss")
+	assert.ErrorContains(t, r.SetSource("b", source, cut), "unknown")
+	assert.ErrorContains(t, r.ClearSource("b", source), "unknown")
+}
+
 func TestTCPCutHoldsAndHeals(t *testing.T) {
 	r, c := open(t, "tcp", echoTCP(t), fault.Rules{})
 	send := func(s string) { _, err := c.Write([]byte(s)); assert.NilError(t, err) }
--- a/fault/pipe.go
+++ b/fault/pipe.go
@@ -23,15 +23,16 @@
 
 // pipe delivers the packets of one direction of a connection in order.
 type pipe struct {
-	l     *link
-	back  bool
-	hold  bool // whether a cut holds packets back
-	queue chan packet
-	write func([]byte) error
+	l      *link
+	source string // the client's address
+	back   bool
+	hold   bool // whether a cut holds packets back
+	queue  chan packet
+	write  func([]byte) error
 }
 
-func (l *link) newPipe(back, hold bool, write func([]byte) error) *pipe {
-	return &pipe{l: l, back: back, hold: hold, queue: make(chan packet, pipeLength), write: write}
+func (l *link) newPipe(source string, back, hold bool, write func([]byte) error) *pipe {
+	return &pipe{l: l, source: source, back: back, hold: hold, queue: make(chan packet, pipeLength), write: write}
 }
 
 // run delivers packets until the queue is closed, the link is closed or a write fails.
@@ -47,7 +48,7 @@
 // when the link is closed.
 func (p *pipe) wait(due time.Time) bool {
 	for {
-		r, changed := p.l.rule(p.back)
+		r, changed := p.l.rule(p.source, p.back)
 		left := due.Sub(p.l.clock.Now())
 		if left <= 0 && !p.held(r) {
 			return true
@@ -71,7 +72,7 @@
 
 // datagram passes a UDP packet on by the rule; a full queue loses it.
 func (p *pipe) datagram(b []byte) {
-	r, _ := p.l.rule(p.back)
+	r, _ := p.l.rule(p.source, p.back)
 	if r.Cut || p.l.chance(r.Loss) {
 		return
 	}
@@ -94,7 +95,7 @@
 
 // late delivers a reordered packet, unless the link is cut or frozen by then.
 func (p *pipe) late(b []byte) {
-	if r, _ := p.l.rule(p.back); !r.Cut && !r.Freeze {
+	if r, _ := p.l.rule(p.source, p.back); !r.Cut && !r.Freeze {
 		_ = p.write(b)
 	}
 }
@@ -122,7 +123,7 @@
 
 func (l *link) relayTCP(c net.Conn) {
 	defer l.drop(c)
-	if !l.newPipe(false, true, nil).wait(l.clock.Now()) {
+	if !l.newPipe(c.RemoteAddr().String(), false, true, nil).wait(l.clock.Now()) {
 		return
 	}
 	to, err := net.Dial("tcp", l.cfg.To)
@@ -131,14 +132,15 @@
 	}
 	defer l.drop(to)
 	var wg sync.WaitGroup
-	wg.Go(func() { l.copyTCP(c, to, false) })
-	wg.Go(func() { l.copyTCP(to, c, true) })
+	source := c.RemoteAddr().String()
+	wg.Go(func() { l.copyTCP(source, c, to, false) })
+	wg.Go(func() { l.copyTCP(source, to, c, true) })
 	wg.Wait()
 }
 
 // copyTCP relays one direction of a connection and closes it for writing at its end.
-func (l *link) copyTCP(from, to net.Conn, back bool) {
-	p := l.newPipe(back, true, func(b []byte) error {
+func (l *link) copyTCP(source string, from, to net.Conn, back bool) {
+	p := l.newPipe(source, back, true, func(b []byte) error {
 		_, err := to.Write(b)
 		return err
 	})
@@ -156,7 +158,7 @@
 		b := make([]byte, chunkBytes)
 		n, err := from.Read(b)
 		if n > 0 {
-			r, _ := l.rule(back)
+			r, _ := l.rule(source, back)
 			select {
 			case p.queue <- packet{b[:n], l.clock.Now().Add(l.delay(r))}:
 			case <-ended:
@@ -224,8 +226,8 @@
 		return nil
 	}
 	// A refused datagram (no listener yet) is a loss, not an end.
-	forward := l.newPipe(false, false, func(b []byte) error { _, _ = c.Write(b); return nil })
-	back := l.newPipe(true, false, func(b []byte) error { _, _ = ln.WriteToUDP(b, client); return nil })
+	forward := l.newPipe(client.String(), false, false, func(b []byte) error { _, _ = c.Write(b); return nil })
+	back := l.newPipe(client.String(), true, false, func(b []byte) error { _, _ = ln.WriteToUDP(b, client); return nil })
 	stop := make(chan struct{})
 	l.wg.Go(func() { forward.runUntil(stop) })
 	l.wg.Go(func() { back.runUntil(stop) })
