rig: start a whole deployment; stand lab measures it under a plan

One package starts 3 keepers, 3 entries, agents and stand-in targets as processes, with each node's address behind the fault relay: delays by the source's data centre, and 3 ms to callers. stand lab runs a plan against it, injects kills, freezes, cuts and failures, and reports load's result, CPU and allocations by role, and starts by target.

The settings of package layout let agents join by the entries, as docs/SETTINGS.md allows, but only keepers answered FindNodes, so no agent ever learnt of an entry. The announcements and the entry's filters were ruled out by the agent's silent log. Entries now answer too.

The policy of the settings now reaches the cores: joinIdle, twoChoices, random, least, strict; agents have the same setting, since some policies queue there. metrics.profiles adds pprof. A plot without complete work panicked on its log scale.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -33,6 +33,8 @@
 	Log         *zap.Logger
 	View        *spread.View
 	Platform    Platform
+	// Shares are the settings of the core, without slots.
+	Shares share.Settings
 }
 
 // Agent is the service beside a target.
@@ -64,7 +66,7 @@
 		wake:    make(chan struct{}, 1),
 		stepped: make(chan struct{}, 1),
 		log:     newJournal(opts.Clock),
-		core:    share.New(share.DefaultSettings(0), set),
+		core:    share.New(opts.Shares, set),
 		waiting: map[string]chan *model.NotRun{},
 		idle:    make(chan struct{}),
 	}
--- a/conf/agent.go
+++ b/conf/agent.go
@@ -10,12 +10,15 @@
 	Platform string `json:"platform"`
 	// TargetLease is the longest lease that a target may ask for.
 	TargetLease Duration `json:"targetLease"`
+	// Policy is the placement policy of the entries, which says whether starts
+	// may wait here for a slot.
+	Policy string `json:"policy"`
 	// RefuseAfter is the time without a fresh configuration after which the
 	// agent refuses new work; at most freshness.lease, 0 for just that.
 	RefuseAfter Duration `json:"refuseAfter"`
 }
 
-func defaultAgent() Agent { return Agent{TargetLease: seconds(5)} }
+func defaultAgent() Agent { return Agent{TargetLease: seconds(5), Policy: PolicyJoinIdle} }
 
 func (a Agent) check(c *checker, s Settings) {
 	if s.Node.Has(keys.Agent) || a.Targets != "" {
@@ -24,6 +27,7 @@
 	if a.Platform != "" {
 		c.httpURL("agent.platform", a.Platform)
 	}
+	c.oneOf("agent.policy", a.Policy, policies...)
 	c.duration("agent.targetLease", a.TargetLease, millis(200), seconds(60))
 	c.duration("agent.refuseAfter", a.RefuseAfter, 0, s.Freshness.Lease)
 }
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -148,6 +148,18 @@
 	}
 }
 
+func TestPolicies(t *testing.T) {
+	for _, p := range []string{"joinIdle", "twoChoices", "random", "least", "strict", "Strict", ""} {
+		s, err := conf.Parse([]byte(strings.Replace(small, `"targetLease"`, `"policy": "`+p+`", "targetLease"`, 1)))
+		if p == "Strict" || p == "" {
+			assert.ErrorContains(t, err, "agent.policy")
+			continue
+		}
+		assert.NilError(t, err)
+		assert.Equal(t, s.Agent.Policy, p)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	page, err := os.ReadFile("../docs/SETTINGS.md")
 	assert.NilError(f, err)
--- a/conf/entry.go
+++ b/conf/entry.go
@@ -9,9 +9,14 @@
 const (
 	PolicyJoinIdle   = "joinIdle"   // an idle target's slot, else queue at the entry until an agent pulls
 	PolicyTwoChoices = "twoChoices" // the less loaded of two random targets
-	PolicyRandom     = "random"     // a random target
+	PolicyRandom     = "random"     // a random target, queued there in the order of arrival
+	PolicyLeast      = "least"      // the least loaded target, queued there in the order of arrival
+	PolicyStrict     = "strict"     // as joinIdle, but the most urgent work always goes first
 )
 
+// policies are the allowed values of a policy; the same is set on all nodes.
+var policies = []string{PolicyJoinIdle, PolicyTwoChoices, PolicyRandom, PolicyLeast, PolicyStrict}
+
 // Entry are the settings of the role entry.
 type Entry struct {
 	// Callers is the IP address and TCP port of the callers' HTTP.
@@ -20,7 +25,7 @@
 	Operators string `json:"operators"`
 	// MaxBody bounds a task's body, in bytes.
 	MaxBody int `json:"maxBody"`
-	// Policy is the placement policy: joinIdle, twoChoices or random.
+	// Policy is the placement policy: joinIdle, or another one to compare with.
 	Policy string `json:"policy"`
 	// NoTargetWait is how long work waits for a matching target to appear.
 	NoTargetWait Duration `json:"noTargetWait"`
@@ -48,7 +53,7 @@
 		c.listen("entry.operators", e.Operators)
 	}
 	c.number("entry.maxBody", e.MaxBody, 1, model.MaxBody)
-	c.oneOf("entry.policy", e.Policy, PolicyJoinIdle, PolicyTwoChoices, PolicyRandom)
+	c.oneOf("entry.policy", e.Policy, policies...)
 	c.duration("entry.noTargetWait", e.NoTargetWait, 0, seconds(60))
 	c.duration("entry.requestTimeout", e.RequestTimeout, millis(10), Duration(model.MaxTimeToLive))
 	c.duration("entry.drainTimeout", e.DrainTimeout, 0, Duration(model.MaxTimeToLive))
--- a/conf/watch.go
+++ b/conf/watch.go
@@ -35,6 +35,8 @@
 type Metrics struct {
 	// Listen is the IP address and TCP port of /metrics, /live and /ready, empty for none.
 	Listen string `json:"listen"`
+	// Profiles adds /debug/pprof/, which shows the process's inside to whoever reaches Listen.
+	Profiles bool `json:"profiles"`
 }
 
 func (m Metrics) check(c *checker) {
--- a/load/plot.go
+++ b/load/plot.go
@@ -20,6 +20,7 @@
 func (r Result) PlotRatio(file string) error {
 	p := newPlot(r, "response time / ideal", "share of complete work")
 	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	p.X.Min, p.X.Max = 1, 2 // a log scale cannot do without
 	return r.draw(p, file, func(k KindResult) plotter.XYs {
 		var xy plotter.XYs
 		for _, pt := range k.CDF {
--- a/member/finder.go
+++ b/member/finder.go
@@ -84,6 +84,22 @@
 	return append(near, far...)
 }
 
+// Answer answers FindNodes at a process that is no keeper with what it knows,
+// so that agents can join by entries alone.
+func (f *Finder) Answer() {
+	link.On(f.node.Mux(), func(context.Context, link.Peer, wire.FindNodes) wire.Message {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		out := wire.Nodes{Nodes: []wire.Node{f.self}}
+		for name, n := range f.found {
+			if name != f.self.Name {
+				out.Nodes = append(out.Nodes, n)
+			}
+		}
+		return out
+	}, keys.Agent, keys.Entry)
+}
+
 // Addresses returns the addresses of the known processes of a role, those of
 // this data centre first, or the addresses to join by while none is known.
 func (f *Finder) Addresses(role keys.Role) []string {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -33,6 +34,8 @@
 type Server struct {
 	// Listen is an IP address and TCP port, empty for no server.
 	Listen string
+	// Profiles adds /debug/pprof/.
+	Profiles bool
 	// Ready reports whether the process takes new work.
 	Ready func() bool
 }
@@ -54,6 +57,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	if s.Profiles {
+		mux.HandleFunc("/debug/pprof/", pprof.Index)
+		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	}
 	return Serve(ctx, &http.Server{Addr: s.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout})
 }
 
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -73,11 +73,15 @@
 }
 
 func (b *builder) entry() {
+	if !b.s.Node.Has(keys.Keeper) {
+		b.finder.Answer()
+	}
 	b.k.Add(&spread.Follower{
 		View: b.view, Node: b.node, Clock: b.clock, Log: b.log,
 		Keepers: func() []string { return b.finder.Addresses(keys.Keeper) },
 	})
 	p := place.DefaultSettings()
+	p.Policy = policyOf(b.s.Entry.Policy)
 	p.Near = []string{b.s.Node.DataCentre}
 	p.NoTargetWait = time.Duration(b.s.Entry.NoTargetWait)
 	router := route.New(route.Options{Place: p, Clock: b.clock, Log: b.log, View: b.view})
@@ -93,6 +97,6 @@
 func (b *builder) agent() {
 	b.k.Add(agent.New(agent.Options{
 		Listen: b.s.Agent.Targets, TargetLease: time.Duration(b.s.Agent.TargetLease), Clock: b.clock, Log: b.log, View: b.view,
-		Platform: agent.NewPlatform(b.s.Agent.Platform),
+		Platform: agent.NewPlatform(b.s.Agent.Platform), Shares: sharesOf(b.s.Agent.Policy),
 	}))
 }
--- /dev/null
+++ b/rig/proc.go
@@ -0,0 +1,153 @@
+package rig
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/layout"
+
+	"github.com/gravitational/trace"
+)
+
+// proc is a started process.
+type proc struct {
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+}
+
+// run starts a program; its output goes to a file of its name.
+func (r *Rig) run(name, program string, args ...string) error {
+	log, err := os.Create(filepath.Join(r.opts.Folder, name+".log"))
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	p := &proc{cmd: exec.Command(filepath.Join(r.opts.Programs, program), args...), log: log, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if err := p.cmd.Start(); err != nil {
+		_ = log.Close()
+		return trace.Wrap(err)
+	}
+	go func() {
+		_ = p.cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	r.procs[name] = p
+	r.names = append(r.names, name)
+	return nil
+}
+
+func (r *Rig) targetArgs(t layout.Target) []string {
+	args := []string{
+		"target", "--agent", t.Agent, "--listen", strings.TrimPrefix(t.URL, "http://"), "--name", t.Name,
+		"--data-centre", t.DataCentre, "--slots", fmt.Sprint(t.Slots), "--connections", fmt.Sprint(t.Connections),
+		"--lease", t.Lease, "--start-log", r.startLog(t.Name), "--seed", fmt.Sprint(r.opts.Seed),
+	}
+	for _, k := range slices.Sorted(maps.Keys(t.Labels)) {
+		args = append(args, "--label", k+"="+t.Labels[k])
+	}
+	return append(args, r.opts.TargetArgs...)
+}
+
+func (r *Rig) startLog(target string) string { return filepath.Join(r.opts.Folder, target+".starts") }
+
+// Signal sends a signal to a process. The error is a trace.NotFound or from the system.
+func (r *Rig) Signal(name string, s syscall.Signal) error {
+	p := r.procs[name]
+	if p == nil {
+		return trace.NotFound("process %q is unknown", name)
+	}
+	return trace.ConvertSystemError(p.cmd.Process.Signal(s))
+}
+
+// Stop ends all processes and the relay, and waits for them.
+func (r *Rig) Stop() {
+	for _, p := range r.procs {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	limit := r.opts.Clock.After(stopLimit)
+	for _, p := range r.procs {
+		select {
+		case <-p.done:
+			continue
+		case <-limit:
+			limit = r.opts.Clock.After(time.Millisecond)
+		}
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+	if r.relay != nil {
+		r.relay.Close()
+	}
+}
+
+// Targets returns the targets in their order.
+func (r *Rig) Targets() []layout.Target { return r.targets }
+
+// AgentOf returns the name of the agent beside a target.
+func (r *Rig) AgentOf(t layout.Target) string {
+	for _, s := range r.settings {
+		if "http://"+s.Agent.Targets == t.Agent {
+			return s.Node.Name
+		}
+	}
+	return ""
+}
+
+// EntryURLs returns the callers' URLs of the entries.
+func (r *Rig) EntryURLs() []string {
+	var out []string
+	for _, s := range r.settings {
+		if s.Node.Has(keys.Entry) {
+			out = append(out, "http://"+r.relay.Addr(callers(s.Node.Name)).String())
+		}
+	}
+	return out
+}
+
+// OperatorURLs returns the operators' URLs of the entries.
+func (r *Rig) OperatorURLs() []string {
+	var out []string
+	for _, s := range r.settings {
+		if s.Node.Has(keys.Entry) {
+			out = append(out, "https://"+s.Entry.Operators)
+		}
+	}
+	return out
+}
+
+// Identity returns the certificate of an operator.
+func (r *Rig) Identity() (*keys.Identity, error) {
+	f := keys.Folder(filepath.Join(r.opts.Folder, "tls"))
+	return keys.Load(f.Cert("ca"), f.Cert(operator), f.Key(operator))
+}
+
+// MetricsURLs returns the URLs of the metrics of the processes with a role.
+func (r *Rig) MetricsURLs(roles ...keys.Role) []string {
+	var out []string
+	for _, s := range r.settings {
+		if slices.ContainsFunc(roles, s.Node.Has) {
+			out = append(out, "http://"+s.Metrics.Listen+"/metrics")
+		}
+	}
+	return out
+}
+
+// StartLogs returns the files of the targets' start logs.
+func (r *Rig) StartLogs() []string {
+	var out []string
+	for _, t := range r.targets {
+		out = append(out, r.startLog(t.Name))
+	}
+	return out
+}
--- /dev/null
+++ b/trial/event.go
@@ -0,0 +1,132 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"cyclamenrelay.example/dummy"
+	"cyclamenrelay.example/layout"
+	"cyclamenrelay.example/rig"
+	"cyclamenrelay.example/units"
+
+	"github.com/gravitational/trace"
+)
+
+// The things that can happen to targets.
+const (
+	ActionFail   = "fail"   // fail every task
+	ActionHeal   = "heal"   // end fail and cut
+	ActionKill   = "kill"   // kill the target and its agent
+	ActionFreeze = "freeze" // stop both without an end
+	ActionThaw   = "thaw"   // let both go on
+	ActionCut    = "cut"    // drop everything between the agent and the other nodes
+)
+
+var actions = []string{ActionFail, ActionHeal, ActionKill, ActionFreeze, ActionThaw, ActionCut}
+
+// Event is something that happens to the targets First to Last, counted from 1.
+type Event struct {
+	At     units.Duration `json:"at"`
+	Action string         `json:"action"`
+	First  int            `json:"first"`
+	Last   int            `json:"last"`
+}
+
+// ParseEvent reads "5s:kill:1-3". The error is a trace.BadParameter.
+func ParseEvent(s string) (Event, error) {
+	bad := trace.BadParameter("event %q is not like 5s:kill:1-3 with one of %s", s, strings.Join(actions, ", "))
+	parts := strings.Split(s, ":")
+	if len(parts) != 3 || !slices.Contains(actions, parts[1]) {
+		return Event{}, bad
+	}
+	at, err := time.ParseDuration(parts[0])
+	if err != nil || at < 0 {
+		return Event{}, bad
+	}
+	low, high, isRange := strings.Cut(parts[2], "-")
+	if !isRange {
+		high = low
+	}
+	first, err := strconv.Atoi(low)
+	if err != nil || first < 1 {
+		return Event{}, bad
+	}
+	last, err := strconv.Atoi(high)
+	if err != nil || last < first {
+		return Event{}, bad
+	}
+	return Event{At: units.Duration(at), Action: parts[1], First: first, Last: last}, nil
+}
+
+// inject lets the events happen at their times.
+func (o Options) inject(ctx context.Context, r *rig.Rig, began time.Time) error {
+	for _, e := range o.Events {
+		select {
+		case <-o.Clock.After(began.Add(e.At.Std()).Sub(o.Clock.Now())):
+		case <-ctx.Done():
+			return nil
+		}
+		for i, t := range r.Targets() {
+			if i+1 < e.First || i+1 > e.Last {
+				continue
+			}
+			if err := act(ctx, r, e.Action, t); err != nil {
+				return trace.Wrap(err, "%s of %s", e.Action, t.Name)
+			}
+		}
+	}
+	return nil
+}
+
+func act(ctx context.Context, r *rig.Rig, action string, t layout.Target) error {
+	switch action {
+	case ActionFail:
+		return setMode(ctx, t, dummy.Mode{Fail: true})
+	case ActionHeal:
+		if err := r.Heal(); err != nil {
+			return err
+		}
+		return setMode(ctx, t, dummy.Mode{})
+	case ActionCut:
+		return r.Cut(r.AgentOf(t))
+	case ActionKill:
+		return signal(r, t, syscall.SIGKILL)
+	case ActionFreeze:
+		return signal(r, t, syscall.SIGSTOP)
+	}
+	return signal(r, t, syscall.SIGCONT)
+}
+
+func signal(r *rig.Rig, t layout.Target, s syscall.Signal) error {
+	if err := r.Signal(t.Name, s); err != nil {
+		return err
+	}
+	return r.Signal(r.AgentOf(t), s)
+}
+
+func setMode(ctx context.Context, t layout.Target, m dummy.Mode) error {
+	b, err := json.Marshal(m)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, t.URL+"/v1/mode", bytes.NewReader(b))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return trace.BadParameter("status %s", resp.Status)
+	}
+	return nil
+}
