--- a/agent/agent.go
+++ b/agent/agent.go
@@ -33,6 +33,8 @@
 	Log         *zap.Logger
 	View        *spread.View
 	Platform    Platform
+	// Shares are the settings of the core, without slots.
+	Shares share.Settings
 }
 
 // Agent is the service beside a target.
@@ -65,7 +67,7 @@
 		stepped: make(chan struct{}, 1),
 		log:     newJournal(opts.Clock),
 		set:     set,
-		core:    share.New(share.DefaultSettings(0), set),
+		core:    share.New(opts.Shares, set),
 		waiting: map[string]chan *model.NotRun{},
 		idle:    make(chan struct{}),
 	}
--- a/keeper/nodes.go
+++ b/keeper/nodes.go
@@ -20,11 +20,6 @@
 			t.Heard(m.Self)
 		}
 		t.Heard(self())
-		nodes := t.Live()
-		a := wire.Nodes{Digest: member.Digest(nodes)}
-		if a.Digest != m.Known {
-			a.Nodes = nodes
-		}
-		return a
+		return member.AnswerTo(m, t.Live())
 	}, keys.Entry, keys.Keeper, keys.Agent)
 }
