fleet: bound the work for each message

Cause: asking for slots sorted all targets of a class, and each different selector made a class that every message walks over. Change: asking looks at four targets for each that is asked; at most 1,024 classes, beyond which new selectors are refused (queueFull), also on a change of rules.

--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -11,6 +11,7 @@
 	maxAsked   = 32              // slots asked of one agent for one class
 	askMargin  = 2               // slots asked for beyond the queued work, and half of it
 	askBatch   = 4               // slots asked for in one message when much is queued
+	askWindow  = 4               // targets looked at for each one that is asked
 	renewAfter = 2 * time.Second // without a grant, demand is sent again
 )
 
@@ -41,16 +42,17 @@
 	})
 }
 
-// leastAsked returns n targets of which the least was asked.
+// leastAsked returns n targets of which little was asked. It looks at a bounded
+// number of targets, each time at the following ones.
 func (k *Class) leastAsked(n int) []*Target {
-	all := make([]*Target, 0, k.size)
-	for _, ts := range k.near {
-		all = append(all, ts...)
+	window := min(k.size, max(askWindow*n, scanAll))
+	some := make([]*Target, window)
+	for i := range some {
+		some[i] = k.at((k.cursor + i) % k.size)
 	}
-	k.cursor = (k.cursor + n) % len(all)
-	all = slices.Concat(all[k.cursor:], all[:k.cursor])
-	slices.SortStableFunc(all, func(a, b *Target) int { return cmp.Compare(k.asked[a], k.asked[b]) })
-	return all[:n]
+	k.cursor = (k.cursor + n) % k.size
+	slices.SortStableFunc(some, func(a, b *Target) int { return cmp.Compare(k.asked[a], k.asked[b]) })
+	return some[:n]
 }
 
 // Asked returns how many slots t was asked for in a share.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -8,11 +8,16 @@
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/rules"
 	"cyclamenrelay.example/wire"
+
+	"github.com/gravitational/trace"
 )
 
 // forgetAfter is how long silent targets and unused classes are remembered.
 const forgetAfter = time.Minute
 
+// maxClasses bounds the classes, and with them the work for each message.
+const maxClasses = 1024
+
 // Settings are the settings of a Fleet.
 type Settings struct {
 	// Near lists the data centres, the entry's own first. Others count as equally far.
@@ -167,7 +172,8 @@
 	return dead
 }
 
-// Class returns the class of work under a rule; the error is a trace.BadParameter.
+// Class returns the class of work under a rule. The error is a trace.BadParameter
+// for a broken selector, and trace.LimitExceeded with too many different ones in use.
 func (f *Fleet) Class(now time.Time, rule *rules.Rule, selector string) (*Class, error) {
 	key := classKey{share: rule.Name, selector: selector}
 	if k := f.classes[key]; k != nil {
@@ -178,6 +184,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(f.classes) >= maxClasses {
+		return nil, trace.LimitExceeded("more than %d different selectors are in use", maxClasses)
+	}
 	k := &Class{
 		Rule: rule, key: key, sel: sel, used: now, EmptySince: now,
 		member: map[*Target]bool{}, asked: map[*Target]int{},
--- a/place/answer.go
+++ b/place/answer.go
@@ -124,8 +124,8 @@
 
 // restart starts r again at once, or queues it ahead of later work.
 func (c *Core) restart(r *request, cause Cause) {
-	if err := c.classify(r); err != nil {
-		panic("place: selector of a started request does not parse: " + err.Error())
+	if !c.classify(r) {
+		return
 	}
 	if cause == Bounced {
 		r.charged = false
--- a/place/core.go
+++ b/place/core.go
@@ -204,10 +204,9 @@
 		c.unqueue(q)
 	}
 	for _, q := range queued {
-		if err := c.classify(q); err != nil {
-			panic("place: selector of a queued request does not parse: " + err.Error())
+		if c.classify(q) {
+			c.enqueue(q)
 		}
-		c.enqueue(q)
 	}
 	c.fleet.Carry(old)
 	c.pumpAll()
--- a/place/core_test.go
+++ b/place/core_test.go
@@ -218,6 +218,26 @@
 	assert.Equal(t, g.ends["x"].(model.NotRun).Code, model.CodeNoTarget)
 }
 
+// TestTooManySelectors: a flood of different selectors is refused at its own expense.
+func TestTooManySelectors(t *testing.T) {
+	g := newRig(t, compile(t, 1, nil))
+	g.hear(0, 8, nil)
+	g.arrive("first", nil, "")
+	for i := range 2000 {
+		g.arrive(fmt.Sprint(i), nil, fmt.Sprintf("zone=z%d", i))
+	}
+	assert.Equal(t, g.ends["1999"].(model.NotRun).Code, model.CodeQueueFull)
+	g.arrive("last", nil, "")
+	assert.Equal(t, g.open["lastagent0"], "agent0")
+	g.step(place.Configured{Rules: compile(t, 2, map[model.ItemKey]any{ruleKey("a"): model.Rule{Weight: 2}})})
+	for range 2 {
+		g.wait(1500 * time.Millisecond)
+		g.hear(0, 6, nil)
+	}
+	all, _ := g.core.Pending()
+	assert.Equal(t, all, 2, "only what was started is left")
+}
+
 // TestChangeHoldsForQueuedWork: a new rule sends queued work elsewhere, and a
 // drain keeps it from a target.
 func TestChangeHoldsForQueuedWork(t *testing.T) {
@@ -297,6 +317,32 @@
 func BenchmarkTask11Targets(b *testing.B)   { benchmark(b, 11) }
 func BenchmarkTask2000Targets(b *testing.B) { benchmark(b, 2000) }
 
+// BenchmarkQueuedTask2000Targets queues a task and serves it by a grant, with 500 others queued.
+func BenchmarkQueuedTask2000Targets(b *testing.B) {
+	g := newRig(b, kindRules(b, kinds...))
+	for i := range 2000 {
+		g.hear(i, 0, nil)
+	}
+	tag := model.Labels{"kind": "tag"}
+	n := 0
+	arrive := func() {
+		n++
+		g.core.Step(g.now, place.Arrive{Task: model.Task{ID: fmt.Sprint(n), Labels: tag, TimeLeft: time.Minute}})
+	}
+	for range 500 {
+		arrive()
+	}
+	done := &model.Complete{}
+	b.ReportAllocs()
+	for b.Loop() {
+		arrive()
+		agent := fmt.Sprint("agent", n%2000)
+		out := g.core.Step(g.now, place.Granted{Agent: agent, Grant: wire.Grant{ID: 1, Share: "tag"}})
+		id := out[0].(place.Start).Task.ID
+		g.core.Step(g.now, place.Answer{Agent: agent, Result: wire.Result{ID: id, Complete: done}})
+	}
+}
+
 // BenchmarkQueuedTask reports the memory of a queued task.
 func BenchmarkQueuedTask(b *testing.B) {
 	g := newRig(b, compile(b, 1, map[model.ItemKey]any{ruleKey("a"): model.Rule{QueueBound: 1 << 30}}))
--- a/place/request.go
+++ b/place/request.go
@@ -8,6 +8,8 @@
 	"cyclamenrelay.example/fleet"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/queue"
+
+	"github.com/gravitational/trace"
 )
 
 // Bounds on one request.
@@ -61,8 +63,7 @@
 	}
 	r.item.ID = t.ID
 	c.requests[t.ID] = r
-	if err := c.classify(r); err != nil {
-		c.refuse(r, model.CodeInvalid, err.Error(), 0)
+	if !c.classify(r) {
 		return
 	}
 	c.schedule(r, r.deadline)
@@ -73,12 +74,18 @@
 	c.admit(r)
 }
 
-// classify sets what the rules say of r, which is not queued.
-func (c *Core) classify(r *request) error {
+// classify sets what the rules say of r, which is not queued. It returns false
+// when r was refused because of its selector.
+func (c *Core) classify(r *request) bool {
 	rule := c.rules.Classify(r.task.Labels)
 	k, err := c.fleet.Class(c.now, rule, r.task.Selector)
 	if err != nil {
-		return err
+		code := model.CodeInvalid
+		if trace.IsLimitExceeded(err) {
+			code = model.CodeQueueFull
+		}
+		c.refuse(r, code, err.Error(), minRetryAfter)
+		return false
 	}
 	i := &r.item
 	i.Share, i.Weight, i.Class = rule.Name, rule.Weight, k
@@ -86,7 +93,7 @@
 	i.TeamWeight = c.rules.Team(i.Team).Weight
 	i.Urgency = rule.UrgencyOf(&r.task)
 	i.Estimate = r.kind.Estimate(r.task.RunTime)
-	return nil
+	return true
 }
 
 // admit queues r, or refuses it when its share's queue is full or its deadline is too near.
@@ -222,8 +229,8 @@
 func (c *Core) hedge(r *request) {
 	r.hedged = true
 	r.tried = append(r.tried, r.attempts[0].t)
-	if err := c.classify(r); err != nil {
-		panic("place: selector of a started request does not parse: " + err.Error())
+	if k, err := c.fleet.Class(c.now, c.rules.Classify(r.task.Labels), r.task.Selector); err == nil {
+		r.item.Class = k
 	}
 	if t := c.choose(r); t != nil && t.Free > 0 && c.budgets.Of(r.item.Share).Spend() {
 		c.start(r, t, 0, Hedge)
