--- a/place/core.go
+++ b/place/core.go
@@ -28,7 +28,8 @@
 }
 
 // Core decides for one entry. It is not safe for concurrent use: one goroutine
-// owns it, calls Step for each event and does the effects in their order.
+// owns it, calls Step for each event and does the effects in their order, and
+// sends a Tick when the time of Wake is reached. Each Arrive ends in one Resolve.
 type Core struct {
 	set      Settings
 	rnd      *rand.Rand
--- a/place/fault_test.go
+++ b/place/fault_test.go
@@ -118,8 +118,8 @@
 	assert.Assert(t, s.extra <= 3*10+poison.sent/10, "%d retries of %d tasks", s.extra, poison.sent)
 }
 
-// TestHalfTheTargetsDie: retries stay within the budget, and nothing waits
-// much longer than the silence bound.
+// TestHalfTheTargetsDie: retries stay within the budget, and nothing that
+// cannot be retried waits longer than the silence bound.
 func TestHalfTheTargetsDie(t *testing.T) {
 	const end = 20 * time.Second
 	s := loaded(t, 6, fleet.IdleFirst{}, 0.7, end)
@@ -132,11 +132,22 @@
 	s.finish(end)
 	budget := 3*(len(kinds)+2)*10 + (s.starts-before)/10
 	assert.Assert(t, s.extra <= budget, "%d retries of %d starts", s.extra, s.starts-before)
+	bound := 8*time.Second + place.DefaultSettings().Silence + 200*time.Millisecond
+	lost := 0
 	for id, task := range s.tasks {
-		if task.kind == "deposit" {
-			assert.Assert(t, task.ran <= 1, "%s ran %d times", id, task.ran)
+		if task.kind != "deposit" {
+			continue
+		}
+		assert.Assert(t, task.ran <= 1, "%s ran %d times", id, task.ran)
+		if task.arrived < 8*time.Second && task.ended > 8*time.Second+5*time.Second {
+			t.Errorf("%s waited until %v", id, task.ended)
+		}
+		if s.failed[id] {
+			lost++
+			assert.Assert(t, task.ended <= bound, "%s failed at %v", id, task.ended)
 		}
 	}
+	assert.Assert(t, lost > 0)
 }
 
 // TestHedge: with 5 % of the starts ten times as long, hedging improves the
--- a/place/sim_test.go
+++ b/place/sim_test.go
@@ -63,6 +63,7 @@
 	ran     int
 	fails   bool
 	done    bool
+	ended   time.Duration
 }
 
 type simAgent struct {
@@ -86,6 +87,7 @@
 	agents  []*simAgent
 	tasks   map[string]*simTask
 	kinds   map[string]*tally
+	failed  map[string]bool
 	from    time.Duration // tasks that arrive earlier are not tallied
 	slow    float64       // part of the starts that take ten times as long
 	even    bool          // run times are 100 ms to 200 ms
@@ -96,7 +98,7 @@
 var epoch = time.Unix(1_000_000, 0)
 
 func newSim(t testing.TB, seed uint64, p fleet.Policy, set *rules.Set) *sim {
-	s := &sim{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), tasks: map[string]*simTask{}, kinds: map[string]*tally{}}
+	s := &sim{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), tasks: map[string]*simTask{}, kinds: map[string]*tally{}, failed: map[string]bool{}}
 	for i := range 3 {
 		cfg := place.DefaultSettings()
 		cfg.Policy = p
@@ -255,7 +257,7 @@
 func (s *sim) resolve(r place.Resolve) {
 	t := s.tasks[r.ID]
 	assert.Assert(s.t, t != nil && !t.done, "second outcome of %s", r.ID)
-	t.done = true
+	t.done, t.ended = true, s.now
 	if _, ok := r.Outcome.(model.NotRun); ok {
 		assert.Equal(s.t, t.ran, 0, "notRun of %s that ran", r.ID)
 	}
@@ -272,6 +274,7 @@
 		k.ratios = append(k.ratios, took/(t.run+2*simNear).Seconds())
 	case model.Failed:
 		k.failed++
+		s.failed[r.ID] = true
 	case model.NotRun:
 		k.notRun++
 		k.codes[o.Code]++
