--- a/place/core_test.go
+++ b/place/core_test.go
@@ -280,6 +280,26 @@
 	assert.Equal(t, len(g.open), 6)
 }
 
+// TestLostDemandIsSentAgain: an agent that lost what it was asked for is asked once more.
+func TestLostDemandIsSentAgain(t *testing.T) {
+	g := newRig(t, compile(t, 1, nil))
+	g.hear(0, 0, nil)
+	out := g.step(place.Arrive{Task: model.Task{ID: "x", TimeLeft: time.Minute}})
+	want := out[0].(place.Ask)
+	assert.Equal(t, want.Agent, "agent0")
+	for range 22 {
+		g.hear(0, 0, nil)
+		g.now = g.now.Add(100 * time.Millisecond)
+		for _, e := range g.step(place.Tick{}) {
+			if again, ok := e.(place.Ask); ok {
+				assert.DeepEqual(t, again, want)
+				return
+			}
+		}
+	}
+	t.Fatal("the demand is not sent again")
+}
+
 // TestFrozenTarget: a start that stays unanswered while heartbeats go on fails
 // as what may have run, and an idempotent one is retried elsewhere.
 func TestFrozenTarget(t *testing.T) {
