--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,7 +40,7 @@
 // Entry is the service that callers talk to.
 type Entry struct {
 	opts   Options
-	router *route.Router
+	router jobs.Router
 	jobs   *jobs.Manager
 	finder *member.Finder
 
@@ -64,12 +64,18 @@
 	if e.jobs, err = kernel.Find[*jobs.Manager](k, jobs.ServiceName); err != nil {
 		return err
 	}
-	e.router, err = kernel.Find[*route.Router](k, route.ServiceName)
+	e.router, err = kernel.Find[jobs.Router](k, route.ServiceName)
 	return err
 }
 
 // Run implements kernel.Service.
 func (e *Entry) Run(ctx context.Context) error {
+	srv := &http.Server{Addr: e.opts.Listen, Handler: e.Handler(), ReadHeaderTimeout: headerTimeout}
+	return meter.Serve(ctx, srv)
+}
+
+// Handler returns the callers' HTTP interface.
+func (e *Entry) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/requests", e.request)
 	mux.HandleFunc("POST /v1/jobs", e.submit)
@@ -78,8 +84,7 @@
 	mux.HandleFunc("DELETE /v1/jobs/{key}", e.jobCancel)
 	mux.HandleFunc("GET /v1/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /v1/ready", e.ready)
-	srv := &http.Server{Addr: e.opts.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout}
-	return meter.Serve(ctx, srv)
+	return mux
 }
 
 // ready tells the platform's balancer whether to send new work here.
--- /dev/null
+++ b/spread/view_test.go
@@ -0,0 +1,86 @@
+package spread_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/spread"
+	"cyclamenrelay.example/wire"
+)
+
+const lease = 4 * time.Second
+
+func update(from, to uint64, age time.Duration) wire.ConfigUpdate {
+	k := model.ItemKey{Section: model.SectionDrain, Name: "d"}
+	return wire.ConfigUpdate{
+		Delta: model.Delta{From: from, To: to, Items: []model.Item{{Key: k, Count: to, Version: to, Value: []byte("{}")}}},
+		Fresh: model.Fresh{Version: to, Age: age},
+	}
+}
+
+func TestViewIsUsableForALease(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	v := spread.NewView(c, lease)
+	assert.Assert(t, !v.Usable(), "nothing was proven yet")
+	c.Advance(time.Minute)
+	v.Apply(update(0, 3, time.Second), c.Now())
+	assert.Assert(t, v.Usable())
+	c.Advance(lease - time.Second)
+	assert.Assert(t, v.Usable())
+	c.Advance(1)
+	assert.Assert(t, !v.Usable())
+}
+
+func TestProofCountsFromTheQuestion(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	v := spread.NewView(c, lease)
+	c.Advance(time.Minute)
+	asked := c.Now()
+	c.Advance(lease)
+	v.Apply(update(0, 1, time.Millisecond), asked)
+	assert.Assert(t, !v.Usable(), "a late answer counts as fresh")
+}
+
+func TestVersionNeverGoesBack(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	v := spread.NewView(c, lease)
+	c.Advance(time.Minute)
+	v.Apply(update(0, 9, 0), c.Now())
+	v.Apply(update(0, 5, 0), c.Now())
+	v.Apply(update(12, 13, 0), c.Now()) // does not follow
+	assert.Equal(t, v.Config().Version(), uint64(9))
+	c.Advance(lease + 1)
+	assert.Assert(t, !v.Usable())
+	v.Apply(wire.ConfigUpdate{Fresh: model.Fresh{Version: 13}}, c.Now())
+	assert.Assert(t, !v.Usable(), "a proof of a version that is not here was taken")
+}
+
+func TestRestartNeedsAProofOfItsOwnTime(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	v := spread.NewView(c, lease)
+	c.Advance(time.Second)
+	// Confirmed two seconds ago, before the process started: a newer version may
+	// have been in force at its predecessor.
+	v.Apply(update(0, 1, 2*time.Second), c.Now())
+	assert.Assert(t, !v.Usable())
+	v.Apply(update(0, 2, 500*time.Millisecond), c.Now())
+	assert.Assert(t, v.Usable())
+}
+
+func TestProofAgesFromHopToHop(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	entry, agent := spread.NewView(c, lease), spread.NewView(c, lease)
+	c.Advance(time.Minute)
+	entry.Apply(update(0, 1, time.Second), c.Now())
+	c.Advance(2 * time.Second)
+	u := entry.Update(0)
+	assert.Equal(t, u.Fresh.Age, 3*time.Second)
+	agent.Apply(u, c.Now())
+	assert.Assert(t, agent.Usable())
+	c.Advance(time.Second + 1)
+	assert.Assert(t, !agent.Usable())
+}
