--- a/agent/agent.go
+++ b/agent/agent.go
@@ -33,6 +33,8 @@
 	Log         *zap.Logger
 	View        *spread.View
 	Platform    Platform
+	// Shares are the settings of the core, without slots.
+	Shares share.Settings
 }
 
 // Agent is the service beside a target.
@@ -47,7 +49,7 @@
 
 	mu       sync.Mutex
 	target   *lease
-	steer    steered
+	set      *rules.Set
 	seq      uint64
 	core     *share.Core
 	slots    int
@@ -64,7 +66,8 @@
 		wake:    make(chan struct{}, 1),
 		stepped: make(chan struct{}, 1),
 		log:     newJournal(opts.Clock),
-		core:    share.New(share.DefaultSettings(0), set),
+		set:     set,
+		core:    share.New(opts.Shares, set),
 		waiting: map[string]chan *model.NotRun{},
 		idle:    make(chan struct{}),
 	}
--- a/keeper/group.go
+++ b/keeper/group.go
@@ -5,6 +5,7 @@
 
 	"cyclamenrelay.example/agree"
 	"cyclamenrelay.example/group"
+	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/state"
 	"cyclamenrelay.example/wire"
 )
@@ -47,22 +48,22 @@
 	k.lastID++
 	if q.query != nil {
 		r.reads[k.lastID] = q
-		return group.To{Group: q.group, Input: agree.Read{ID: k.lastID}}
+		return group.To{Group: q.group, Input: rlog.Read{ID: k.lastID}}
 	}
 	data, err := wire.MarshalValue(logged{Now: time.Duration(k.opts.Clock.Now().UnixNano()), Command: q.command})
 	if err != nil {
 		panic("keeper: command cannot be encoded: " + err.Error())
 	}
 	r.proposed[k.lastID] = q.reply
-	return group.To{Group: q.group, Input: agree.Propose{ID: k.lastID, Data: data}}
+	return group.To{Group: q.group, Input: rlog.Propose{ID: k.lastID, Data: data}}
 }
 
 // apply gives committed commands to the state machine, and their answers to
 // those who proposed them here.
-func (r *replica) apply(a agree.Apply) {
+func (r *replica) apply(a rlog.Apply) {
 	for i, e := range a.Entries {
 		r.applied = e.Index
-		if e.Kind != agree.KindCommand {
+		if e.Kind != rlog.KindCommand {
 			continue
 		}
 		var l logged
@@ -92,12 +93,12 @@
 }
 
 // drop refuses a command or query whose outcome will not be known here.
-func (r *replica) drop(d agree.Dropped) {
+func (r *replica) drop(d rlog.Dropped) {
 	ref := &wire.Refused{Reason: "not the leader", Leader: d.Leader.Name}
 	switch d.Reason {
-	case agree.ReasonBusy:
+	case rlog.ReasonBusy:
 		ref.Reason = "too much is being recorded"
-	case agree.ReasonUnknown:
+	case rlog.ReasonUnknown:
 		ref.Reason, ref.MayBeDone = "leadership was lost", true
 	}
 	if c := r.proposed[d.ID]; c != nil {
--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -4,17 +4,24 @@
 	"context"
 	"time"
 
-	"cyclamenrelay.example/agree"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/rlog"
+	"cyclamenrelay.example/spans"
 	"cyclamenrelay.example/state"
 	"cyclamenrelay.example/wire"
 )
 
-// watchWait is the longest wait for a change of the configuration.
-const watchWait = 500 * time.Millisecond
+const (
+	// watchWait is the longest wait for a change of the configuration.
+	watchWait = 500 * time.Millisecond
+	// maxCommand bounds a command, in bytes.
+	maxCommand = 1 << 20
+)
 
 func (k *Keeper) propose(ctx context.Context, _ link.Peer, m wire.Propose) wire.Message {
+	ctx, span := spans.Start(spans.Extract(ctx, m.Trace), "keeper")
+	defer span.End()
 	r := k.request(ctx, request{group: uint64(m.Group), command: m.Command, reply: make(chan reply, 1)})
 	if r.refused != nil {
 		return *r.refused
@@ -35,6 +42,9 @@
 }
 
 func (k *Keeper) request(ctx context.Context, q request) reply {
+	if len(q.command) > maxCommand {
+		return reply{refused: &wire.Refused{Reason: "the command is too large"}}
+	}
 	if q.group > uint64(k.opts.Groups) {
 		return reply{refused: &wire.Refused{Reason: "there is no such group"}}
 	}
@@ -100,7 +110,7 @@
 		for g := range uint64(k.opts.Groups + 1) {
 			st := k.groups[g].node.Status()
 			s.Groups = append(s.Groups, wire.GroupState{
-				Group: g, Members: st.Members, Leads: st.Role == agree.Leader, Term: st.Term,
+				Group: g, Members: st.Members, Leads: st.Role == rlog.Leader, Term: st.Term,
 				Commit: st.Commit, Last: st.Last, Leader: st.Leader.Name,
 			})
 		}
--- a/member/table.go
+++ b/member/table.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"cyclamenrelay.example/wire"
@@ -67,3 +68,23 @@
 	}
 	return r.node, true
 }
+
+// AnswerTo answers a question with the live processes, which are left out when
+// the sender has them.
+func AnswerTo(q wire.FindNodes, nodes []wire.Node) wire.Nodes {
+	slices.SortFunc(nodes, func(a, b wire.Node) int { return strings.Compare(a.Name, b.Name) })
+	a := wire.Nodes{Digest: digest(nodes)}
+	if a.Digest != q.Known {
+		a.Nodes = nodes
+	}
+	return a
+}
+
+// digest identifies a list of processes; it is never 0.
+func digest(nodes []wire.Node) uint64 {
+	b, err := wire.MarshalValue(nodes)
+	if err != nil {
+		panic("member: processes cannot be encoded: " + err.Error())
+	}
+	return max(xxhash.Sum64(b), 1)
+}
--- a/place/request.go
+++ b/place/request.go
@@ -2,11 +2,14 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"cyclamenrelay.example/fleet"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/queue"
+
+	"github.com/gravitational/trace"
 )
 
 // Bounds on one request.
@@ -40,10 +43,9 @@
 	starts   int // starts that were not refused
 	bounces  int
 	hedged   bool
-	// mayHaveRun is set once a start was handed to an agent that did not refuse it.
-	mayHaveRun bool
-	last       *model.Failed
-	charged    bool
+	// last is set once a start ended that ran or may have run.
+	last    *model.Failed
+	charged bool
 }
 
 func (c *Core) arrive(t model.Task) {
@@ -61,8 +63,7 @@
 	}
 	r.item.ID = t.ID
 	c.requests[t.ID] = r
-	if err := c.classify(r); err != nil {
-		c.refuse(r, model.CodeInvalid, err.Error(), 0)
+	if !c.classify(r) {
 		return
 	}
 	c.schedule(r, r.deadline)
@@ -73,12 +74,18 @@
 	c.admit(r)
 }
 
-// classify sets what the rules say of r, which is not queued.
-func (c *Core) classify(r *request) error {
+// classify sets what the rules say of r, which is not queued. It returns false
+// when r was refused because of its selector.
+func (c *Core) classify(r *request) bool {
 	rule := c.rules.Classify(r.task.Labels)
 	k, err := c.fleet.Class(c.now, rule, r.task.Selector)
 	if err != nil {
-		return err
+		code := model.CodeInvalid
+		if trace.IsLimitExceeded(err) {
+			code = model.CodeQueueFull
+		}
+		c.refuse(r, code, err.Error(), minRetryAfter)
+		return false
 	}
 	i := &r.item
 	i.Share, i.Weight, i.Class = rule.Name, rule.Weight, k
@@ -86,7 +93,7 @@
 	i.TeamWeight = c.rules.Team(i.Team).Weight
 	i.Urgency = rule.UrgencyOf(&r.task)
 	i.Estimate = r.kind.Estimate(r.task.RunTime)
-	return nil
+	return true
 }
 
 // admit queues r, or refuses it when its share's queue is full or its deadline is too near.
@@ -124,12 +131,7 @@
 		return nil
 	}
 	fresh := func(t *fleet.Target) bool {
-		for _, o := range r.tried {
-			if o == t {
-				return false
-			}
-		}
-		return t.Allows(c.now, r.task.Idempotent)
+		return t.Allows(c.now, r.task.Idempotent) && !slices.Contains(r.tried, t)
 	}
 	return fleet.Choose(c.set.Policy, r.item.Class, c.rnd, fresh)
 }
@@ -214,7 +216,7 @@
 		c.judge(r, a.t, true)
 		c.emit(Cancel{Agent: a.t.Name, ID: r.item.ID})
 		c.drop(r, i)
-		c.again(r, model.Failed{Reason: "the target did not answer in time", MayHaveRun: true, Target: a.t.TargetName()})
+		c.again(r, a.t, model.Failed{Reason: "the target did not answer in time", MayHaveRun: true, Target: a.t.TargetName()})
 		return
 	}
 	if at, ok := c.hedgeAt(r); ok && !c.now.Before(at) {
@@ -227,8 +229,8 @@
 func (c *Core) hedge(r *request) {
 	r.hedged = true
 	r.tried = append(r.tried, r.attempts[0].t)
-	if err := c.classify(r); err != nil {
-		panic("place: selector of a started request does not parse: " + err.Error())
+	if k, err := c.fleet.Class(c.now, c.rules.Classify(r.task.Labels), r.task.Selector); err == nil {
+		r.item.Class = k
 	}
 	if t := c.choose(r); t != nil && t.Free > 0 && c.budgets.Of(r.item.Share).Spend() {
 		c.start(r, t, 0, Hedge)
@@ -237,7 +239,7 @@
 
 // expire ends a request whose deadline has passed.
 func (c *Core) expire(r *request) {
-	if r.mayHaveRun || len(r.attempts) > 0 {
+	if len(r.attempts) > 0 {
 		c.resolve(r, model.Failed{Reason: "no answer before the deadline", MayHaveRun: true})
 		return
 	}
@@ -246,14 +248,11 @@
 
 // refuse ends a request without a start in progress.
 func (c *Core) refuse(r *request, code model.Code, reason string, after time.Duration) {
-	switch {
-	case r.last != nil:
+	if r.last != nil {
 		c.resolve(r, *r.last)
-	case r.mayHaveRun:
-		c.resolve(r, model.Failed{Reason: reason, MayHaveRun: true})
-	default:
-		c.resolve(r, model.NotRun{Reason: reason, Code: code, RetryAfter: after})
+		return
 	}
+	c.resolve(r, model.NotRun{Reason: reason, Code: code, RetryAfter: after})
 }
 
 // resolve gives r its one outcome and cancels what still runs.
@@ -261,7 +260,7 @@
 	if c.requests[r.item.ID] != r {
 		panic("place: second outcome for request " + r.item.ID)
 	}
-	if _, ok := o.(model.NotRun); ok && (r.mayHaveRun || len(r.attempts) > 0) {
+	if _, ok := o.(model.NotRun); ok && (r.last != nil || len(r.attempts) > 0) {
 		panic("place: notRun for request " + r.item.ID + " that may have run")
 	}
 	c.unqueue(r)
