stand: make demo starts Cascade's deployment, steers it and loads it

Cause: the README's first command did not exist. Change: stand demo starts deploy/cascade through package rig, sets four rules with relctl, waits until all 11 targets have them, sends 20 s of quotes, proofs, deposits (claims) and jobs, prints each kind's counts and response over ideal, checks the targets' start logs, shows relctl status and stops what it has started. The processes have their own process group, so that Ctrl-C reaches the demonstration alone, which then stops them by their ids. Found with it: three keepers told to stop at once handed their groups to each other (term 102 after 10 s) until they were killed. A keeper now hands on only while another one stays.

--- a/Makefile
+++ b/Makefile
@@ -3,5 +3,8 @@
 build:
 	go build -o bin/ ./relayd ./relctl ./stand
 
+demo: build
+	bin/stand demo
+
 test:
 	go test -race -count=1 -timeout 14m ./...
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -170,7 +171,8 @@
 	return trace.NewAggregate(err, k.store.Close())
 }
 
-// Drain implements kernel.Drainer: it hands leadership to other keepers.
+// Drain implements kernel.Drainer: it hands leadership to other keepers while
+// one of them stays.
 func (k *Keeper) Drain(ctx context.Context) {
 	k.mu.Lock()
 	k.draining = true
@@ -186,7 +188,7 @@
 				}
 			}
 		})
-		if leads == 0 {
+		if leads == 0 || !k.othersStay() {
 			return
 		}
 		select {
@@ -198,6 +200,13 @@
 	}
 }
 
+// othersStay reports whether another keeper is alive and not shutting down.
+func (k *Keeper) othersStay() bool {
+	return slices.ContainsFunc(k.table.Live(), func(n wire.Node) bool {
+		return n.Name != k.self.Name && !n.Leaving && slices.Contains(n.Roles, string(keys.Keeper))
+	})
+}
+
 const drainPause = 100 * time.Millisecond
 
 // look runs f in the goroutine that owns the groups.
--- a/rig/proc.go
+++ b/rig/proc.go
@@ -32,6 +32,8 @@
 	}
 	p := &proc{cmd: exec.Command(filepath.Join(r.opts.Programs, program), args...), log: log, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// An interrupt at the terminal is for the rig alone, which stops the processes.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := p.cmd.Start(); err != nil {
 		_ = log.Close()
 		return trace.Wrap(err)
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -24,7 +24,7 @@
 
 const (
 	operator  = "operator"
-	certLife  = 24 * time.Hour
+	certLife  = 30 * 24 * time.Hour
 	fileMode  = 0o600
 	readyStep = 50 * time.Millisecond
 	stopLimit = 10 * time.Second
--- /dev/null
+++ b/stand/demo.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"cyclamenrelay.example/admin"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/load"
+	"cyclamenrelay.example/plan"
+	"cyclamenrelay.example/rig"
+
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+)
+
+func init() {
+	register("demo", "Start Cascade's whole deployment, steer it with relctl, run a mixed workload and stop it", &demo{})
+}
+
+const (
+	demoFirm  = "cascade"
+	startTime = time.Minute
+	pollStep  = 200 * time.Millisecond
+)
+
+// demoRules give the kinds of work their weights and bounds, and keep the
+// studio's jobs off one rack.
+var demoRules = []string{
+	"rules set quote --work kind=quote --weight 4 --hedge 0.99",
+	"rules set deposit --work kind=deposit --weight 2",
+	"rules set proof --work kind=proof --weight 2",
+	"rules set proofJob --work kind=proofJob --weight 1 --targets rack!=r4",
+}
+
+type demo struct {
+	Length   time.Duration `long:"length" default:"20s" description:"length of the load"`
+	Load     float64       `long:"load" default:"0.5" description:"share of the targets' slots that the load keeps busy"`
+	Programs string        `long:"programs" default:"bin" description:"folder of relayd, relctl and stand"`
+
+	folder string
+	rig    *rig.Rig
+}
+
+// Execute runs the demonstration. It stops what it has started, also on SIGINT.
+func (c *demo) Execute([]string) error {
+	ctx, stop := untilSignal()
+	defer stop()
+	var err error
+	if c.folder, err = os.MkdirTemp("", "cyclamenrelay-demo"); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err = c.run(ctx); err == nil || ctx.Err() != nil {
+		_ = os.RemoveAll(c.folder)
+		return err
+	}
+	return trace.Wrap(err, "the logs are kept in %s", c.folder)
+}
+
+func (c *demo) run(ctx context.Context) error {
+	lc := lab{Firm: demoFirm, Load: c.Load, Length: c.Length, Seed: 1}
+	o, err := lc.options()
+	if err != nil {
+		return err
+	}
+	c.note("starting %d keepers, %d entries, %d agents and as many targets in %s",
+		len(o.Rig.Spec.DataCentres), o.Rig.Spec.Entries, o.Rig.Spec.Workers, c.folder)
+	if err := c.start(ctx, o.Rig); err != nil {
+		return err
+	}
+	defer func() {
+		c.note("stopping all processes")
+		c.rig.Stop()
+		c.note("stopped")
+	}()
+	for _, rule := range demoRules {
+		if err := c.relctl(ctx, strings.Fields(rule)...); err != nil {
+			return err
+		}
+	}
+	if err := c.settle(ctx); err != nil {
+		return err
+	}
+	if err := c.relctl(ctx, "targets", "list"); err != nil {
+		return err
+	}
+	c.note("sending load for %v", c.Length)
+	if err := c.load(ctx, o.Plan); err != nil {
+		return err
+	}
+	if ctx.Err() != nil {
+		return trace.Wrap(ctx.Err(), "interrupted")
+	}
+	return c.relctl(ctx, "status")
+}
+
+// start starts the processes; none is left running when it fails.
+func (c *demo) start(ctx context.Context, o rig.Options) error {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	o.Folder, o.Programs, o.Clock = c.folder, c.Programs, clockwork.NewRealClock()
+	r, err := rig.Start(ctx, o)
+	if err != nil {
+		r.Stop()
+		return trace.Wrap(err)
+	}
+	c.rig = r
+	return nil
+}
+
+// settle waits until all targets are known and have all rules.
+func (c *demo) settle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	for {
+		var known admin.TargetsAnswer
+		b, err := c.command(ctx, "targets", "list", "--state", "up", "--json").Output()
+		if err == nil {
+			err = json.Unmarshal(b, &known)
+		}
+		behind := func(t admin.TargetStatus) bool { return t.Version < uint64(len(demoRules)) }
+		if err == nil && known.Matched == len(c.rig.Targets()) && !slices.ContainsFunc(known.Targets, behind) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.LimitExceeded("%d of %d targets are up: %v", known.Matched, len(c.rig.Targets()), err)
+		case <-time.After(pollStep):
+		}
+	}
+}
+
+// command returns one command of the operators' command line.
+func (c *demo) command(ctx context.Context, args ...string) *exec.Cmd {
+	tls := keys.Folder(filepath.Join(c.folder, "tls"))
+	all := []string{"--ca", tls.Cert("ca"), "--cert", tls.Cert("operator"), "--key", tls.Key("operator")}
+	for _, u := range c.rig.OperatorURLs() {
+		all = append(all, "--server", u)
+	}
+	return exec.CommandContext(ctx, filepath.Join(c.Programs, "relctl"), append(all, args...)...)
+}
+
+// relctl runs a command and shows it with its output.
+func (c *demo) relctl(ctx context.Context, args ...string) error {
+	c.note("relctl %s", strings.Join(args, " "))
+	cmd := c.command(ctx, args...)
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	return trace.Wrap(cmd.Run(), "relctl %s", args[0])
+}
+
+func (c *demo) load(ctx context.Context, p plan.Plan) error {
+	res, err := load.Run(ctx, p, load.Options{
+		Run: "demo", Entries: c.rig.EntryURLs(), Metrics: c.rig.MetricsURLs(keys.Entry, keys.Agent), Clock: clockwork.NewRealClock(),
+		StartLogs: func() ([]io.ReadCloser, error) { return openAll(c.rig.StartLogs()) },
+	})
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "KIND\tSENT\tCOMPLETE\tFAILED\tNOTRUN\tRESPONSE/IDEAL P50\tP99")
+	for _, k := range res.Kinds {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\n", k.Name, k.Sent, k.Complete, k.Failed, k.NotRun, k.Ratio.P50, k.Ratio.P99)
+	}
+	_ = w.Flush()
+	for _, k := range res.Kinds {
+		if ctx.Err() == nil && k.Lost+k.Wrong > 0 {
+			return trace.CompareFailed("%s: %d requests without an answer, %d with a wrong one", k.Name, k.Lost, k.Wrong)
+		}
+	}
+	if res.Truth != nil && res.Truth.Broken() {
+		return trace.CompareFailed("a promise to callers was broken: %+v", *res.Truth)
+	}
+	return nil
+}
+
+func (c *demo) note(format string, args ...any) { fmt.Printf("== "+format+"\n", args...) }
