--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"cyclamenrelay.example/rules"
 	"cyclamenrelay.example/share"
 	"cyclamenrelay.example/spread"
+	"cyclamenrelay.example/worker"
 )
 
 // ServiceName is the name that other services find the agent by.
@@ -32,7 +33,7 @@
 	Clock       clockwork.Clock
 	Log         *zap.Logger
 	View        *spread.View
-	Platform    Platform
+	Platform    worker.Platform
 	// Shares are the settings of the core, without slots.
 	Shares share.Settings
 }
--- a/agent/tend.go
+++ b/agent/tend.go
@@ -6,6 +6,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+
+	"cyclamenrelay.example/worker"
 )
 
 const (
@@ -45,7 +47,7 @@
 }
 
 func (a *Agent) stop(id string) {
-	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), worker.Timeout)
 	defer cancel()
 	if err := a.opts.Platform.Stop(ctx, id); err != nil {
 		a.opts.Log.Debug("task not stopped", zap.String("task", id), zap.Error(err))
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -21,6 +21,7 @@
 	"cyclamenrelay.example/route"
 	"cyclamenrelay.example/spread"
 	"cyclamenrelay.example/wire"
+	"cyclamenrelay.example/worker"
 )
 
 // builder makes the services of a process from its settings.
@@ -97,6 +98,6 @@
 func (b *builder) agent() {
 	b.k.Add(agent.New(agent.Options{
 		Listen: b.s.Agent.Targets, TargetLease: time.Duration(b.s.Agent.TargetLease), Clock: b.clock, Log: b.log, View: b.view,
-		Platform: agent.NewPlatform(b.s.Agent.Platform), Shares: sharesOf(b.s.Agent.Policy),
+		Platform: worker.New(b.s.Agent.Platform), Shares: sharesOf(b.s.Agent.Policy),
 	}))
 }
--- a/agent/platform.go
+++ b/worker/worker.go
@@ -1,4 +1,6 @@
-package agent
+// Package worker speaks to the platform of a worker: leases of running tasks,
+// usage, and stopping, throttling and checkpointing them.
+package worker
 
 import (
 	"bytes"
@@ -13,8 +15,9 @@
 )
 
 const (
-	platformTimeout = 2 * time.Second
-	maxUsage        = 4 << 20 // bytes of a usage report
+	// Timeout bounds one exchange with the platform.
+	Timeout  = 2 * time.Second
+	maxUsage = 4 << 20 // bytes of a usage report
 )
 
 // Platform is what the worker's platform does with running tasks.
@@ -51,13 +54,13 @@
 	client *http.Client
 }
 
-// NewPlatform returns the platform at the URL, or one that does nothing when
+// New returns the platform at the URL, or one that does nothing when
 // the URL is empty.
-func NewPlatform(u string) Platform {
+func New(u string) Platform {
 	if u == "" {
 		return noPlatform{}
 	}
-	return httpPlatform{url: u, client: &http.Client{Timeout: platformTimeout}}
+	return httpPlatform{url: u, client: &http.Client{Timeout: Timeout}}
 }
 
 func (p httpPlatform) Renew(ctx context.Context, id string, lease time.Duration) error {
