--- a/keeper/boot.go
+++ b/keeper/boot.go
@@ -10,6 +10,7 @@
 	"cyclamenrelay.example/disk"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/repair"
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/wire"
 )
@@ -32,7 +33,7 @@
 			if len(st.Members) > 0 || st.Last > 0 {
 				continue
 			}
-			members := k.firstMembers(g, states)
+			members := repair.First(k.self, g, states)
 			if members == nil {
 				continue
 			}
@@ -60,27 +61,6 @@
 	}
 }
 
-// firstMembers returns the membership that a group starts with, nil when it
-// must not be started here.
-func (k *Keeper) firstMembers(g uint64, states []wire.KeeperState) rlog.Membership {
-	fresh := rlog.Membership{}.With(rlog.Member{ID: k.self, Voter: true})
-	for _, s := range states {
-		if g >= uint64(len(s.Groups)) {
-			return nil
-		}
-		o := s.Groups[g]
-		if len(o.Members) == 0 && o.Last == 0 {
-			fresh = fresh.With(rlog.Member{ID: s.Self, Voter: true})
-			continue
-		}
-		if m, ok := rlog.Membership(o.Members).Find(k.self); ok && m.Voter && o.Last == 1 {
-			return o.Members
-		}
-		return nil
-	}
-	return fresh
-}
-
 // askFirst asks the other first keepers, and reports whether all have answered.
 func (k *Keeper) askFirst(ctx context.Context) (states []wire.KeeperState, all bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
--- a/keeper/tend.go
+++ b/keeper/tend.go
@@ -11,6 +11,7 @@
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/ledger"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/repair"
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/state"
 )
@@ -36,7 +37,7 @@
 				if st.Role != rlog.Leader {
 					continue
 				}
-				if c, ok := nextChange(st, desired, live); ok {
+				if c, ok := repair.Next(st, desired, live); ok {
 					k.opts.Log.Info("membership changes", zap.Uint64("group", g), zap.String("keeper", c.Member.ID.Name),
 						zap.Uint64("replica", c.Member.ID.Incarnation), zap.Bool("voter", c.Member.Voter), zap.Bool("remove", c.Remove))
 					k.lastID++
@@ -83,57 +84,6 @@
 	return names
 }
 
-// nextChange returns the next step, one member at a time, to a membership of
-// the desired keepers with the replicas that they have now. A lost replica is
-// replaced by its keeper's new one: learner first, then the old one goes once
-// the learner has caught up, then the learner becomes a voter. So at no time
-// do more replicas have to be alive than before.
-func nextChange(st rlog.Status, desired map[string]bool, live map[string]rlog.ID) (rlog.ChangeMember, bool) {
-	wanted := func(name string) bool {
-		if desired != nil {
-			return desired[name]
-		}
-		return slices.ContainsFunc(st.Members, func(m rlog.Member) bool { return m.ID.Name == name })
-	}
-	for _, m := range st.Members {
-		now, alive := live[m.ID.Name]
-		stale := alive && now != m.ID
-		if !m.Voter && (stale || !wanted(m.ID.Name)) {
-			return rlog.ChangeMember{Member: m, Remove: true}, true
-		}
-	}
-	for name, id := range live {
-		if _, in := st.Members.Find(id); !in && wanted(name) {
-			return rlog.ChangeMember{Member: rlog.Member{ID: id}}, true
-		}
-	}
-	for _, m := range st.Members {
-		if m.Voter || st.Match[m.ID] < st.Commit {
-			continue
-		}
-		old, lost := voterOf(st.Members, m.ID.Name)
-		if lost {
-			return rlog.ChangeMember{Member: old, Remove: true}, true
-		}
-		return rlog.ChangeMember{Member: rlog.Member{ID: m.ID, Voter: true}}, true
-	}
-	for _, m := range st.Members {
-		if !wanted(m.ID.Name) {
-			return rlog.ChangeMember{Member: m, Remove: true}, true
-		}
-	}
-	return rlog.ChangeMember{}, false
-}
-
-func voterOf(ms rlog.Membership, name string) (rlog.Member, bool) {
-	for _, m := range ms {
-		if m.Voter && m.ID.Name == name {
-			return m, true
-		}
-	}
-	return rlog.Member{}, false
-}
-
 // expire has the ledger groups that this keeper leads drop old records.
 func (k *Keeper) expire(ctx context.Context) {
 	var led []uint64
