--- a/place/sim_test.go
+++ b/place/sim_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -64,6 +63,7 @@
 	ran     int
 	fails   bool
 	done    bool
+	ended   time.Duration
 }
 
 type simAgent struct {
@@ -87,6 +87,7 @@
 	agents  []*simAgent
 	tasks   map[string]*simTask
 	kinds   map[string]*tally
+	failed  map[string]bool
 	from    time.Duration // tasks that arrive earlier are not tallied
 	slow    float64       // part of the starts that take ten times as long
 	even    bool          // run times are 100 ms to 200 ms
@@ -97,7 +98,7 @@
 var epoch = time.Unix(1_000_000, 0)
 
 func newSim(t testing.TB, seed uint64, p fleet.Policy, set *rules.Set) *sim {
-	s := &sim{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), tasks: map[string]*simTask{}, kinds: map[string]*tally{}}
+	s := &sim{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), tasks: map[string]*simTask{}, kinds: map[string]*tally{}, failed: map[string]bool{}}
 	for i := range 3 {
 		cfg := place.DefaultSettings()
 		cfg.Policy = p
@@ -234,7 +235,7 @@
 	t.ran++
 	a.ran++
 	d := t.run
-	if s.rnd.Float64() < s.slow {
+	if s.slow > 0 && s.rnd.Float64() < s.slow {
 		d *= 10
 	}
 	res := wire.Result{ID: r.Task.ID, Complete: &model.Complete{Status: 200}}
@@ -256,11 +257,11 @@
 func (s *sim) resolve(r place.Resolve) {
 	t := s.tasks[r.ID]
 	assert.Assert(s.t, t != nil && !t.done, "second outcome of %s", r.ID)
-	t.done = true
+	t.done, t.ended = true, s.now
 	if _, ok := r.Outcome.(model.NotRun); ok {
 		assert.Equal(s.t, t.ran, 0, "notRun of %s that ran", r.ID)
 	}
-	k := s.tally(t.kind)
+	k := s.kinds[t.kind]
 	if t.arrived < s.from {
 		return
 	}
@@ -273,21 +274,13 @@
 		k.ratios = append(k.ratios, took/(t.run+2*simNear).Seconds())
 	case model.Failed:
 		k.failed++
+		s.failed[r.ID] = true
 	case model.NotRun:
 		k.notRun++
 		k.codes[o.Code]++
 	}
 }
 
-func (s *sim) tally(kind string) *tally {
-	k := s.kinds[kind]
-	if k == nil {
-		k = &tally{codes: map[model.Code]int{}}
-		s.kinds[kind] = k
-	}
-	return k
-}
-
 // mix is an open stream of Poisson arrivals of one kind over all entries.
 type mix struct {
 	kind       string
@@ -297,23 +290,8 @@
 	fails, own bool // fails at every target; not idempotent
 }
 
-// runTime draws from 50 ms to 1 s, with 3 % of several seconds; the mean is simMean.
-func (s *sim) runTime() time.Duration {
-	if s.even {
-		return time.Duration((100 + 100*s.rnd.Float64()) * float64(time.Millisecond))
-	}
-	if s.rnd.Float64() < 0.03 {
-		return time.Duration((2 + 3*s.rnd.Float64()) * float64(time.Second))
-	}
-	return time.Duration(50 * math.Pow(20, s.rnd.Float64()) * float64(time.Millisecond))
-}
-
-var (
-	simMean     = 0.97*0.95/math.Log(20) + 0.03*3.5
-	simCapacity = 11 * simSlots / simMean
-)
-
 func (s *sim) feed(m mix) {
+	s.kinds[m.kind] = &tally{codes: map[model.Code]int{}}
 	s.after(m.from, func() { s.arrive(m) })
 }
 
