rules: kinds share the slots before any rule is configured

Cause: work that no rule selects was one share, so until an operator had written a rule for each kind a flood of one kind took the queue and the slots of all. Now a kind without a rule has a share of its own, of at most 1024, so that invented kinds cannot grow an entry. Ruled out: the kind's name as the share's, which callers could multiply without bound. Two kinds may meet in one share (1 in 1024); a rule parts them.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -7,16 +7,23 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strconv"
 
 	"cyclamenrelay.example/label"
 	"cyclamenrelay.example/model"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 )
 
-// Default is the name of the rule for work that no configured rule selects.
+// Default is the name of the rule for work without a kind that no configured
+// rule selects. Work with a kind goes to Default-0 to Default-1023 by its kind,
+// so that kinds share the slots before any rule is configured.
 const Default = "default"
 
+// defaultShares bounds the shares that callers make by naming kinds.
+const defaultShares = 1024
+
 // Defaults of a rule's fields.
 const (
 	DefaultQueueBound  = 1000 // tasks at each entry
@@ -135,7 +142,11 @@
 			return r
 		}
 	}
-	return s.fallback
+	kind := l[model.LabelKind]
+	if kind == "" {
+		return s.fallback
+	}
+	return normal(&Rule{Name: Default + "-" + strconv.FormatUint(xxhash.Sum64String(kind)%defaultShares, 10)})
 }
 
 // Rule returns the rule with the name, or one of weight 1 when there is none.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"testing"
 
 	"cyclamenrelay.example/model"
@@ -38,4 +39,14 @@
 	assert.Assert(t, drained)
 	empty, _ := rules.Compile(model.Config{})
 	assert.Equal(t, empty.Classify(nil).Name, rules.Default)
+	// Kinds without a rule have shares of their own, of a bounded number.
+	match, tag := empty.Classify(model.Labels{"kind": "match"}), empty.Classify(model.Labels{"kind": "tagLookup"})
+	assert.Assert(t, match.Name != tag.Name)
+	assert.Equal(t, empty.Classify(model.Labels{"kind": "match", "team": "red"}).Name, match.Name)
+	assert.Equal(t, empty.Rule(match.Name).Weight, match.Weight)
+	names := map[string]bool{}
+	for i := range 100_000 {
+		names[empty.Classify(model.Labels{"kind": strconv.Itoa(i)}).Name] = true
+	}
+	assert.Equal(t, len(names), 1024)
 }
