slope: measure what the system costs against its size

docs/CAPACITY.md needs slopes that anyone can measure again. The command runs the decision cores and state machines alone, and real processes (relayd) with one stand-in for all targets; UDP relays in front of keepers and entries count bytes, /proc gives processor time, /metrics allocations. Each series has a linear fit; the output is a table and JSON. A new metric, relay_config_version, tells when a process has a change.

Ruled out: counting on the loopback interface (other traffic), and profiles of one process with all roles (they share a scheduler and a heap).

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -35,6 +35,8 @@
 	Listen string
 	// Ready reports whether the process takes new work.
 	Ready func() bool
+	// Version returns the version of the process's configuration.
+	Version func() uint64
 }
 
 // Name implements kernel.Service.
@@ -46,6 +48,9 @@
 		<-ctx.Done()
 		return nil
 	}
+	if s.Version != nil {
+		metrics.GetOrCreateGauge("relay_config_version", func() float64 { return float64(s.Version()) })
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -54,7 +54,9 @@
 	if s.Node.Has(keys.Agent) {
 		b.agent()
 	}
-	b.k.Add(&meter.Server{Listen: s.Metrics.Listen, Ready: b.view.Usable})
+	b.k.Add(&meter.Server{
+		Listen: s.Metrics.Listen, Ready: b.view.Usable, Version: func() uint64 { return b.view.Config().Version() },
+	})
 	// The link starts last, when all handlers are registered.
 	b.k.Add(b.node)
 	return b.k, nil
--- /dev/null
+++ b/slope/main.go
@@ -0,0 +1,92 @@
+// Command slope measures what the system costs against its size on one
+// machine: the decision cores and state machines alone, and real processes
+// with small stand-ins. It prints each slope with its linear fit.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Relayd string   `long:"relayd" default:"bin/relayd" description:"program of the daemon"`
+	Parts  []string `long:"part" description:"cores, state, agents, entries, groups; all by default"`
+	Agents []int    `long:"agents" default:"10" default:"50" default:"100" default:"200" description:"numbers of agents"`
+	JSON   string   `long:"json" description:"file for the result as JSON"`
+}
+
+// measurer is one part of the measurement.
+type measurer struct {
+	name string
+	run  func(context.Context, options, *report) error
+}
+
+var measurers = []measurer{
+	{"cores", measureCores},
+	{"state", measureState},
+	{"agents", measureAgents},
+	{"entries", measureEntries},
+	{"groups", measureGroups},
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(1)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, trace.DebugReport(err))
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options) (err error) {
+	if o.Relayd, err = filepath.Abs(o.Relayd); err != nil {
+		return trace.Wrap(err)
+	}
+	r := &report{LoadBefore: loadAverage()}
+	for _, m := range measurers {
+		if len(o.Parts) > 0 && !slices.Contains(o.Parts, m.name) {
+			continue
+		}
+		if err := m.run(ctx, o, r); err != nil {
+			return trace.Wrap(err, "part %s", m.name)
+		}
+	}
+	r.LoadAfter = loadAverage()
+	r.fit()
+	if o.JSON != "" {
+		f, err := os.Create(o.JSON)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		defer func() { _ = f.Close() }()
+		if err := r.writeJSON(f); err != nil {
+			return err
+		}
+	}
+	return r.writeTable(os.Stdout)
+}
+
+func loadAverage() string {
+	b, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	first, _, _ := strings.Cut(string(b), " ")
+	return first
+}
--- /dev/null
+++ b/slope/state.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"cyclamenrelay.example/ledger"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/rules"
+	"cyclamenrelay.example/state"
+)
+
+// The configuration of the size to design for.
+const (
+	teams     = 130
+	kindRules = 40
+	drains    = 200
+	jobTasks  = 890
+	ledgerNow = time.Hour
+)
+
+// itemsOf returns items with the versions 1 and on.
+func itemsOf(teams, kinds, drains int) []model.Item {
+	var out []model.Item
+	add := func(s model.Section, name string, v any) {
+		b, err := json.Marshal(v)
+		if err != nil {
+			panic(err)
+		}
+		n := uint64(len(out) + 1)
+		out = append(out, model.Item{
+			Key: model.ItemKey{Section: s, Name: name}, Count: 1, Version: n, Value: b,
+			Operator: "operator-1", ChangeID: fmt.Sprintf("0123456789abcdef0123456789-%08d", n),
+		})
+	}
+	for i := range teams {
+		add(model.SectionTeam, fmt.Sprint("team-", i), model.Team{Quota: 100, Weight: 1})
+	}
+	for i := range kinds {
+		add(model.SectionRule, fmt.Sprint("kind-", i), model.Rule{Work: fmt.Sprint("kind=kind-", i), Targets: "executor=board", Weight: 1, QueueBound: 1 << 20})
+	}
+	for i := range drains {
+		add(model.SectionDrain, fmt.Sprint("drain-", i), model.Drain{Targets: fmt.Sprint("rack=r", i), Reason: "repair"})
+	}
+	return out
+}
+
+func configOf(teams, kinds, drains int) model.Config {
+	items := itemsOf(teams, kinds, drains)
+	c, _ := model.Config{}.With(model.Delta{To: uint64(len(items)), Items: items})
+	return c
+}
+
+// repeat returns the cost of one call of f.
+func repeat(n int, f func()) (micros, allocs float64) {
+	var w stopwatch
+	w.start()
+	for range n {
+		f()
+	}
+	w.stop()
+	return w.per(n)
+}
+
+func measureState(_ context.Context, _ options, r *report) error {
+	for _, n := range []int{100, 400, 1000, 4000} {
+		x := float64(n)
+		c := configOf(n*4/10, n/10, n/2)
+		micros, _ := repeat(40, func() { rules.Compile(c) })
+		r.add("configuration: compile", "items", "us", x, micros)
+		d := model.Delta{From: c.Version(), To: c.Version() + 1, Items: []model.Item{{Key: model.ItemKey{Name: "x"}, Version: c.Version() + 1}}}
+		micros, _ = repeat(40, func() { c.With(d) })
+		r.add("configuration: apply a delta", "items", "us", x, micros)
+		micros, _ = repeat(40, func() { c.Since(c.Version() - 1) })
+		r.add("configuration: make a delta", "items", "us", x, micros)
+		set, _ := rules.Compile(c)
+		t := announcement(1, 1, slots).Target
+		micros, _ = repeat(200, func() { set.Target(*t) })
+		r.add("configuration: rules of a target", "items", "us", x, micros)
+		r.add("configuration: memory at entry and agent", "items", "B", x, held(func() any {
+			c := configOf(n*4/10, n/10, n/2)
+			s, _ := rules.Compile(c)
+			return []any{c, s}
+		}))
+		r.add("configuration: memory at keeper", "items", "B", x, held(func() any { return changedConfig(n) }))
+	}
+	for _, n := range []int{2000, 10_000, 40_000} {
+		x := float64(n)
+		r.add("ledger: open jobs", "jobs", "B", x, held(func() any { return openJobs(n) }))
+		r.add("ledger: finished jobs", "jobs", "B", x, held(func() any { return finishJobs(openJobs(n), n, 0) }))
+		r.add("ledger: claims", "claims", "B", x, held(func() any { return openClaims(n) }))
+	}
+	l := openJobs(10_000)
+	micros, _ := repeat(1, func() { finishJobs(l, 10_000, 0) })
+	r.add("ledger: finish a job", "jobs", "us", 10_000, micros/10_000)
+	return nil
+}
+
+// changedConfig returns the keeper's machine after n changes of different items.
+func changedConfig(n int) *state.Config {
+	c := state.NewConfig()
+	for _, i := range itemsOf(n*4/10, n/10, n/2) {
+		b := state.ConfigCommands.MustEncode(state.Change{Change: model.Change{
+			ID: i.ChangeID, Operator: i.Operator, Key: i.Key, Value: i.Value,
+		}})
+		c.Apply(i.Version, ledgerNow, b)
+	}
+	return c
+}
+
+var owner = ledger.Owner{Entry: "entry-1", Incarnation: 1}
+
+func jobKey(i int) string { return fmt.Sprintf("0123456789abcdef0123456789-%08d", i) }
+
+func openJobs(n int) *ledger.Ledger {
+	l := ledger.New()
+	l.Apply(0, ledgerNow, ledger.Commands.MustEncode(ledger.SetLimits{
+		Limits: ledger.Limits{Finished: time.Hour, Open: time.Hour, Records: 1 << 30, Bytes: 1 << 40},
+	}))
+	for i := range n {
+		l.Apply(0, ledgerNow, openJob(jobKey(i)))
+	}
+	return l
+}
+
+func openJob(key string) []byte {
+	agents := make([]string, ledger.MaxAgents)
+	for i := range agents {
+		agents[i] = fmt.Sprintf("agent-%05d#1764831600000000000", i)
+	}
+	return ledger.Commands.MustEncode(ledger.OpenJob{Key: key, Digest: make([]byte, 32), Owner: owner, Tasks: jobTasks, Agents: agents})
+}
+
+func finishJob(key string, answer int) []byte {
+	outcomes := make([]byte, jobTasks)
+	for i := range outcomes {
+		outcomes[i] = byte(ledger.Complete)
+	}
+	return ledger.Commands.MustEncode(ledger.FinishJob{
+		Key: key, Epoch: 1, Owner: owner, Status: ledger.Complete, Outcomes: outcomes, Answer: make([]byte, answer),
+	})
+}
+
+func finishJobs(l *ledger.Ledger, n, answer int) *ledger.Ledger {
+	for i := range n {
+		l.Apply(0, ledgerNow, finishJob(jobKey(i), answer))
+	}
+	return l
+}
+
+func openClaims(n int) *ledger.Ledger {
+	l := openJobs(0)
+	for i := range n {
+		l.Apply(0, ledgerNow, ledger.Commands.MustEncode(ledger.OpenClaim{
+			Key: jobKey(i), Digest: make([]byte, 32), Owner: owner, ID: "01234567-89ab-cdef-0123-456789abcdef",
+		}))
+	}
+	return l
+}
--- /dev/null
+++ b/slope/system.go
@@ -0,0 +1,335 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+
+	"cyclamenrelay.example/conf"
+	"cyclamenrelay.example/keys"
+)
+
+const (
+	certLife    = 24 * time.Hour
+	targetLease = 60 * time.Second
+	ticksPerSec = 100 // of /proc/PID/stat
+	readyLimit  = 60 * time.Second
+	pollPause   = 100 * time.Millisecond
+	stopLimit   = 10 * time.Second
+	host        = "127.0.0.1"
+)
+
+// size is that of a deployment.
+type size struct{ keepers, entries, agents, groups int }
+
+// process is one relayd.
+type process struct {
+	name, listen, advertise, http, operators, metrics string
+
+	role  keys.Role
+	relay *relay // nil for an agent
+	cmd   *exec.Cmd
+	out   bytes.Buffer
+}
+
+// deployment is a set of real processes and the stand-in of all their targets.
+type deployment struct {
+	dir     string
+	relayd  string
+	ca      *keys.CA
+	clock   clockwork.Clock
+	all     []*process
+	keepers []*process
+	entries []*process
+	agents  []*process
+	target  *http.Server
+	targets string // URL of the stand-in
+	join    []string
+}
+
+// deploy starts a deployment and waits until its entries answer.
+func deploy(ctx context.Context, relayd string, s size) (d *deployment, err error) {
+	d = &deployment{relayd: relayd, clock: clockwork.NewRealClock()}
+	if d.dir, err = os.MkdirTemp("", "slope"); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	defer func() {
+		if err != nil {
+			d.stop()
+		}
+	}()
+	folder := keys.Folder(filepath.Join(d.dir, "tls"))
+	if d.ca, err = folder.NewCA("slope", d.clock.Now(), certLife); err != nil {
+		return d, err
+	}
+	d.keepers = d.add("keeper", keys.Keeper, s.keepers)
+	d.entries = d.add("entry", keys.Entry, s.entries)
+	d.agents = d.add("agent", keys.Agent, s.agents)
+	if err := d.serveTargets(); err != nil {
+		return d, err
+	}
+	for _, p := range d.all {
+		if err := d.start(folder, p, s.groups); err != nil {
+			return d, err
+		}
+	}
+	if err := d.announce(ctx); err != nil {
+		return d, err
+	}
+	return d, d.ready(ctx)
+}
+
+func (d *deployment) add(prefix string, r keys.Role, n int) []*process {
+	var out []*process
+	for i := range n {
+		p := &process{name: prefix + "-" + strconv.Itoa(i+1), role: r, listen: port(), http: port(), operators: port(), metrics: port()}
+		p.advertise = p.listen
+		if r != keys.Agent {
+			p.advertise = port()
+		}
+		if r == keys.Keeper {
+			d.join = append(d.join, p.advertise)
+		}
+		out = append(out, p)
+	}
+	d.all = append(d.all, out...)
+	return out
+}
+
+// port returns an address that was free for TCP and UDP.
+func port() string {
+	for {
+		l, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			panic(err)
+		}
+		u, err := net.ListenPacket("udp", l.Addr().String())
+		_ = l.Close()
+		if err != nil {
+			continue
+		}
+		_ = u.Close()
+		return l.Addr().String()
+	}
+}
+
+func (d *deployment) settings(folder keys.Folder, p *process, groups int) conf.Settings {
+	s := conf.Default()
+	s.Node = conf.Node{
+		Name: p.name, DataCentre: "dc-0", Roles: []string{string(p.role)},
+		DataFolder: filepath.Join(d.dir, p.name), Listen: p.listen, Advertise: p.advertise,
+	}
+	s.TLS = conf.TLS{CA: folder.Cert("ca"), Cert: folder.Cert(p.name), Key: folder.Key(p.name)}
+	s.Join.Addresses = d.join
+	s.Keeper.Groups = groups
+	s.Metrics.Listen = p.metrics
+	s.Log.Level = "warn"
+	switch p.role {
+	case keys.Keeper:
+		for _, k := range d.keepers {
+			s.Keeper.InitialMembers = append(s.Keeper.InitialMembers,
+				conf.InitialMember{Name: k.name, Address: k.advertise, DataCentre: "dc-0"})
+		}
+	case keys.Entry:
+		s.Entry.Callers, s.Entry.Operators = p.http, p.operators
+	case keys.Agent:
+		s.Agent.Targets, s.Agent.TargetLease = p.http, conf.Duration(targetLease)
+	}
+	return s
+}
+
+func (d *deployment) start(folder keys.Folder, p *process, groups int) error {
+	if err := folder.Issue(d.ca, p.name, []keys.Role{p.role}, d.clock.Now(), certLife, host); err != nil {
+		return err
+	}
+	b, err := d.settings(folder, p, groups).Sparse()
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(d.dir, p.name+".json")
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if p.advertise != p.listen {
+		if p.relay, err = newRelay(p.advertise, p.listen); err != nil {
+			return err
+		}
+	}
+	p.cmd = exec.Command(d.relayd, "--settings", file)
+	p.cmd.Stdout, p.cmd.Stderr = &p.out, &p.out
+	return trace.Wrap(p.cmd.Start())
+}
+
+// serveTargets serves tasks for all targets, at once and without work.
+func (d *deployment) serveTargets() error {
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/tasks/{id}", func(http.ResponseWriter, *http.Request) {})
+	d.targets = "http://" + l.Addr().String()
+	d.target = &http.Server{Handler: mux, ReadHeaderTimeout: stopLimit}
+	go func() { _ = d.target.Serve(l) }()
+	return nil
+}
+
+// announce announces a target to each agent.
+func (d *deployment) announce(ctx context.Context) error {
+	for i, p := range d.agents {
+		body := fmt.Sprintf(`{"name":"target-%d","url":%q,"dataCentre":"dc-0","labels":{"rack":"r%d","dataCentre":"dc-0","executor":"board"},`+
+			`"slots":%d,"connections":64,"lease":%q}`, i, d.targets, i/3, slots, targetLease)
+		err := d.until(ctx, func() bool {
+			req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+p.http+"/v1/target", strings.NewReader(body))
+			if err != nil {
+				return false
+			}
+			return answered(req, http.StatusNoContent)
+		})
+		if err != nil {
+			return trace.Wrap(err, "%s: %s", p.name, p.out.String())
+		}
+	}
+	return nil
+}
+
+func answered(req *http.Request, status int) bool {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == status
+}
+
+// ready waits until each entry and agent has a fresh configuration.
+func (d *deployment) ready(ctx context.Context) error {
+	for _, p := range d.all {
+		if p.role == keys.Keeper {
+			continue
+		}
+		err := d.until(ctx, func() bool {
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.metrics+"/ready", nil)
+			return err == nil && answered(req, http.StatusOK)
+		})
+		if err != nil {
+			return trace.Wrap(err, "%s: %s", p.name, p.out.String())
+		}
+	}
+	return nil
+}
+
+func (d *deployment) until(ctx context.Context, ok func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for !ok() {
+		if err := d.sleep(ctx, pollPause); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *deployment) sleep(ctx context.Context, t time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	case <-d.clock.After(t):
+		return nil
+	}
+}
+
+func (d *deployment) stop() {
+	for _, p := range d.all {
+		if p.cmd != nil && p.cmd.Process != nil {
+			_ = p.cmd.Process.Signal(syscall.SIGKILL)
+			_ = p.cmd.Wait()
+		}
+		if p.relay != nil {
+			p.relay.close()
+		}
+	}
+	if d.target != nil {
+		_ = d.target.Close()
+	}
+	_ = os.RemoveAll(d.dir)
+}
+
+// usage is what processes have used.
+type usage struct {
+	cpu    time.Duration
+	allocs float64
+	memory float64 // bytes that are resident
+}
+
+func use(ps []*process) (u usage) {
+	for _, p := range ps {
+		u.cpu += p.cpu()
+		u.memory += p.resident() / float64(len(ps))
+		u.allocs += p.metric("go_memstats_mallocs_total")
+	}
+	return u
+}
+
+func (p *process) cpu() time.Duration {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	_, rest, ok := strings.Cut(string(b), ") ")
+	f := strings.Fields(rest)
+	if err != nil || !ok || len(f) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(f[11])
+	system, _ := strconv.Atoi(f[12])
+	return time.Duration(user+system) * time.Second / ticksPerSec
+}
+
+func (p *process) resident() float64 {
+	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	if f := strings.Fields(string(b)); len(f) > 1 {
+		pages, _ := strconv.Atoi(f[1])
+		return float64(pages * os.Getpagesize())
+	}
+	return 0
+}
+
+// metric returns a metric of the process, 0 when it has none.
+func (p *process) metric(name string) float64 {
+	resp, err := http.Get("http://" + p.metrics + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var b bytes.Buffer
+	_, _ = b.ReadFrom(resp.Body)
+	for line := range strings.Lines(b.String()) {
+		if v, ok := strings.CutPrefix(line, name+" "); ok {
+			f, _ := strconv.ParseFloat(strings.TrimSpace(v), 64)
+			return f
+		}
+	}
+	return 0
+}
+
+// traffic returns the bytes and packets between two sets of processes.
+func traffic(to, from []*process) (bytes, packets float64) {
+	for _, t := range to {
+		for _, f := range from {
+			b, n := t.relay.passed(f.listen)
+			bytes += float64(b)
+			packets += float64(n)
+		}
+	}
+	return bytes, packets
+}
