--- a/member/table.go
+++ b/member/table.go
@@ -69,8 +69,19 @@
 	return r.node, true
 }
 
-// Digest identifies a list of processes; it is never 0.
-func Digest(nodes []wire.Node) uint64 {
+// AnswerTo answers a question with the live processes, which are left out when
+// the sender has them.
+func AnswerTo(q wire.FindNodes, nodes []wire.Node) wire.Nodes {
+	slices.SortFunc(nodes, func(a, b wire.Node) int { return strings.Compare(a.Name, b.Name) })
+	a := wire.Nodes{Digest: digest(nodes)}
+	if a.Digest != q.Known {
+		a.Nodes = nodes
+	}
+	return a
+}
+
+// digest identifies a list of processes; it is never 0.
+func digest(nodes []wire.Node) uint64 {
 	b, err := wire.MarshalValue(nodes)
 	if err != nil {
 		panic("member: processes cannot be encoded: " + err.Error())
