--- a/keeper/tend.go
+++ b/keeper/tend.go
@@ -68,17 +68,14 @@
 	return live
 }
 
-// desired returns the names of the keepers that the configuration has as
-// members, nil while operators have set none.
+// desired returns for each keeper that operators have decided on whether it
+// shall be a member. The others stay what they are.
 func (k *Keeper) desired() map[string]bool {
 	c := k.groups[0].machine.(*state.Config)
-	var names map[string]bool
+	names := map[string]bool{}
 	for _, i := range c.Since(0).Items {
-		if i.Key.Section == model.SectionMember && i.Value != nil {
-			if names == nil {
-				names = map[string]bool{}
-			}
-			names[i.Key.Name] = true
+		if i.Key.Section == model.SectionMember {
+			names[i.Key.Name] = i.Value != nil
 		}
 	}
 	return names
--- a/repair/repair.go
+++ b/repair/repair.go
@@ -11,16 +11,16 @@
 	"cyclamenrelay.example/wire"
 )
 
-// Next returns the next step, one member at a time, to a membership of the
-// wanted keepers with the replicas that they have now. wanted is nil for those
-// that are members; live holds the replica of each keeper that is alive. A lost
-// replica is replaced by its keeper's new one: learner first, then the old one
-// goes once the learner has caught up, then the learner becomes a voter. So at
-// no time do more replicas have to be alive than before.
-func Next(st rlog.Status, wanted map[string]bool, live map[string]rlog.ID) (rlog.ChangeMember, bool) {
-	if wanted == nil {
-		wanted = names(st.Members)
-	}
+// Next returns the next step, one member at a time, to the wanted membership
+// with the replicas that its keepers have now. decided says for each keeper that
+// operators have decided on whether it shall be a member; the others stay what
+// they are. live holds the replica of each keeper that is alive. A lost replica
+// is replaced by its keeper's new one: learner first, then the old one goes once
+// the learner has caught up, then the learner becomes a voter. So at no time do
+// more replicas have to be alive than before.
+func Next(st rlog.Status, decided map[string]bool, live map[string]rlog.ID) (rlog.ChangeMember, bool) {
+	wanted := names(st.Members)
+	maps.Copy(wanted, decided)
 	for _, step := range []func(rlog.Status, map[string]bool, map[string]rlog.ID) (rlog.ChangeMember, bool){
 		dropLearner, addLearner, promote, dropMember,
 	} {
@@ -74,7 +74,14 @@
 	return rlog.ChangeMember{}, false
 }
 
+// dropMember removes a keeper that is not wanted, once every wanted one votes,
+// so that a replacement never makes the cluster smaller.
 func dropMember(st rlog.Status, wanted map[string]bool, _ map[string]rlog.ID) (rlog.ChangeMember, bool) {
+	for name, want := range wanted {
+		if _, votes := voterOf(st.Members, name); want && !votes {
+			return rlog.ChangeMember{}, false
+		}
+	}
 	for _, m := range st.Members {
 		if !wanted[m.ID.Name] {
 			return rlog.ChangeMember{Member: m, Remove: true}, true
