--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -75,6 +75,9 @@
 	host   *group.Host
 	groups map[uint64]*replica
 	lastID uint64
+	// members is what operators decided up to the version decidedAt.
+	members   map[string]bool
+	decidedAt uint64
 }
 
 // New returns a keeper whose folder is not open yet.
--- a/keeper/tend.go
+++ b/keeper/tend.go
@@ -31,13 +31,13 @@
 		}
 		live := k.liveReplicas()
 		k.look(func() {
-			desired := k.desired()
+			decided := k.decided()
 			for g, r := range k.groups {
 				st := r.node.Status()
 				if st.Role != rlog.Leader {
 					continue
 				}
-				if c, ok := repair.Next(st, desired, live); ok {
+				if c, ok := repair.Next(st, decided, live); ok {
 					k.opts.Log.Info("membership changes", zap.Uint64("group", g), zap.String("keeper", c.Member.ID.Name),
 						zap.Uint64("replica", c.Member.ID.Incarnation), zap.Bool("voter", c.Member.Voter), zap.Bool("remove", c.Remove))
 					k.lastID++
@@ -68,17 +68,23 @@
 	return live
 }
 
-// desired returns for each keeper that operators have decided on whether it
+// decided returns for each keeper that operators have decided on whether it
 // shall be a member. The others stay what they are.
-func (k *Keeper) desired() map[string]bool {
+func (k *Keeper) decided() map[string]bool {
 	c := k.groups[0].machine.(*state.Config)
-	names := map[string]bool{}
-	for _, i := range c.Since(0).Items {
+	if c.Version() == k.decidedAt {
+		return k.members
+	}
+	if k.members == nil {
+		k.members = map[string]bool{}
+	}
+	for _, i := range c.Since(k.decidedAt).Items {
 		if i.Key.Section == model.SectionMember {
-			names[i.Key.Name] = i.Value != nil
+			k.members[i.Key.Name] = i.Value != nil
 		}
 	}
-	return names
+	k.decidedAt = c.Version()
+	return k.members
 }
 
 // expire has the ledger groups that this keeper leads drop old records.
