--- /dev/null
+++ b/leader/leader_test.go
@@ -0,0 +1,132 @@
+package leader_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/leader"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/wire"
+)
+
+type deployment struct {
+	t      *testing.T
+	folder keys.Folder
+	ca     *keys.CA
+}
+
+func newDeployment(t *testing.T) deployment {
+	d := deployment{t: t, folder: keys.Folder(t.TempDir())}
+	ca, err := d.folder.NewCA("test", time.Now(), time.Hour)
+	assert.NilError(t, err)
+	d.ca = ca
+	return d
+}
+
+func (d deployment) node(name string, role keys.Role, register func(*link.Mux)) *link.Node {
+	assert.NilError(d.t, d.folder.Issue(d.ca, name, []keys.Role{role}, time.Now(), time.Hour))
+	id, err := keys.Load(d.folder.Cert("ca"), d.folder.Cert(name), d.folder.Key(name))
+	assert.NilError(d.t, err)
+	n := link.New(link.Options{Address: "127.0.0.1:0", Keys: id, Log: zap.NewNop(), Clock: clockwork.NewRealClock()})
+	if register != nil {
+		register(n.Mux())
+	}
+	assert.NilError(d.t, n.Start(nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = n.Run(ctx)
+		close(done)
+	}()
+	d.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return n
+}
+
+// keeper answers proposals as f says.
+func (d deployment) keeper(name string, f func() wire.Message) string {
+	n := d.node(name, keys.Keeper, func(mx *link.Mux) {
+		link.On(mx, func(context.Context, link.Peer, wire.Propose) wire.Message { return f() }, keys.Entry)
+	})
+	return n.Address()
+}
+
+func (d deployment) client(addrs ...string) *leader.Client {
+	n := d.node("e1", keys.Entry, nil)
+	c := clockwork.NewRealClock()
+	f := member.NewFinder(n, c, zap.NewNop(), wire.Node{Name: "e1"}, addrs)
+	return &leader.Client{Node: n, Finder: f, Clock: c, Log: zap.NewNop(), Groups: 4}
+}
+
+func accept() wire.Message { return wire.Proposed{Result: []byte("ok")} }
+
+func refuse() wire.Message { return wire.Refused{Reason: "not the leader"} }
+
+func TestProposalFindsTheKeeperThatAccepts(t *testing.T) {
+	d := newDeployment(t)
+	c := d.client(d.keeper("k1", refuse), d.keeper("k2", accept))
+	a, err := c.Propose(t.Context(), 1, []byte("x"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(a), "ok")
+}
+
+func limited(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestRefusedProposalWasNotSent(t *testing.T) {
+	d := newDeployment(t)
+	_, err := d.client(d.keeper("k1", refuse)).Propose(limited(t), 1, nil)
+	var unsent leader.Unsent
+	assert.Assert(t, errors.As(err, &unsent), "%v", err)
+}
+
+func TestProposalOfALostLeaderMayBeDone(t *testing.T) {
+	d := newDeployment(t)
+	var n atomic.Int32
+	_, err := d.client(d.keeper("k1", func() wire.Message {
+		if n.Add(1) == 1 {
+			return wire.Refused{Reason: "leadership was lost", MayBeDone: true}
+		}
+		return refuse()
+	})).Propose(limited(t), 1, nil)
+	var unsent leader.Unsent
+	assert.Assert(t, err != nil && !errors.As(err, &unsent), "%v", err)
+}
+
+func TestUnansweredProposalMayBeDone(t *testing.T) {
+	d := newDeployment(t)
+	hold := make(chan struct{})
+	defer close(hold)
+	_, err := d.client(d.keeper("k1", func() wire.Message {
+		<-hold
+		return accept()
+	})).Propose(limited(t), 1, nil)
+	var unsent leader.Unsent
+	assert.Assert(t, err != nil && !errors.As(err, &unsent), "%v", err)
+}
+
+func TestGroupsOfKeys(t *testing.T) {
+	c := &leader.Client{Groups: 4}
+	seen := map[uint32]bool{}
+	for _, k := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
+		g := c.GroupOf(k)
+		assert.Assert(t, g >= 1 && g <= 4)
+		assert.Equal(t, g, c.GroupOf(k))
+		seen[g] = true
+	}
+	assert.Assert(t, len(seen) > 1)
+}
