--- a/keeper/tend.go
+++ b/keeper/tend.go
@@ -11,6 +11,7 @@
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/ledger"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/repair"
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/state"
 )
@@ -30,13 +31,13 @@
 		}
 		live := k.liveReplicas()
 		k.look(func() {
-			desired := k.desired()
+			decided := k.decided()
 			for g, r := range k.groups {
 				st := r.node.Status()
 				if st.Role != rlog.Leader {
 					continue
 				}
-				if c, ok := nextChange(st, desired, live); ok {
+				if c, ok := repair.Next(st, decided, live); ok {
 					k.opts.Log.Info("membership changes", zap.Uint64("group", g), zap.String("keeper", c.Member.ID.Name),
 						zap.Uint64("replica", c.Member.ID.Incarnation), zap.Bool("voter", c.Member.Voter), zap.Bool("remove", c.Remove))
 					k.lastID++
@@ -67,82 +68,23 @@
 	return live
 }
 
-// desired returns for each keeper that operators have decided on whether it
+// decided returns for each keeper that operators have decided on whether it
 // shall be a member. The others stay what they are.
-func (k *Keeper) desired() map[string]bool {
+func (k *Keeper) decided() map[string]bool {
 	c := k.groups[0].machine.(*state.Config)
-	names := map[string]bool{}
-	for _, i := range c.Since(0).Items {
-		if i.Key.Section == model.SectionMember {
-			names[i.Key.Name] = i.Value != nil
-		}
-	}
-	return names
-}
-
-// nextChange returns the next step, one member at a time, to the desired
-// membership with the replicas that its keepers have now. A lost replica is
-// replaced by its keeper's new one: learner first, then the old one goes once
-// the learner has caught up, then the learner becomes a voter. So at no time
-// do more replicas have to be alive than before.
-func nextChange(st rlog.Status, desired map[string]bool, live map[string]rlog.ID) (rlog.ChangeMember, bool) {
-	wanted := func(name string) bool {
-		if want, decided := desired[name]; decided {
-			return want
-		}
-		return slices.ContainsFunc(st.Members, func(m rlog.Member) bool { return m.ID.Name == name })
-	}
-	for _, m := range st.Members {
-		now, alive := live[m.ID.Name]
-		stale := alive && now != m.ID
-		if !m.Voter && (stale || !wanted(m.ID.Name)) {
-			return rlog.ChangeMember{Member: m, Remove: true}, true
-		}
-	}
-	for name, id := range live {
-		if _, in := st.Members.Find(id); !in && wanted(name) {
-			return rlog.ChangeMember{Member: rlog.Member{ID: id}}, true
-		}
-	}
-	for _, m := range st.Members {
-		if m.Voter || st.Match[m.ID] < st.Commit {
-			continue
-		}
-		old, lost := voterOf(st.Members, m.ID.Name)
-		if lost {
-			return rlog.ChangeMember{Member: old, Remove: true}, true
-		}
-		return rlog.ChangeMember{Member: rlog.Member{ID: m.ID, Voter: true}}, true
-	}
-	if adding(st.Members, desired) {
-		return rlog.ChangeMember{}, false
+	if c.Version() == k.decidedAt {
+		return k.members
 	}
-	for _, m := range st.Members {
-		if !wanted(m.ID.Name) {
-			return rlog.ChangeMember{Member: m, Remove: true}, true
-		}
+	if k.members == nil {
+		k.members = map[string]bool{}
 	}
-	return rlog.ChangeMember{}, false
-}
-
-// adding reports whether a keeper that shall be a member does not vote yet. No
-// voter is removed before, so that a replacement never makes the cluster smaller.
-func adding(ms rlog.Membership, desired map[string]bool) bool {
-	for name, want := range desired {
-		if _, votes := voterOf(ms, name); want && !votes {
-			return true
-		}
-	}
-	return false
-}
-
-func voterOf(ms rlog.Membership, name string) (rlog.Member, bool) {
-	for _, m := range ms {
-		if m.Voter && m.ID.Name == name {
-			return m, true
+	for _, i := range c.Since(k.decidedAt).Items {
+		if i.Key.Section == model.SectionMember {
+			k.members[i.Key.Name] = i.Value != nil
 		}
 	}
-	return rlog.Member{}, false
+	k.decidedAt = c.Version()
+	return k.members
 }
 
 // expire has the ledger groups that this keeper leads drop old records.
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -22,6 +22,7 @@
 	"cyclamenrelay.example/spread"
 	"cyclamenrelay.example/steer"
 	"cyclamenrelay.example/wire"
+	"cyclamenrelay.example/worker"
 )
 
 // builder makes the services of a process from its settings.
@@ -56,7 +57,10 @@
 	if s.Node.Has(keys.Agent) {
 		b.agent()
 	}
-	b.k.Add(&meter.Server{Listen: s.Metrics.Listen, Ready: b.view.Usable})
+	b.k.Add(&meter.Server{
+		Listen: s.Metrics.Listen, Profiles: s.Metrics.Profiles, Ready: b.view.Usable,
+		Version: func() uint64 { return b.view.Config().Version() },
+	})
 	// The link starts last, when all handlers are registered.
 	b.k.Add(b.node)
 	return b.k, nil
@@ -102,6 +106,6 @@
 func (b *builder) agent() {
 	b.k.Add(agent.New(agent.Options{
 		Listen: b.s.Agent.Targets, TargetLease: time.Duration(b.s.Agent.TargetLease), Clock: b.clock, Log: b.log, View: b.view,
-		Platform: agent.NewPlatform(b.s.Agent.Platform), Shares: sharesOf(b.s.Agent.Policy),
+		Platform: worker.New(b.s.Agent.Platform), Shares: sharesOf(b.s.Agent.Policy),
 	}))
 }
