--- a/rig/proc.go
+++ b/rig/proc.go
@@ -71,6 +71,15 @@
 	return trace.ConvertSystemError(p.cmd.Process.Signal(s))
 }
 
+// Processes returns the process IDs by the names of the processes.
+func (r *Rig) Processes() map[string]int {
+	out := map[string]int{}
+	for name, p := range r.procs {
+		out[name] = p.cmd.Process.Pid
+	}
+	return out
+}
+
 // Stop ends all processes and the relay, and waits for them.
 func (r *Rig) Stop() {
 	for _, p := range r.procs {
--- a/stand/demo.go
+++ b/stand/demo.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -45,25 +46,37 @@
 type demo struct {
 	Length   time.Duration `long:"length" default:"20s" description:"length of the load"`
 	Load     float64       `long:"load" default:"0.5" description:"share of the targets' slots that the load keeps busy"`
+	Hold     bool          `long:"hold" description:"send no load, but keep the deployment until SIGINT"`
+	Folder   string        `long:"folder" description:"new folder for all files, by default a temporary one; removed at the end"`
 	Programs string        `long:"programs" default:"bin" description:"folder of relayd, relctl and stand"`
 
-	folder string
-	rig    *rig.Rig
+	rig *rig.Rig
 }
 
 // Execute runs the demonstration. It stops what it has started, also on SIGINT.
 func (c *demo) Execute([]string) error {
 	ctx, stop := untilSignal()
 	defer stop()
-	var err error
-	if c.folder, err = os.MkdirTemp("", "cyclamenrelay-demo"); err != nil {
-		return trace.ConvertSystemError(err)
+	if err := c.makeFolder(); err != nil {
+		return err
 	}
-	if err = c.run(ctx); err == nil || ctx.Err() != nil {
-		_ = os.RemoveAll(c.folder)
+	err := c.run(ctx)
+	if err == nil || ctx.Err() != nil {
+		_ = os.RemoveAll(c.Folder)
 		return err
 	}
-	return trace.Wrap(err, "the logs are kept in %s", c.folder)
+	return trace.Wrap(err, "the logs are kept in %s", c.Folder)
+}
+
+func (c *demo) makeFolder() (err error) {
+	if c.Folder != "" {
+		if err := os.MkdirAll(filepath.Dir(c.Folder), 0o755); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		return trace.ConvertSystemError(os.Mkdir(c.Folder, 0o755))
+	}
+	c.Folder, err = os.MkdirTemp("", "cyclamenrelay-demo")
+	return trace.ConvertSystemError(err)
 }
 
 func (c *demo) run(ctx context.Context) error {
@@ -73,7 +86,7 @@
 		return err
 	}
 	c.note("starting %d keepers, %d entries, %d agents and as many targets in %s",
-		len(o.Rig.Spec.DataCentres), o.Rig.Spec.Entries, o.Rig.Spec.Workers, c.folder)
+		len(o.Rig.Spec.DataCentres), o.Rig.Spec.Entries, o.Rig.Spec.Workers, c.Folder)
 	if err := c.start(ctx, o.Rig); err != nil {
 		return err
 	}
@@ -93,6 +106,9 @@
 	if err := c.relctl(ctx, "targets", "list"); err != nil {
 		return err
 	}
+	if c.Hold {
+		return c.hold(ctx)
+	}
 	c.note("sending load for %v", c.Length)
 	if err := c.load(ctx, o.Plan); err != nil {
 		return err
@@ -103,11 +119,36 @@
 	return c.relctl(ctx, "status")
 }
 
+// hold writes what a shell needs to reach the deployment and its processes, and
+// waits for SIGINT.
+func (c *demo) hold(ctx context.Context) error {
+	folder, err := filepath.Abs(c.Folder)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	tls := keys.Folder(filepath.Join(folder, "tls"))
+	env := fmt.Sprintf("export RELCTL_SERVER=%s\nexport RELCTL_CA=%s\nexport RELCTL_CERT=%s\nexport RELCTL_KEY=%s\nexport ENTRY=%s\n",
+		strings.Join(c.rig.OperatorURLs(), ","), tls.Cert("ca"), tls.Cert("operator"), tls.Key("operator"), c.rig.EntryURLs()[0])
+	pids := c.rig.Processes()
+	env += "pid() {\n  case $1 in\n"
+	for _, name := range slices.Sorted(maps.Keys(pids)) {
+		env += fmt.Sprintf("  %s) echo %d ;;\n", name, pids[name])
+	}
+	env += "  esac\n}\n"
+	file := filepath.Join(folder, "env.sh")
+	if err := os.WriteFile(file, []byte(env), 0o644); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	c.note("ready; in another shell: source %s", file)
+	<-ctx.Done()
+	return nil
+}
+
 // start starts the processes; none is left running when it fails.
 func (c *demo) start(ctx context.Context, o rig.Options) error {
 	ctx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
-	o.Folder, o.Programs, o.Clock = c.folder, c.Programs, clockwork.NewRealClock()
+	o.Folder, o.Programs, o.Clock = c.Folder, c.Programs, clockwork.NewRealClock()
 	r, err := rig.Start(ctx, o)
 	if err != nil {
 		r.Stop()
@@ -141,7 +182,7 @@
 
 // command returns one command of the operators' command line.
 func (c *demo) command(ctx context.Context, args ...string) *exec.Cmd {
-	tls := keys.Folder(filepath.Join(c.folder, "tls"))
+	tls := keys.Folder(filepath.Join(c.Folder, "tls"))
 	all := []string{"--ca", tls.Cert("ca"), "--cert", tls.Cert("operator"), "--key", tls.Key("operator")}
 	for _, u := range c.rig.OperatorURLs() {
 		all = append(all, "--server", u)
--- a/steer/jobs.go
+++ b/steer/jobs.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	askTimeout = 2 * time.Second
+	askTimeout = time.Second
 	// maxListed bounds the jobs that one entry lists in one message.
 	maxListed = 10_000
 	// The manager's word for a job that has not ended, and the operators'.
