--- a/steer/status.go
+++ b/steer/status.go
@@ -86,7 +86,7 @@
 	}
 	for _, w := range s.waiting() {
 		st.Queue.Tasks++
-		st.Queue.Oldest = max(st.Queue.Oldest, conf.Duration(w.Waited))
+		st.Queue.Oldest = max(st.Queue.Oldest, conf.Duration(w.Waited.Round(time.Millisecond)))
 		if w.NoTarget {
 			st.Queue.NoTarget++
 		}
--- a/steer/targets.go
+++ b/steer/targets.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"k8s.io/apimachinery/pkg/labels"
 
@@ -70,7 +71,7 @@
 			groups[key] = g
 		}
 		g.Tasks++
-		g.Oldest = max(g.Oldest, conf.Duration(w.Waited))
+		g.Oldest = max(g.Oldest, conf.Duration(w.Waited.Round(time.Millisecond)))
 	}
 	var out []admin.QueuedWork
 	for _, g := range groups {
