--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -9,26 +9,33 @@
 // Bounds on what is asked of agents.
 const (
 	maxAsked   = 32              // slots asked of one agent for one class
-	askMargin  = 2               // slots asked for beyond the queued work, and half of it
+	askMargin  = 2               // slots asked for besides by a minority of the queued work
+	minority   = 8               // times as much work waits in all
 	askBatch   = 4               // slots asked for in one message when much is queued
 	askWindow  = 4               // targets looked at for each one that is asked
 	renewAfter = 2 * time.Second // without a grant, demand is sent again
 )
 
 // Ask returns the targets to ask for slots because the queued work of k is more
-// than what was asked for. More slots are asked for than work is queued, so that
-// the first free one is found. At most fanout targets are asked.
-func (k *Class) Ask(now time.Time, fanout int) []*Target {
+// than what was asked for; waiting is all the queued work of the entry. Little
+// work asks for no more slots than it needs, since other answers tell of free
+// ones just as soon, but not when so much else waits that no slot stays free.
+// At most fanout targets are asked.
+func (k *Class) Ask(now time.Time, waiting, fanout int) []*Target {
 	if k.size == 0 {
 		return nil
 	}
 	most := maxAsked * min(k.size, fanout)
-	goal := min(k.Queued+k.Queued/2+askMargin, most)
-	if k.outstanding >= min(goal, goal/2+askMargin) {
+	margin := 0
+	if waiting > minority*k.Queued {
+		margin = askMargin
+	}
+	goal := min(k.Queued+k.Queued/4+margin, most)
+	if k.outstanding >= min(goal, (goal+1)/2+margin) {
 		return nil
 	}
 	need := goal - k.outstanding
-	n := min(need, k.size, fanout, max(need/askBatch, askMargin+1))
+	n := min(need, k.size, fanout, max(need/askBatch, margin+1))
 	each := (need + n - 1) / n
 	k.asking = now
 	return slices.DeleteFunc(k.leastAsked(n), func(t *Target) bool {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -85,3 +85,13 @@
 	f.Sweep(now.Add(3 * time.Second))
 	assert.Equal(t, k.Size(), 0)
 }
+
+// A little queued work asks one agent, but a minority of much waiting work asks
+// several, since no slot stays free for other answers to tell of.
+func TestAskOfMinority(t *testing.T) {
+	for _, tc := range []struct{ queued, waiting, want int }{{1, 1, 1}, {1, 8, 1}, {1, 9, 3}, {2, 2, 1}, {2, 100, 3}} {
+		_, k := newFleet(t, "a", "a", "a", "a", "b", "b", "b", "b")
+		k.Queued = tc.queued
+		assert.Equal(t, len(k.Ask(now, tc.waiting, 32)), tc.want, "%+v", tc)
+	}
+}
--- a/place/agents.go
+++ b/place/agents.go
@@ -117,7 +117,7 @@
 // ask tells agents of queued work of k when what was asked of them runs low.
 func (c *Core) ask(k *fleet.Class) {
 	share := k.Share()
-	for _, t := range k.Ask(c.now, c.set.Fanout) {
+	for _, t := range k.Ask(c.now, c.queue.Len(), c.set.Fanout) {
 		w := wire.Want{Share: share, Count: c.fleet.Asked(t, share), Urgency: c.queue.Urgency(share)}
 		c.emit(Ask{Agent: t.Name, Demand: wire.Demand{Wants: []wire.Want{w}}})
 	}
--- a/rig/ports.go
+++ b/rig/ports.go
@@ -13,7 +13,7 @@
 	firstPort = 20000
 	lastPort  = 30000
 	portStep  = 500
-	portTurns = 10 // first tries of processes that run at the same time
+	portTurns = 20 // first tries of processes that run at the same time
 	blockSize = 10 // ports of a process
 )
 
--- a/rig/proc.go
+++ b/rig/proc.go
@@ -60,6 +60,18 @@
 
 func (r *Rig) startLog(target string) string { return filepath.Join(r.opts.Folder, target+".starts") }
 
+// ended returns the name of a process that has ended, or nothing.
+func (r *Rig) ended() string {
+	for _, name := range r.names {
+		select {
+		case <-r.procs[name].done:
+			return name
+		default:
+		}
+	}
+	return ""
+}
+
 // Signal sends a signal to a process. The error is a trace.NotFound or from the system.
 func (r *Rig) Signal(name string, s syscall.Signal) error {
 	p := r.procs[name]
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -203,6 +203,9 @@
 func (r *Rig) ready(ctx context.Context) error {
 	for _, u := range r.EntryURLs() {
 		for !get(ctx, u+"/v1/ready") {
+			if name := r.ended(); name != "" {
+				return trace.ConnectionProblem(nil, "%s has ended: see %s", name, filepath.Join(r.opts.Folder, name+".log"))
+			}
 			select {
 			case <-ctx.Done():
 				return trace.ConnectionProblem(ctx.Err(), "%s is not ready", u)
