fault: copy what was read rather than keep a whole buffer for each read

Cause: each read of the TCP relay kept 32 KB; at 4,400 requests a second the lab used 2.5 GB and two processors, which the measured system then lacked.

--- a/fault/pipe.go
+++ b/fault/pipe.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -154,13 +155,13 @@
 	}()
 	defer func() { <-ended }()
 	defer close(p.queue)
+	buf := make([]byte, chunkBytes)
 	for {
-		b := make([]byte, chunkBytes)
-		n, err := from.Read(b)
+		n, err := from.Read(buf)
 		if n > 0 {
 			r, _ := l.rule(source, back)
 			select {
-			case p.queue <- packet{b[:n], l.clock.Now().Add(l.delay(r))}:
+			case p.queue <- packet{slices.Clone(buf[:n]), l.clock.Now().Add(l.delay(r))}:
 			case <-ended:
 				return
 			}
