--- a/slope/cores.go
+++ b/slope/cores.go
@@ -21,6 +21,7 @@
 	rounds      = 20
 	roundTasks  = 1000
 	queuedTasks = 20_000
+	jobAgents   = 64
 )
 
 // stopwatch adds up the process's processor time and allocations while it runs.
@@ -133,6 +134,9 @@
 		r.add("entry core: heartbeat", "targets", "us", x, micros)
 		micros, _ = sweep.per(rounds * 10)
 		r.add("entry core: sweep", "targets", "us", x, micros)
+		job := model.Task{ID: "job", Labels: model.Labels{model.LabelKind: "kind-1"}}
+		micros, _ = repeat(rounds, func() { g.core.Candidates(job, jobAgents) })
+		r.add("entry core: candidates of a job", "targets", "us", x, micros)
 		r.add("entry core: memory", "targets", "B", x, held(func() any { return newRig(n, slots) }))
 	}
 	for _, n := range []int{queuedTasks / 4, queuedTasks / 2, queuedTasks} {
--- a/slope/main.go
+++ b/slope/main.go
@@ -19,7 +19,7 @@
 
 type options struct {
 	Relayd string   `long:"relayd" default:"bin/relayd" description:"program of the daemon"`
-	Parts  []string `long:"part" description:"cores, state, agents, entries, groups; all by default"`
+	Parts  []string `long:"part" description:"cores, state, agents, jobs, entries, groups; all by default"`
 	Agents []int    `long:"agents" default:"10" default:"50" default:"100" default:"200" description:"numbers of agents"`
 	JSON   string   `long:"json" description:"file for the result as JSON"`
 }
@@ -34,6 +34,7 @@
 	{"cores", measureCores},
 	{"state", measureState},
 	{"agents", measureAgents},
+	{"jobs", measureJobs},
 	{"entries", measureEntries},
 	{"groups", measureGroups},
 }
@@ -59,12 +60,13 @@
 		return trace.Wrap(err)
 	}
 	r := &report{LoadBefore: loadAverage()}
+	var failed []error
 	for _, m := range measurers {
 		if len(o.Parts) > 0 && !slices.Contains(o.Parts, m.name) {
 			continue
 		}
 		if err := m.run(ctx, o, r); err != nil {
-			return trace.Wrap(err, "part %s", m.name)
+			failed = append(failed, trace.Wrap(err, "part %s", m.name))
 		}
 	}
 	r.LoadAfter = loadAverage()
@@ -79,7 +81,7 @@
 			return err
 		}
 	}
-	return r.writeTable(os.Stdout)
+	return trace.NewAggregate(append(failed, r.writeTable(os.Stdout))...)
 }
 
 func loadAverage() string {
--- a/slope/system.go
+++ b/slope/system.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,7 +26,7 @@
 	certLife    = 24 * time.Hour
 	targetLease = 60 * time.Second
 	ticksPerSec = 100 // of /proc/PID/stat
-	readyLimit  = 60 * time.Second
+	readyLimit  = 30 * time.Second
 	pollPause   = 100 * time.Millisecond
 	stopLimit   = 10 * time.Second
 	host        = "127.0.0.1"
@@ -108,20 +109,32 @@
 	return out
 }
 
-// port returns an address that was free for TCP and UDP.
+// The ports below those that the system gives to clients.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+var lastUsed = firstPort + rand.IntN(lastPort-firstPort)
+
+// port returns an address that is free for TCP and UDP.
 func port() string {
 	for {
-		l, err := net.Listen("tcp", host+":0")
+		if lastUsed++; lastUsed > lastPort {
+			lastUsed = firstPort
+		}
+		addr := host + ":" + strconv.Itoa(lastUsed)
+		l, err := net.Listen("tcp", addr)
 		if err != nil {
-			panic(err)
+			continue
 		}
-		u, err := net.ListenPacket("udp", l.Addr().String())
 		_ = l.Close()
+		u, err := net.ListenPacket("udp", addr)
 		if err != nil {
 			continue
 		}
 		_ = u.Close()
-		return l.Addr().String()
+		return addr
 	}
 }
 
@@ -135,7 +148,7 @@
 	s.Join.Addresses = d.join
 	s.Keeper.Groups = groups
 	s.Metrics.Listen = p.metrics
-	s.Log.Level = "warn"
+	s.Log.Level = "info"
 	switch p.role {
 	case keys.Keeper:
 		for _, k := range d.keepers {
