jobs, place, fleet: a job's tasks go only to the agents that it may use

Cause: a job may use 64 agents. Once they were recorded, the entry still chose among all targets, and the guard turned down the others one by one. Each refusal took a target out of use until it announced itself again, for all other work too, and after eight a task came back as not run.

Ruled out: more agents a job (the record and the fencing grow with them), and a filter on the choice alone (queued tasks would wait for slots that were asked of agents which they cannot use).

Change: a class of work is a rule's work with one selector, or one job's once its agents are fixed; it holds the job's agents only and is forgotten 5 s after its last use. Candidates come from the class. Submit takes the agents from the ledger's answer: an earlier submission may have recorded other ones.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,7 +13,11 @@
 )
 
 // forgetAfter is how long silent targets and unused classes are remembered.
-const forgetAfter = time.Minute
+const (
+	forgetAfter = time.Minute
+	// forgetJob is that time for the class of one job.
+	forgetJob = 5 * time.Second
+)
 
 // maxClasses bounds the classes, and with them the work for each message.
 const maxClasses = 1024
@@ -163,7 +167,11 @@
 		return old
 	})
 	f.ordered = slices.DeleteFunc(f.ordered, func(k *Class) bool {
-		old := k.Queued == 0 && now.Sub(k.used) > forgetAfter
+		after := forgetAfter
+		if k.agents != nil {
+			after = forgetJob
+		}
+		old := k.Queued == 0 && now.Sub(k.used) > after
 		if old {
 			delete(f.classes, k.key)
 		}
@@ -172,15 +180,18 @@
 	return dead
 }
 
-// Class returns the class of work under a rule. The error is a trace.BadParameter
+// Class returns the class of a task under its rule. The error is a trace.BadParameter
 // for a broken selector, and trace.LimitExceeded with too many different ones in use.
-func (f *Fleet) Class(now time.Time, rule *rules.Rule, selector string) (*Class, error) {
-	key := classKey{share: rule.Name, selector: selector}
+func (f *Fleet) Class(now time.Time, rule *rules.Rule, task *model.Task) (*Class, error) {
+	key := classKey{share: rule.Name, selector: task.Selector}
+	if len(task.Agents) > 0 {
+		key.job = task.Job
+	}
 	if k := f.classes[key]; k != nil {
 		k.used = now
 		return k, nil
 	}
-	sel, err := label.Parse(selector)
+	sel, err := label.Parse(task.Selector)
 	if err != nil {
 		return nil, err
 	}
@@ -191,14 +202,32 @@
 		Rule: rule, key: key, sel: sel, used: now, EmptySince: now,
 		member: map[*Target]bool{}, asked: map[*Target]int{},
 	}
-	for _, t := range f.list {
-		k.update(now, t)
-	}
+	f.fill(now, k, task.Agents)
 	f.classes[key] = k
 	f.ordered = append(f.ordered, k)
 	return k, nil
 }
 
+// fill adds the targets of a new class. That of a job looks at its agents only,
+// since there are many jobs.
+func (f *Fleet) fill(now time.Time, k *Class, agents []string) {
+	if len(agents) == 0 {
+		for _, t := range f.list {
+			k.update(now, t)
+		}
+		return
+	}
+	k.agents = make(map[string]bool, len(agents))
+	for _, name := range agents {
+		k.agents[name] = true
+	}
+	for _, name := range agents {
+		if t := f.targets[name]; t != nil {
+			k.update(now, t)
+		}
+	}
+}
+
 // Configure makes a new configuration hold for the targets and starts anew with
 // classes. It returns the old ones, to be passed to Carry when the new ones are in use.
 func (f *Fleet) Configure(now time.Time, r *rules.Set) []*Class {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -29,7 +29,7 @@
 	for i, dc := range dcs {
 		f.Heard(now, announce(i, 8, dc, 1))
 	}
-	k, err := f.Class(now, set.Classify(nil), "")
+	k, err := f.Class(now, set.Classify(nil), &model.Task{})
 	assert.NilError(t, err)
 	return f, k
 }
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -94,10 +95,12 @@
 	return t.usable && !t.health.probation && t.health.allow(now, t.Inflight)
 }
 
-// classKey identifies a class: a rule's work with one selector.
+// classKey identifies a class: a rule's work with one selector, or a job's when
+// it is limited to some agents.
 type classKey struct {
 	share    string
 	selector string
+	job      string
 }
 
 // Class is the work of one rule with one selector, and the targets it may run on.
@@ -110,7 +113,8 @@
 
 	key    classKey
 	sel    label.Selector
-	near   [][]*Target // by distance of the data centre
+	agents map[string]bool // the only ones, nil for any
+	near   [][]*Target     // by distance of the data centre
 	member map[*Target]bool
 	size   int
 	used   time.Time
@@ -134,7 +138,7 @@
 
 // update adds or removes t as it now matches.
 func (k *Class) update(now time.Time, t *Target) {
-	want := t.usable && k.Rule.Allows(t.labels) && k.sel.Matches(t.labels)
+	want := t.usable && (k.agents == nil || k.agents[t.Name]) && k.Rule.Allows(t.labels) && k.sel.Matches(t.labels)
 	if want == k.member[t] {
 		return
 	}
@@ -157,6 +161,21 @@
 	}
 }
 
+// Pick returns at most n targets, the nearest first.
+func (k *Class) Pick(rnd *rand.Rand, n int) []*Target {
+	var out []*Target
+	for _, ts := range k.near {
+		if len(ts) == 0 {
+			continue
+		}
+		from := rnd.IntN(len(ts))
+		for i := range min(n-len(out), len(ts)) {
+			out = append(out, ts[(from+i)%len(ts)])
+		}
+	}
+	return out
+}
+
 // Size returns the number of targets.
 func (k *Class) Size() int { return k.size }
 
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -55,6 +56,7 @@
 	stop    context.CancelFunc
 	stopped bool
 	agents  map[string]bool // recorded in the ledger
+	names   []string        // of the agents, once no more may be recorded
 	results []wire.Result   // by task; without an outcome while open
 	count   int
 	state   string
@@ -80,6 +82,26 @@
 	for _, a := range agents {
 		j.agents[a] = true
 	}
+	j.close()
+}
+
+// close fixes the agents once no more may be recorded, so that the entry starts
+// tasks at no others. It is called with mu held.
+func (j *job) close() {
+	if len(j.agents) < maxJobAgents || j.names != nil {
+		return
+	}
+	for id := range j.agents {
+		name, _, _ := strings.Cut(id, "#")
+		j.names = append(j.names, name)
+	}
+}
+
+// only returns the agents that the job is limited to, nil while there is no limit.
+func (j *job) only() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.names
 }
 
 // setStop sets what cancels the job; a job cancelled before is cancelled now.
@@ -133,6 +155,7 @@
 	return model.Task{
 		ID: s.Key + "/" + strconv.Itoa(i), Labels: s.Labels, Selector: s.Selector, Urgency: s.Urgency, TimeLeft: left,
 		RunTime: s.RunTime, Idempotent: s.Restart, Job: s.Key, Epoch: j.epoch, Body: s.Tasks[i].Data, Type: s.Tasks[i].Type,
+		Agents: j.only(),
 	}
 }
 
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -90,7 +91,7 @@
 
 func manager(t *testing.T, b *book, s *starter) *jobs.Manager { return managerNamed(t, "e1", b, s) }
 
-func managerNamed(t *testing.T, name string, b *book, s *starter) *jobs.Manager {
+func managerNamed(t *testing.T, name string, b *book, s jobs.Router) *jobs.Manager {
 	c := clockwork.NewRealClock()
 	f := member.NewFinder(nil, c, zap.NewNop(), wire.Node{Name: name, Incarnation: 5}, nil)
 	m := jobs.New(jobs.Options{Router: s, Ledger: b, Finder: f, Clock: c, Log: zap.NewNop()})
@@ -252,3 +253,50 @@
 	assert.Equal(t, model.OutcomeName(alive.Claim(t.Context(), "k", claim())), "complete")
 	assert.Equal(t, second.total(), 0)
 }
+
+// TestFullSetLimitsTheTasks: once as many agents are recorded as may be, the
+// tasks of the job are limited to them, and only recorded ones count.
+func TestFullSetLimitsTheTasks(t *testing.T) {
+	for _, n := range []int{1, ledger.MaxAgents} {
+		s := &wide{n: n}
+		m := managerNamed(t, "e1", newBook(), s)
+		_, refusal := m.Submit(t.Context(), spec("wide", 3))
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, ended(t, m, "wide").State, "complete")
+		want := 0
+		if n == ledger.MaxAgents {
+			want = n
+		}
+		assert.Equal(t, s.agents(), want)
+	}
+}
+
+// wide offers n agents and notes how many a task is limited to.
+type wide struct {
+	n   int
+	mu  sync.Mutex
+	saw int
+}
+
+func (s *wide) Do(ctx context.Context, t model.Task, guard func(context.Context, wire.Node) bool) model.Outcome {
+	s.mu.Lock()
+	s.saw = len(t.Agents)
+	s.mu.Unlock()
+	if !guard(ctx, wire.Node{Name: "a0", Incarnation: 1}) {
+		return model.Failed{Reason: "not allowed"}
+	}
+	return model.Complete{Status: 200}
+}
+
+func (s *wide) Candidates(model.Task, int) (out []wire.Node) {
+	for i := range s.n {
+		out = append(out, wire.Node{Name: fmt.Sprint("a", i), Incarnation: 1})
+	}
+	return out
+}
+
+func (s *wide) agents() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.saw
+}
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -91,6 +91,7 @@
 	}
 	j.mu.Lock()
 	j.agents[id] = true
+	j.close()
 	j.mu.Unlock()
 	return true
 }
--- a/jobs/submit.go
+++ b/jobs/submit.go
@@ -45,6 +45,7 @@
 		m.drop(j)
 		return stored(*r.Job, true), nil
 	case r.Job.Owner == m.owner() && r.Job.Epoch == j.epoch:
+		j.record(r.Job.Agents)
 		close(j.opened)
 		m.background(func(ctx context.Context) { m.run(ctx, j) })
 		return m.state(j, false), nil
@@ -86,7 +87,6 @@
 	for _, n := range m.opts.Router.Candidates(probe, maxJobAgents) {
 		agents = append(agents, agentID(n))
 	}
-	j.record(agents)
 	return m.propose(ctx, j.spec.Key, ledger.OpenJob{
 		Key: j.spec.Key, Digest: j.spec.digest(), Owner: m.owner(), Tasks: len(j.spec.Tasks), Agents: agents,
 	})
--- a/model/task.go
+++ b/model/task.go
@@ -68,6 +68,8 @@
 	// Body is what the target receives, and Type its content type.
 	Body []byte `cbor:"11,keyasint,omitempty"`
 	Type string `cbor:"12,keyasint,omitempty"`
+	// Agents are the only ones that the entry may start the task at, nil for any.
+	Agents []string `cbor:"-"`
 }
 
 // Kind returns the kind of work.
--- a/place/agents.go
+++ b/place/agents.go
@@ -114,6 +114,19 @@
 	c.start(r, t, in.Grant.ID, r.cause())
 }
 
+// Candidates returns agents whose targets may take the task, at most n, the nearest first.
+func (c *Core) Candidates(t model.Task, n int) []string {
+	k, err := c.fleet.Class(c.now, c.rules.Classify(t.Labels), &t)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, to := range k.Pick(c.rnd, n) {
+		out = append(out, to.Name)
+	}
+	return out
+}
+
 // ask tells agents of queued work of k when what was asked of them runs low.
 func (c *Core) ask(k *fleet.Class) {
 	share := k.Share()
--- a/place/core_test.go
+++ b/place/core_test.go
@@ -386,3 +386,28 @@
 		g.hear(n, 0, nil)
 	}
 }
+
+// TestOnlyItsAgents: a task that is limited to some agents starts at no others,
+// also from the queue, and Candidates says which may take it.
+func TestOnlyItsAgents(t *testing.T) {
+	g := newRig(t, compile(t, 1, nil))
+	for i := range 4 {
+		g.hear(i, 1, nil)
+	}
+	assert.Equal(t, len(g.core.Candidates(model.Task{}, 9)), 4)
+	assert.Equal(t, len(g.core.Candidates(model.Task{}, 3)), 3)
+	for i := range 4 {
+		g.step(place.Arrive{Task: model.Task{
+			ID: fmt.Sprint(i), TimeLeft: time.Minute, Job: "j", Agents: []string{"agent1", "agent3"},
+		}})
+	}
+	assert.Equal(t, len(g.open), 2)
+	g.wait(100 * time.Millisecond)
+	for i := range 4 {
+		g.hear(i, 1, nil)
+	}
+	assert.Equal(t, len(g.open), 4)
+	for id, agent := range g.open {
+		assert.Assert(t, agent == "agent1" || agent == "agent3", "task %s at %s", id, agent)
+	}
+}
--- a/place/request.go
+++ b/place/request.go
@@ -78,7 +78,7 @@
 // when r was refused because of its selector.
 func (c *Core) classify(r *request) bool {
 	rule := c.rules.Classify(r.task.Labels)
-	k, err := c.fleet.Class(c.now, rule, r.task.Selector)
+	k, err := c.fleet.Class(c.now, rule, &r.task)
 	if err != nil {
 		code := model.CodeInvalid
 		if trace.IsLimitExceeded(err) {
@@ -229,7 +229,7 @@
 func (c *Core) hedge(r *request) {
 	r.hedged = true
 	r.tried = append(r.tried, r.attempts[0].t)
-	if k, err := c.fleet.Class(c.now, c.rules.Classify(r.task.Labels), r.task.Selector); err == nil {
+	if k, err := c.fleet.Class(c.now, c.rules.Classify(r.task.Labels), &r.task); err == nil {
 		r.item.Class = k
 	}
 	if t := c.choose(r); t != nil && t.Free > 0 && c.budgets.Of(r.item.Share).Spend() {
