ledger: a finished job's record holds no agents

Cause: the 64 agents of a job are most of its record, and a finished one is kept for the retention. Only a next owner asks them, and a finished job has none.

Ruled out: dropping the outcomes too (the record of a failed job needs them).

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -181,6 +181,7 @@
 	}
 	next := *j
 	next.Status, next.Outcomes, next.Finished = c.Status, c.Outcomes, l.now
+	next.Agents = nil // only a next owner needs them
 	if l.room(len(c.Answer)) && len(c.Answer)+len(c.Outcomes) <= MaxAnswer {
 		next.Answer, next.AnswerKept = c.Answer, true
 	}
