--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -103,6 +103,11 @@
 	if len(s.Tasks) == 0 || len(s.Tasks) > model.MaxJobTasks {
 		errs = append(errs, trace.BadParameter("tasks: %d are not within 1 to %d", len(s.Tasks), model.MaxJobTasks))
 	}
+	for i, t := range s.Tasks {
+		if len(t.Data) > model.MaxBody {
+			errs = append(errs, trace.BadParameter("tasks[%d].body: %d bytes, at most %d are allowed", i, len(t.Data), model.MaxBody))
+		}
+	}
 	return errs
 }
 
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -177,10 +177,12 @@
 	return j.results[i].ID != ""
 }
 
-// verdict returns the job's state by its tasks: complete only when all are.
+// verdict returns the job's state by its tasks: complete only when all are, and
+// when their answers together are not too large to be passed on.
 func (j *job) verdict() (state, reason string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.dropLarge()
 	ran := false
 	for _, r := range j.results {
 		switch o := r.Outcome().(type) {
@@ -206,6 +208,26 @@
 	return stateNotRun, reason
 }
 
+// dropLarge replaces all answers when they are too large together. It is called
+// with mu held.
+func (j *job) dropLarge() {
+	sum := 0
+	for _, r := range j.results {
+		if r.Complete != nil {
+			sum += len(r.Complete.Body)
+		}
+	}
+	if sum <= model.MaxBody {
+		return
+	}
+	reason := "the job's answers have " + strconv.Itoa(sum) + " bytes, at most " + strconv.Itoa(model.MaxBody) + " are passed on"
+	for i, r := range j.results {
+		if r.Complete != nil {
+			j.results[i] = wire.ResultOf(r.ID, model.Failed{Reason: reason, Status: r.Complete.Status, Target: r.Complete.Target})
+		}
+	}
+}
+
 // status returns the job as callers and other entries see it.
 func (j *job) status(owner string, now time.Time, answer bool) wire.JobState {
 	j.mu.Lock()
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -171,6 +172,20 @@
 	assert.Equal(t, st.State, "failed")
 }
 
+func TestAnswersTooLargeTogetherFailTheJob(t *testing.T) {
+	s := newStarter()
+	s.answer = func(model.Task) model.Outcome {
+		return model.Complete{Status: 200, Body: make([]byte, model.MaxBody/4)}
+	}
+	m := manager(t, newBook(), s)
+	for n, want := range map[int]string{4: "complete", 5: "failed"} {
+		key := "k" + strconv.Itoa(n)
+		_, refusal := m.Submit(t.Context(), spec(key, n))
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, ended(t, m, key).State, want)
+	}
+}
+
 func TestUnrecordedJobStartsNothing(t *testing.T) {
 	b, s := newBook(), newStarter()
 	b.down = true
