meter: readiness by role, and the gauges that an operator looks for first

Cause: a keeper was never ready, since readiness asked for a configuration that only entries and agents follow; queues, slots, leadership and sync times could not be seen.

--- a/agent/slots.go
+++ b/agent/slots.go
@@ -90,6 +90,13 @@
 	return a.core.Free()
 }
 
+// Slots returns how many slots the target offers now, and how many run a task.
+func (a *Agent) Slots() (offered, running int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.slots, a.core.Running()
+}
+
 // slotLoop keeps the core's slots, configuration and time up to date.
 func (a *Agent) slotLoop(ctx context.Context) {
 	changed := a.opts.View.Changed()
--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -103,6 +103,26 @@
 	return u, ok
 }
 
+// Ready reports whether a quorum has confirmed this keeper's configuration
+// within the given time.
+func (k *Keeper) Ready(within time.Duration) bool {
+	u, ok := k.update(0)
+	return ok && u.Fresh.Age <= within
+}
+
+// Leads returns the number of groups that this keeper leads.
+func (k *Keeper) Leads() int {
+	n := 0
+	k.look(func() {
+		for _, r := range k.groups {
+			if r.node.Status().Role == rlog.Leader {
+				n++
+			}
+		}
+	})
+	return n
+}
+
 // askKeeper says what this keeper is and holds.
 func (k *Keeper) askKeeper(_ context.Context, _ link.Peer, _ wire.AskKeeper) wire.Message {
 	s := wire.KeeperState{Self: k.self}
--- a/keeper/write.go
+++ b/keeper/write.go
@@ -9,6 +9,7 @@
 
 	"cyclamenrelay.example/disk"
 	"cyclamenrelay.example/group"
+	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/wire"
 )
@@ -38,9 +39,11 @@
 				w = nil
 			}
 		}
+		began := k.opts.Clock.Now()
 		if err := k.store.Write(b); err != nil {
 			return trace.Wrap(err)
 		}
+		meter.Synced(k.opts.Clock.Since(began))
 		if err := k.compact(b); err != nil {
 			return trace.Wrap(err)
 		}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -30,6 +30,17 @@
 // Starts counts the starts sent to agents.
 func Starts() *metrics.Counter { return metrics.GetOrCreateCounter("relay_starts_total") }
 
+// Gauge reports f under the name. The name is registered once a process.
+func Gauge(name string, f func() float64) { metrics.GetOrCreateGauge(name, f) }
+
+// Synced takes how long one write of the replicated state took to be durable.
+func Synced(d time.Duration) { metrics.GetOrCreateHistogram("relay_sync_seconds").Update(d.Seconds()) }
+
+// Responded takes how long a caller waited for an outcome.
+func Responded(outcome string, d time.Duration) {
+	metrics.GetOrCreateHistogram(`relay_response_seconds{outcome="` + outcome + `"}`).Update(d.Seconds())
+}
+
 // Server serves /metrics, /live and /ready.
 type Server struct {
 	// Listen is an IP address and TCP port, empty for no server.
@@ -38,8 +49,6 @@
 	Profiles bool
 	// Ready reports whether the process takes new work.
 	Ready func() bool
-	// Version returns the version of the process's configuration.
-	Version func() uint64
 }
 
 // Name implements kernel.Service.
@@ -51,9 +60,6 @@
 		<-ctx.Done()
 		return nil
 	}
-	if s.Version != nil {
-		metrics.GetOrCreateGauge("relay_config_version", func() float64 { return float64(s.Version()) })
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -35,6 +36,24 @@
 	node   *link.Node
 	finder *member.Finder
 	view   *spread.View
+	// ready holds a check of each role.
+	ready []func() bool
+}
+
+func (b *builder) isReady() bool {
+	return !slices.ContainsFunc(b.ready, func(f func() bool) bool { return !f() })
+}
+
+// watchView reports the state of the view, by which entries and agents act.
+func (b *builder) watchView() {
+	b.ready = append(b.ready, b.view.Usable)
+	meter.Gauge("relay_config_version", func() float64 { return float64(b.view.Config().Version()) })
+	meter.Gauge("relay_config_usable", func() float64 {
+		if b.view.Usable() {
+			return 1
+		}
+		return 0
+	})
 }
 
 func build(s conf.Settings, id *keys.Identity, log *zap.Logger) (*kernel.Kernel, error) {
@@ -57,10 +76,7 @@
 	if s.Node.Has(keys.Agent) {
 		b.agent()
 	}
-	b.k.Add(&meter.Server{
-		Listen: s.Metrics.Listen, Profiles: s.Metrics.Profiles, Ready: b.view.Usable,
-		Version: func() uint64 { return b.view.Config().Version() },
-	})
+	b.k.Add(&meter.Server{Listen: s.Metrics.Listen, Profiles: s.Metrics.Profiles, Ready: b.isReady})
 	// The link starts last, when all handlers are registered.
 	b.k.Add(b.node)
 	return b.k, nil
@@ -71,14 +87,18 @@
 	for _, m := range b.s.Keeper.InitialMembers {
 		first = append(first, keeper.First{Name: m.Name, Address: m.Address})
 	}
-	b.k.Add(keeper.New(keeper.Options{
+	kp := keeper.New(keeper.Options{
 		Folder: b.s.Node.DataFolder, Groups: b.s.Keeper.Groups, First: first,
 		Retention: time.Duration(b.s.Keeper.Retention), SnapshotEntries: b.s.Keeper.SnapshotEntries,
 		Clock: b.clock, Log: b.log,
-	}))
+	})
+	b.k.Add(kp)
+	b.ready = append(b.ready, func() bool { return kp.Ready(time.Duration(b.s.Freshness.Lease)) })
+	meter.Gauge("relay_groups_led", func() float64 { return float64(kp.Leads()) })
 }
 
 func (b *builder) entry() {
+	b.watchView()
 	if !b.s.Node.Has(keys.Keeper) {
 		b.finder.Answer()
 	}
@@ -92,6 +112,14 @@
 	p.NoTargetWait = time.Duration(b.s.Entry.NoTargetWait)
 	router := route.New(route.Options{Place: p, Clock: b.clock, Log: b.log, View: b.view})
 	b.k.Add(router)
+	meter.Gauge("relay_tasks_pending", func() float64 {
+		all, _ := router.Pending()
+		return float64(all)
+	})
+	meter.Gauge("relay_tasks_queued", func() float64 {
+		_, queued := router.Pending()
+		return float64(queued)
+	})
 	client := &leader.Client{Node: b.node, Finder: b.finder, Clock: b.clock, Log: b.log, Groups: b.s.Keeper.Groups}
 	b.k.Add(jobs.New(jobs.Options{Router: router, Ledger: client, Finder: b.finder, Clock: b.clock, Log: b.log}))
 	b.k.Add(entry.New(entry.Options{
@@ -104,8 +132,18 @@
 }
 
 func (b *builder) agent() {
-	b.k.Add(agent.New(agent.Options{
+	b.watchView()
+	a := agent.New(agent.Options{
 		Listen: b.s.Agent.Targets, TargetLease: time.Duration(b.s.Agent.TargetLease), Clock: b.clock, Log: b.log, View: b.view,
 		Platform: worker.New(b.s.Agent.Platform), Shares: sharesOf(b.s.Agent.Policy),
-	}))
+	})
+	b.k.Add(a)
+	meter.Gauge("relay_slots_offered", func() float64 {
+		offered, _ := a.Slots()
+		return float64(offered)
+	})
+	meter.Gauge("relay_slots_running", func() float64 {
+		_, running := a.Slots()
+		return float64(running)
+	})
 }
--- a/route/candid.go
+++ b/route/candid.go
@@ -37,3 +37,10 @@
 	})
 	return out
 }
+
+// Pending returns the number of tasks without an outcome, and how many of them
+// are queued here.
+func (r *Router) Pending() (all, queued int) {
+	r.Look(func(c *place.Core) { all, queued = c.Pending() })
+	return all, queued
+}
--- /dev/null
+++ b/system/health_test.go
@@ -0,0 +1,45 @@
+package system_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+func (d *deployment) get(name, path string) answer {
+	req, err := http.NewRequest(http.MethodGet, "http://"+d.metrics(name)+path, nil)
+	assert.NilError(d.t, err)
+	return do(req)
+}
+
+// TestHealthMeansWhatItSays: every role is ready while its configuration is
+// fresh; without a majority of keepers, each is alive and none is ready.
+func TestHealthMeansWhatItSays(t *testing.T) {
+	d := deploy(t, small())
+	roles := []string{"keeper-1", "entry-1", "agent-1"}
+	ready := func(want int) {
+		for _, r := range roles {
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if a := d.get(r, "/ready"); a.status != want {
+					return poll.Continue("%s is %d, wanted %d", r, a.status, want)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(startLimit), poll.WithDelay(100*time.Millisecond))
+			assert.Equal(t, d.get(r, "/live").status, 200, r)
+		}
+	}
+	ready(200)
+	for r, name := range map[string]string{
+		"keeper-1": "relay_groups_led", "entry-1": "relay_tasks_queued", "agent-1": "relay_slots_offered 8",
+	} {
+		m := d.get(r, "/metrics").body
+		assert.Assert(t, strings.Contains(m, name), "%s has no %s", r, name)
+	}
+	d.kill("keeper-2")
+	d.kill("keeper-3")
+	ready(503)
+}
