--- a/admin/status.go
+++ b/admin/status.go
@@ -98,7 +98,7 @@
 type report func(do, format string, args ...any)
 
 func diagnoseKeepers(k NodeCounts, bad, warn report) {
-	const repair = "start the lost keeper again; if its disk is lost, relctl members replace"
+	const repair = "start the lost keeper again, with an empty data folder if its disk is lost; if its host is gone, relctl members replace"
 	lost := k.Known - k.Up
 	switch {
 	case k.Known == 0:
--- a/steer/members.go
+++ b/steer/members.go
@@ -51,7 +51,7 @@
 	var out []admin.MemberStatus
 	for _, row := range byName {
 		row.Count = cfg.Item(model.ItemKey{Section: model.SectionMember, Name: row.Name}).Count
-		describe(row, states, commit)
+		describe(row, states, members, commit)
 		out = append(out, *row)
 	}
 	slices.SortFunc(out, func(a, b admin.MemberStatus) int { return strings.Compare(a.Name, b.Name) })
@@ -69,14 +69,16 @@
 	return members, commit
 }
 
-// describe adds what the keeper says of itself.
-func describe(row *admin.MemberStatus, states []wire.KeeperState, commit uint64) {
+// describe adds what the keeper says of itself. One that has lost its disk is a
+// new replica, which does not vote while the old one is still a member.
+func describe(row *admin.MemberStatus, states []wire.KeeperState, members []wire.AgreeMember, commit uint64) {
 	row.Behind = commit
 	for _, k := range states {
 		if k.Self.Name != row.Name {
 			continue
 		}
 		row.Up = true
+		row.Voter = slices.Contains(members, wire.AgreeMember{ID: k.Self, Voter: true})
 		row.Behind = commit - min(commit, k.Groups[0].Commit)
 		for _, g := range k.Groups {
 			if g.Leads {
