place: a declared run time refuses no work

Change: only measured run times count against the deadline. Before and after: see the test, which fails without the change.

--- a/gauge/kind.go
+++ b/gauge/kind.go
@@ -76,6 +76,14 @@
 	return DefaultRunTime
 }
 
+// Usual returns the mean of the measured run times, 0 while too little was measured.
+func (k *Kind) Usual() time.Duration {
+	if k.n < minSamples {
+		return 0
+	}
+	return time.Duration(k.mean * float64(time.Second))
+}
+
 // Quantile returns the measured run time at q and true, or false while too
 // little was measured to know it.
 func (k *Kind) Quantile(q float64) (time.Duration, bool) {
--- a/place/fault_test.go
+++ b/place/fault_test.go
@@ -217,3 +217,15 @@
 		}
 	}
 }
+
+// A declared run time beyond the deadline refuses nothing: it is only a hint.
+func TestDeclaredRunTimeRefusesNothing(t *testing.T) {
+	g := newRig(t, compile(t, 1, nil))
+	g.hear(0, 0, nil)
+	g.step(place.Arrive{Task: model.Task{
+		ID: "a", Idempotent: true, RunTime: time.Hour, TimeLeft: time.Second,
+	}})
+	assert.Assert(t, g.ends["a"] == nil, "%v", g.ends["a"])
+	g.hear(0, 1, nil)
+	assert.Equal(t, g.sent["a"], 1)
+}
--- a/place/request.go
+++ b/place/request.go
@@ -105,8 +105,10 @@
 		c.refuse(r, model.CodeQueueFull, "the queue of this kind of work is full", retryAfter(wait))
 		return
 	}
-	if left := r.deadline.Sub(c.now); wait+r.item.Estimate > left {
-		c.refuse(r, model.CodeDeadline, "the work cannot finish before its deadline", retryAfter(wait+r.item.Estimate-left))
+	// A declared run time is a hint: only what was measured may refuse work.
+	need := wait + min(r.item.Estimate, r.kind.Usual())
+	if left := r.deadline.Sub(c.now); need > left {
+		c.refuse(r, model.CodeDeadline, "the work cannot finish before its deadline", retryAfter(need-left))
 		return
 	}
 	c.enqueue(r)
