--- a/jobs/job.go
+++ b/jobs/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -55,6 +56,7 @@
 	stop    context.CancelFunc
 	stopped bool
 	agents  map[string]bool // recorded in the ledger
+	names   []string        // of the agents, once no more may be recorded
 	results []wire.Result   // by task; without an outcome while open
 	count   int
 	state   string
@@ -80,6 +82,26 @@
 	for _, a := range agents {
 		j.agents[a] = true
 	}
+	j.close()
+}
+
+// close fixes the agents once no more may be recorded, so that the entry starts
+// tasks at no others. It is called with mu held.
+func (j *job) close() {
+	if len(j.agents) < maxJobAgents || j.names != nil {
+		return
+	}
+	for id := range j.agents {
+		name, _, _ := strings.Cut(id, "#")
+		j.names = append(j.names, name)
+	}
+}
+
+// only returns the agents that the job is limited to, nil while there is no limit.
+func (j *job) only() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.names
 }
 
 // setStop sets what cancels the job; a job cancelled before is cancelled now.
@@ -133,6 +155,7 @@
 	return model.Task{
 		ID: s.Key + "/" + strconv.Itoa(i), Labels: s.Labels, Selector: s.Selector, Urgency: s.Urgency, TimeLeft: left,
 		RunTime: s.RunTime, Idempotent: s.Restart, Job: s.Key, Epoch: j.epoch, Body: s.Tasks[i].Data, Type: s.Tasks[i].Type,
+		Agents: j.only(),
 	}
 }
 
@@ -154,10 +177,12 @@
 	return j.results[i].ID != ""
 }
 
-// verdict returns the job's state by its tasks: complete only when all are.
+// verdict returns the job's state by its tasks: complete only when all are, and
+// when their answers together are not too large to be passed on.
 func (j *job) verdict() (state, reason string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.dropLarge()
 	ran := false
 	for _, r := range j.results {
 		switch o := r.Outcome().(type) {
@@ -183,6 +208,26 @@
 	return stateNotRun, reason
 }
 
+// dropLarge replaces all answers when they are too large together. It is called
+// with mu held.
+func (j *job) dropLarge() {
+	sum := 0
+	for _, r := range j.results {
+		if r.Complete != nil {
+			sum += len(r.Complete.Body)
+		}
+	}
+	if sum <= model.MaxBody {
+		return
+	}
+	reason := "the job's answers have " + strconv.Itoa(sum) + " bytes, at most " + strconv.Itoa(model.MaxBody) + " are passed on"
+	for i, r := range j.results {
+		if r.Complete != nil {
+			j.results[i] = wire.ResultOf(r.ID, model.Failed{Reason: reason, Status: r.Complete.Status, Target: r.Complete.Target})
+		}
+	}
+}
+
 // status returns the job as callers and other entries see it.
 func (j *job) status(owner string, now time.Time, answer bool) wire.JobState {
 	j.mu.Lock()
