member: an agent stays with one keeper

Cause: each agent asked the keepers in turn and so held a connection to every one: 33,000 connections at each keeper.

Ruled out: one keeper chosen by hashing, which goes on asking a dead one.

Change: an agent asks the keeper that answered it last, unless that keeper knows no entry (it is cut off) or one time in 500, so that a restarted keeper gets its part again.

--- a/member/finder.go
+++ b/member/finder.go
@@ -24,6 +24,8 @@
 	// agentInterval is the least time between an agent's questions.
 	agentInterval = 2 * time.Second
 	findTimeout   = time.Second
+	// roundsKept is how many times on average an agent asks one keeper.
+	roundsKept = 500
 	// NodeLease is how long a process counts as alive after it was heard of.
 	NodeLease = 5 * time.Second
 )
@@ -41,7 +43,7 @@
 	found map[string]wire.Node
 	// answers holds the newest list of each keeper, by its address.
 	answers map[string]wire.Nodes
-	turn    int
+	kept    string // the keeper that an agent asks
 }
 
 // NewFinder returns a finder that starts from the addresses in join.
@@ -166,17 +168,26 @@
 	return f.merge(addrs)
 }
 
-// one returns one address: the keepers in turn, and now and then one to join by,
-// in case none of the known ones lives.
+// one returns one address: that of the keeper asked last if it answered and is
+// not cut off from all entries, else any of the known ones and those to join by,
+// in case none of the known ones lives. Now and then it takes another one, so
+// that a keeper that was away gets its part.
 func (f *Finder) one(addrs []string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if slices.Contains(addrs, f.kept) && slices.ContainsFunc(f.answers[f.kept].Nodes, isEntry) && rand.N(roundsKept) != 0 {
+		return []string{f.kept}
+	}
 	all := slices.Concat(addrs, f.join)
 	if len(all) == 0 {
 		return nil
 	}
-	f.turn++
-	return all[f.turn%len(all) : f.turn%len(all)+1]
+	f.kept = all[rand.N(len(all))]
+	return []string{f.kept}
 }
 
+func isEntry(n wire.Node) bool { return slices.Contains(n.Roles, string(keys.Entry)) }
+
 // ask keeps a keeper's answer; one that does not answer is forgotten.
 func (f *Finder) ask(ctx context.Context, addr string) {
 	f.mu.Lock()
