--- a/keeper/write.go
+++ b/keeper/write.go
@@ -75,11 +75,13 @@
 	}
 	for _, p := range w.Parts {
 		u := b[uint32(p.Group)]
+		u.Truncate = p.Persist.Truncate
 		if s := p.Persist.Snapshot; s != nil {
 			u.Snapshot = diskSnapshot(*s)
-		}
-		if p.Persist.Truncate != 0 {
-			u.Truncate = p.Persist.Truncate
+			if u.Truncate != 0 {
+				// The log that a leader's snapshot replaces is gone with it.
+				u.Truncate = max(u.Truncate, s.Index+1)
+			}
 		}
 		for _, e := range p.Persist.Entries {
 			u.Entries = append(u.Entries, disk.Entry{Index: e.Index, Term: e.Term, Kind: e.Kind, Data: e.Data})
