link, meter: a shutdown sends the answers in progress

Cause: a node closed its links, and an HTTP server its connections, as soon as the last task had ended; an answer that was not written yet was cut off. The caller at the other end waited for the idle timeout of 6 s and saw a failure. Ruled out: draining, which counts work and not its answers. Change: link.Node.Close waits (at most 1 s) for the exchanges in progress and 100 ms for their last packets; meter.Serve uses Shutdown (at most 2 s). The gauge relay_config_usable stands beside relay_config_version.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
@@ -67,6 +68,40 @@
 	}, keys.Entry)
 }
 
+// TestCloseSendsAnswers closes a node while it answers: the answers arrive whole.
+func TestCloseSendsAnswers(t *testing.T) {
+	a := newAuthority(t)
+	const calls = 8
+	arrived, answer := make(chan struct{}, calls), make(chan struct{})
+	large := make([]wire.Node, 20_000)
+	server := start(t, a.identity("keeper-1", keys.Keeper), func(mx *link.Mux) {
+		link.On(mx, func(context.Context, link.Peer, wire.FindNodes) wire.Message {
+			arrived <- struct{}{}
+			<-answer
+			return wire.Nodes{Nodes: large}
+		}, keys.Entry)
+	})
+	client := start(t, a.identity("entry-1", keys.Entry), nil)
+	errs := make(chan error, calls)
+	for range calls {
+		go func() {
+			m, err := client.Call(context.Background(), link.To{Address: server.Address()}, wire.FindNodes{})
+			if n, ok := m.(wire.Nodes); err == nil && (!ok || len(n.Nodes) != len(large)) {
+				err = trace.BadParameter("the answer is %T", m)
+			}
+			errs <- err
+		}()
+	}
+	for range calls {
+		<-arrived
+	}
+	close(answer)
+	_ = server.Close()
+	for range calls {
+		assert.NilError(t, <-errs)
+	}
+}
+
 func TestCall(t *testing.T) {
 	a := newAuthority(t)
 	server := start(t, a.identity("k1", keys.Keeper), serveFind)
--- a/link/node.go
+++ b/link/node.go
@@ -27,6 +27,11 @@
 	streamWindow = 1 << 20 // bytes
 	connWindow   = 16 << 20
 
+	// closeWait bounds how long Close waits for answers in progress, and
+	// closeLinger is the time that the last of them gets to arrive.
+	closeWait   = time.Second
+	closeLinger = 100 * time.Millisecond
+
 	closeNormal quic.ApplicationErrorCode = 0
 	closeDenied quic.ApplicationErrorCode = 1
 )
@@ -56,6 +61,10 @@
 	mu     sync.Mutex
 	byAddr map[string]*dialled
 	byName map[string]*quic.Conn
+	// answering counts the exchanges whose answers are not written.
+	answering int
+	closing   bool
+	answered  chan struct{} // closed when closing and none is left
 }
 
 type dialled struct {
@@ -68,7 +77,7 @@
 
 // New returns a node that does not listen yet.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, mux: NewMux(), byAddr: map[string]*dialled{}, byName: map[string]*quic.Conn{}}
+	n := &Node{opts: opts, mux: NewMux(), byAddr: map[string]*dialled{}, byName: map[string]*quic.Conn{}, answered: make(chan struct{})}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	return n
 }
@@ -121,9 +130,11 @@
 // Address returns the address that the node listens on.
 func (n *Node) Address() string { return n.tr.Conn.LocalAddr().String() }
 
-// Close ends all links and waits for the handlers.
+// Close ends all links and waits for the handlers. Answers in progress are sent
+// before, within bounds: a shutdown must not cut off what has been done.
 func (n *Node) Close() error {
 	n.stop()
+	n.finish()
 	_ = n.ln.Close()
 	n.mu.Lock()
 	for _, d := range n.byAddr {
@@ -141,6 +152,41 @@
 	return trace.Wrap(err)
 }
 
+// finish waits a bounded time for the answers in progress.
+func (n *Node) finish() {
+	n.mu.Lock()
+	if !n.closing && n.answering == 0 {
+		close(n.answered)
+	}
+	n.closing = true
+	n.mu.Unlock()
+	select {
+	case <-n.answered:
+	case <-n.opts.Clock.After(closeWait):
+	}
+	<-n.opts.Clock.After(closeLinger)
+}
+
+// begin counts an exchange, and reports false when the node is closing.
+func (n *Node) begin() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closing {
+		return false
+	}
+	n.answering++
+	return true
+}
+
+func (n *Node) end() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.answering--
+	if n.closing && n.answering == 0 {
+		close(n.answered)
+	}
+}
+
 func (n *Node) accept() {
 	for {
 		c, err := n.ln.Accept(n.ctx)
@@ -198,6 +244,9 @@
 }
 
 func (n *Node) exchange(s *quic.Stream, p Peer) {
+	if n.begin() {
+		defer n.end()
+	}
 	m, err := readMessage(s)
 	if err != nil {
 		n.opts.Log.Debug("bad message", zap.String("peer", p.Name), zap.Error(err))
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -14,7 +14,11 @@
 // ServiceName is the name that other services find the server by.
 const ServiceName = "meter"
 
-const headerTimeout = 5 * time.Second
+const (
+	headerTimeout = 5 * time.Second
+	// shutdownTimeout bounds the wait for answers in progress.
+	shutdownTimeout = 2 * time.Second
+)
 
 // Wasted counts messages that did not serve a request's one answer, by cause:
 // retry, hedge, bounced, stale or cancelled.
@@ -38,7 +42,7 @@
 	Profiles bool
 	// Ready reports whether the process takes new work.
 	Ready func() bool
-	// Version returns the version of the process's configuration.
+	// Version returns the version of the process's configuration, nil for none.
 	Version func() uint64
 }
 
@@ -53,6 +57,7 @@
 	}
 	if s.Version != nil {
 		metrics.GetOrCreateGauge("relay_config_version", func() float64 { return float64(s.Version()) })
+		metrics.GetOrCreateGauge("relay_config_usable", s.usable)
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
@@ -69,12 +74,29 @@
 	return Serve(ctx, &http.Server{Addr: s.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout})
 }
 
-// Serve runs an HTTP server until ctx ends; the error is nil then.
+// usable is 1 while new work may be decided by the configuration, else 0.
+func (s *Server) usable() float64 {
+	if s.Ready() {
+		return 1
+	}
+	return 0
+}
+
+// Serve runs an HTTP server until ctx ends; the error is nil then. Answers in
+// progress are sent before, within a bound.
 func Serve(ctx context.Context, srv *http.Server) error {
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		sctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if srv.Shutdown(sctx) != nil {
+			_ = srv.Close()
+		}
+	})
 	err := srv.ListenAndServe()
-	if ctx.Err() != nil {
+	if !stop() {
+		<-ended
 		return nil
 	}
 	return trace.Wrap(err)
