jobs: offer a job's end until it is recorded; take over jobs that were given up

Cause: when the end of a job could not be recorded for a minute, its owner forgot the job. The ledger still had it open with the same owner and epoch, so that a resubmission at that entry started all tasks again, on other targets too. And a job whose submission was answered notRun but was recorded after all stayed open for ever at the other entries, since its owner is alive and does not have it. A job of which nothing ran was notRun at its owner and failed elsewhere. Change: the end is offered until it is recorded, fenced, or the process stops; an entry takes over from an owner that answers that it does not have the job (fenced as from a dead one); a record whose tasks all did not run is notRun.

--- a/jobs/run.go
+++ b/jobs/run.go
@@ -105,11 +105,7 @@
 	f := ledger.FinishJob{
 		Key: j.spec.Key, Epoch: j.epoch, Owner: m.owner(), Status: status, Outcomes: j.statuses(), Answer: j.answer(),
 	}
-	ctx, cancel := context.WithTimeout(m.ctx, settleLimit)
-	defer cancel()
-	res, err := m.propose(ctx, j.spec.Key, f)
-	r, ok := res.(ledger.JobResult)
-	recorded := err == nil && ok && (r.Verdict == ledger.Done || (r.Verdict == ledger.Finished && r.Job.Epoch == j.epoch))
+	recorded := m.recordEnd(f)
 	m.mu.Lock()
 	if recorded {
 		m.kept += j.size
@@ -126,5 +122,26 @@
 	j.mu.Unlock()
 	close(j.done)
 	m.opts.Log.Info("job ended", zap.String("job", j.spec.Key), zap.String("state", state), zap.Bool("recorded", recorded),
-		zap.String("reason", reason), zap.Duration("took", j.at.Sub(j.began)), zap.Error(err))
+		zap.String("reason", reason), zap.Duration("took", j.at.Sub(j.began)))
+}
+
+// recordEnd offers a job's end to the ledger until it is recorded, another entry
+// owns the job, or this process stops. Until then the job stays known here, so
+// that a resubmission does not start its tasks again.
+func (m *Manager) recordEnd(f ledger.FinishJob) bool {
+	for {
+		ctx, cancel := context.WithTimeout(m.ctx, settleLimit)
+		res, err := m.propose(ctx, f.Key, f)
+		cancel()
+		if err == nil {
+			r, ok := res.(ledger.JobResult)
+			return ok && (r.Verdict == ledger.Done || (r.Verdict == ledger.Finished && r.Job.Epoch == f.Epoch))
+		}
+		m.opts.Log.Warn("end of job not recorded yet", zap.String("job", f.Key), zap.Error(err))
+		select {
+		case <-m.ctx.Done():
+			return false
+		case <-m.opts.Clock.After(maxPause):
+		}
+	}
 }
--- a/jobs/submit.go
+++ b/jobs/submit.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -108,14 +109,18 @@
 }
 
 // join finds out about a job that another entry, or this one before it
-// restarted, has opened: it asks the owner, or takes the job over from a dead one.
+// restarted, has opened: it asks the owner, or takes the job over from one that
+// is dead or has given it up.
 func (m *Manager) join(ctx context.Context, j *job, rec ledger.Job) (wire.JobState, *model.NotRun) {
 	if n, ok := m.find(rec.Owner); ok && rec.Owner != m.owner() {
-		m.drop(j)
-		if st, ok := m.ask(ctx, n, rec.Key, wire.JobStatus); ok {
+		st, answered := m.ask(ctx, n, rec.Key, wire.JobStatus)
+		if !answered {
+			st = stored(rec, false)
+		}
+		if st.State != "" {
+			m.drop(j)
 			return st, nil
 		}
-		return stored(rec, false), nil
 	}
 	rec, ok := m.take(ctx, rec)
 	if !ok {
@@ -162,6 +167,9 @@
 	if rec.Status == ledger.Open {
 		return s
 	}
+	if rec.Status == ledger.Failed && neverRan(rec.Outcomes) {
+		s.State = stateNotRun
+	}
 	s.Ended = rec.Tasks
 	if answer && rec.AnswerKept {
 		if err := wire.UnmarshalValue(rec.Answer, &s.Results); err != nil {
@@ -171,35 +179,50 @@
 	return s
 }
 
-// ask asks the owner of a job about it.
+func neverRan(outcomes []byte) bool {
+	return !slices.ContainsFunc(outcomes, func(o byte) bool { return ledger.Status(o) != ledger.NotRun })
+}
+
+// ask asks the owner of a job about it, and reports whether it answered. The
+// state is empty when it does not have the job.
 func (m *Manager) ask(ctx context.Context, owner wire.Node, key string, what wire.JobAction) (wire.JobState, bool) {
 	a, err := m.node.Call(ctx, link.To{Address: owner.Address, Role: keys.Entry}, wire.AskJob{Key: key, Action: what})
 	if err != nil {
 		return wire.JobState{}, false
 	}
 	s, ok := a.(wire.JobState)
-	return s, ok && s.State != ""
+	return s, ok
 }
 
-// asked answers another entry about a job that this one owns.
+// asked answers another entry about a job that this one owns or is opening.
 func (m *Manager) asked(_ context.Context, _ link.Peer, q wire.AskJob) wire.Message {
 	m.mu.Lock()
 	j := m.jobs[q.Key]
 	m.mu.Unlock()
+	if j != nil && !j.isOpened() {
+		return wire.JobState{Key: q.Key, State: stateOpen}
+	}
+	return m.own(q.Key, q.Action)
+}
+
+// own returns the state of a job that this entry owns, an empty one for others.
+func (m *Manager) own(key string, what wire.JobAction) wire.JobState {
+	m.mu.Lock()
+	j := m.jobs[key]
+	m.mu.Unlock()
 	if j == nil || !j.isOpened() {
-		return wire.JobState{Key: q.Key}
+		return wire.JobState{Key: key}
 	}
-	if q.Action == wire.JobCancel {
+	if what == wire.JobCancel {
 		j.cancel()
 	}
-	return m.state(j, q.Action == wire.JobAnswer)
+	return m.state(j, what == wire.JobAnswer)
 }
 
 // Ask returns what is known of a job at any entry, after cancelling it for
 // JobCancel. The state is empty when there is no such job.
 func (m *Manager) Ask(ctx context.Context, key string, what wire.JobAction) (wire.JobState, error) {
-	a := m.asked(ctx, link.Peer{}, wire.AskJob{Key: key, Action: what})
-	if s := a.(wire.JobState); s.State != "" {
+	if s := m.own(key, what); s.State != "" {
 		return s, nil
 	}
 	res, err := m.query(ctx, key, ledger.GetJob{Key: key})
@@ -213,9 +236,11 @@
 	rec := *r.Job
 	n, alive := m.find(rec.Owner)
 	if alive && rec.Owner != m.owner() {
-		if s, ok := m.ask(ctx, n, key, what); ok {
+		s, answered := m.ask(ctx, n, key, what)
+		if s.State != "" {
 			return s, nil
 		}
+		alive = !answered
 	}
 	// An owner that does not have the job, this entry included, has given it up.
 	if rec.Status == ledger.Open && (!alive || rec.Owner == m.owner()) {
