agent: announce to entries that the keepers cannot reach

Cause: agents announced only to entries that a keeper lists. Change: an agent goes on announcing to an entry that is no longer listed while it answers; at most maxEntries are remembered. Test: system TestEntryCut failed before with "the target fell silent" on a request of 9 s that was in progress, passes with it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"cyclamenrelay.example/rules"
 	"cyclamenrelay.example/share"
 	"cyclamenrelay.example/spread"
+	"cyclamenrelay.example/wire"
 	"cyclamenrelay.example/worker"
 )
 
@@ -48,29 +49,31 @@
 	// stepped tells the slot loop that the core has taken an input.
 	stepped chan struct{}
 
-	mu       sync.Mutex
-	target   *lease
-	set      *rules.Set
-	seq      uint64
-	core     *share.Core
-	slots    int
-	waiting  map[string]chan *model.NotRun
-	draining bool
-	idle     chan struct{} // closed when draining and nothing runs
+	mu        sync.Mutex
+	answering map[string]wire.Node // entries that answered the last announcement
+	target    *lease
+	set       *rules.Set
+	seq       uint64
+	core      *share.Core
+	slots     int
+	waiting   map[string]chan *model.NotRun
+	draining  bool
+	idle      chan struct{} // closed when draining and nothing runs
 }
 
 // New returns an agent that has not heard of its target yet.
 func New(opts Options) *Agent {
 	set, _ := rules.Compile(model.Config{})
 	return &Agent{
-		opts:    opts,
-		wake:    make(chan struct{}, 1),
-		stepped: make(chan struct{}, 1),
-		log:     newJournal(opts.Clock),
-		set:     set,
-		core:    share.New(opts.Shares, set),
-		waiting: map[string]chan *model.NotRun{},
-		idle:    make(chan struct{}),
+		opts:      opts,
+		wake:      make(chan struct{}, 1),
+		stepped:   make(chan struct{}, 1),
+		log:       newJournal(opts.Clock),
+		set:       set,
+		core:      share.New(opts.Shares, set),
+		waiting:   map[string]chan *model.NotRun{},
+		answering: map[string]wire.Node{},
+		idle:      make(chan struct{}),
 	}
 }
 
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,14 +34,13 @@
 	defer wg.Wait()
 	busy := &sync.Map{}
 	for ctx.Err() == nil {
-		entries := a.finder.Nodes(keys.Entry)
-		for _, e := range choose(a.finder.Self().Name, entries, maxEntries) {
+		for _, e := range a.entries() {
 			if _, on := busy.LoadOrStore(e.Address, true); on {
 				continue
 			}
 			wg.Go(func() {
 				defer busy.Delete(e.Address)
-				a.announce(ctx, e.Address)
+				a.reached(e, a.announce(ctx, e.Address))
 			})
 		}
 		select {
@@ -52,7 +52,35 @@
 	}
 }
 
-func (a *Agent) announce(ctx context.Context, addr string) {
+// entries returns the entries to announce to: those that the keepers know of,
+// and those that are cut off from the keepers but answer here, since their work
+// in progress goes on.
+func (a *Agent) entries() []wire.Node {
+	known := a.finder.Nodes(keys.Entry)
+	chosen := slices.Clone(choose(a.finder.Self().Name, known, maxEntries))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name, e := range a.answering {
+		if !slices.ContainsFunc(known, func(k wire.Node) bool { return k.Name == name }) {
+			chosen = append(chosen, e)
+		}
+	}
+	return chosen
+}
+
+// reached notes whether an entry has answered.
+func (a *Agent) reached(e wire.Node, answered bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !answered {
+		delete(a.answering, e.Name)
+	} else if _, known := a.answering[e.Name]; known || len(a.answering) < maxEntries {
+		a.answering[e.Name] = e
+	}
+}
+
+// announce reports whether the entry has answered.
+func (a *Agent) announce(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	m := a.announcement()
@@ -60,11 +88,13 @@
 	r, err := a.node.Call(ctx, link.To{Address: addr, Role: keys.Entry}, m)
 	if err != nil {
 		a.opts.Log.Debug("entry not reached", zap.String("address", addr), zap.Error(err))
-		return
+		return false
 	}
-	if ok, is := r.(wire.Announced); is {
+	ok, is := r.(wire.Announced)
+	if is {
 		a.opts.View.Apply(ok.Config, sent)
 	}
+	return is
 }
 
 func (a *Agent) announcement() wire.Announce {
