--- a/relayd/build.go
+++ b/relayd/build.go
@@ -47,6 +47,9 @@
 	}
 	b.finder = member.NewFinder(b.node, clock, log, self, s.Join.Addresses)
 	b.view = spread.NewView(clock, time.Duration(s.Freshness.Lease))
+	if s.Freshness.ServeStale {
+		b.view.ServeStale()
+	}
 	b.k.Add(b.finder)
 	if s.Node.Has(keys.Keeper) {
 		b.keeper()
--- a/spread/view.go
+++ b/spread/view.go
@@ -19,6 +19,7 @@
 	start time.Time
 
 	mu      sync.Mutex
+	stale   bool
 	cfg     model.Config
 	proven  time.Time
 	changed chan struct{}
@@ -31,6 +32,14 @@
 	return &View{clock: clock, lease: lease, start: clock.Now(), changed: make(chan struct{})}
 }
 
+// ServeStale lets the view stay usable after its lease, once a quorum has
+// confirmed it. New work may then be decided by a superseded configuration.
+func (v *View) ServeStale() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.stale = true
+}
+
 // Apply takes an update that answers a message sent at the given time.
 func (v *View) Apply(u wire.ConfigUpdate, sent time.Time) {
 	v.mu.Lock()
@@ -69,7 +78,7 @@
 func (v *View) Usable() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return !v.proven.Before(v.start) && v.clock.Since(v.proven) <= v.lease
+	return !v.proven.Before(v.start) && (v.stale || v.clock.Since(v.proven) <= v.lease)
 }
 
 // Update returns what a peer at the given version lacks, and the freshness.
