system: failures with real processes behind the fault relay

Every link goes through a relay in the test process, so that a node can be cut off both ways while it runs on.

--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -19,6 +19,9 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/jonboulle/clockwork"
+
+	"cyclamenrelay.example/fault"
 	"cyclamenrelay.example/keys"
 )
 
@@ -70,6 +73,9 @@
 	ca    *keys.CA
 	join  []string
 	init  []map[string]any
+	// relay carries all links; real holds the nodes' own link addresses.
+	relay *fault.Relay
+	real  map[string]string
 
 	mu    sync.Mutex
 	procs map[string]*proc
@@ -121,7 +127,7 @@
 
 func deploy(t *testing.T, s shape) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), shape: s, procs: map[string]*proc{}, conf: map[string]map[string]any{}}
+	d := &deployment{t: t, dir: t.TempDir(), shape: s, procs: map[string]*proc{}, conf: map[string]map[string]any{}, real: map[string]string{}}
 	var err error
 	d.ca, err = keys.NewCA("test", time.Now(), certLife)
 	assert.NilError(t, err)
@@ -130,24 +136,25 @@
 	t.Cleanup(d.stopAll)
 	p := ports(t, 2*s.keepers+4*s.entries+4*s.targets)
 	next := func() string { a := p[0]; p = p[1:]; return a }
+	d.openRelay(next)
 	for i := range s.keepers {
-		addr := next()
+		addr := d.relay.Addr(nodeName("keeper", i)).String()
 		d.join = append(d.join, addr)
-		d.init = append(d.init, map[string]any{"name": fmt.Sprintf("keeper-%d", i+1), "address": addr, "dataCentre": s.centre(i)})
+		d.init = append(d.init, map[string]any{"name": nodeName("keeper", i), "address": addr, "dataCentre": s.centre(i)})
 	}
 	for i := range s.keepers {
-		d.relayd(fmt.Sprintf("keeper-%d", i+1), "keeper", d.join[i], s.centre(i), next(), map[string]any{
+		d.relayd(nodeName("keeper", i), "keeper", s.centre(i), next(), map[string]any{
 			"keeper": map[string]any{"initialMembers": d.init},
 		})
 	}
 	for i := range s.entries {
-		d.relayd(fmt.Sprintf("entry-%d", i+1), "entry", next(), s.centre(i), next(), map[string]any{
+		d.relayd(nodeName("entry", i), "entry", s.centre(i), next(), map[string]any{
 			"entry": map[string]any{"callers": next(), "operators": next()},
 		})
 	}
 	for i := range s.targets {
 		agentHTTP, listen := next(), next()
-		d.relayd(fmt.Sprintf("agent-%d", i+1), "agent", next(), s.centre(i), next(), map[string]any{
+		d.relayd(nodeName("agent", i), "agent", s.centre(i), next(), map[string]any{
 			"agent": map[string]any{"targets": agentHTTP, "platform": "http://" + listen},
 		})
 		d.target(i, agentHTTP, listen)
@@ -156,6 +163,49 @@
 	return d
 }
 
+func nodeName(role string, i int) string { return fmt.Sprintf("%s-%d", role, i+1) }
+
+// openRelay opens a link of the fault relay in front of each node.
+func (d *deployment) openRelay(next func() string) {
+	var links []fault.Link
+	for role, n := range map[string]int{"keeper": d.shape.keepers, "entry": d.shape.entries, "agent": d.shape.targets} {
+		for i := range n {
+			name := nodeName(role, i)
+			d.real[name] = next()
+			links = append(links, fault.Link{Name: name, Network: "udp", Listen: "127.0.0.1:0", To: d.real[name]})
+		}
+	}
+	var err error
+	d.relay, err = fault.New(links, clockwork.NewRealClock(), 1)
+	assert.NilError(d.t, err)
+	d.t.Cleanup(d.relay.Close)
+}
+
+// cut drops all packets between two nodes silently.
+func (d *deployment) cut(a, b string) {
+	cut := fault.Rules{Forward: fault.Rule{Cut: true}, Back: fault.Rule{Cut: true}}
+	assert.NilError(d.t, d.relay.SetSource(a, d.real[b], cut))
+	assert.NilError(d.t, d.relay.SetSource(b, d.real[a], cut))
+}
+
+func (d *deployment) heal(a, b string) {
+	assert.NilError(d.t, d.relay.ClearSource(a, d.real[b]))
+	assert.NilError(d.t, d.relay.ClearSource(b, d.real[a]))
+}
+
+// others calls f for each node but the named one, if its name has the prefix.
+func (d *deployment) others(name, prefix string, f func(a, b string)) {
+	for other := range d.real {
+		if other != name && strings.HasPrefix(other, prefix) {
+			f(name, other)
+		}
+	}
+}
+
+// isolate cuts a node from the nodes whose names have the prefix, rejoin heals that.
+func (d *deployment) isolate(name, prefix string) { d.others(name, prefix, d.cut) }
+func (d *deployment) rejoin(name, prefix string)  { d.others(name, prefix, d.heal) }
+
 func (s shape) centre(i int) string { return s.centres[i%len(s.centres)] }
 
 func (d *deployment) path(name string) string { return filepath.Join(d.dir, name) }
@@ -166,11 +216,12 @@
 	assert.NilError(d.t, p.Write(d.path(name+".pem"), d.path(name+"-key.pem")))
 }
 
-func (d *deployment) relayd(name, role, listen, centre, metrics string, more map[string]any) {
+func (d *deployment) relayd(name, role, centre, metrics string, more map[string]any) {
 	d.cert(name, keys.Role(role))
 	settings := map[string]any{
 		"node": map[string]any{
-			"name": name, "dataCentre": centre, "roles": []string{role}, "listen": listen, "dataFolder": d.path(name),
+			"name": name, "dataCentre": centre, "roles": []string{role},
+			"listen": d.real[name], "advertise": d.relay.Addr(name).String(), "dataFolder": d.path(name),
 		},
 		"tls":     map[string]any{"ca": d.path("ca.pem"), "cert": d.path(name + ".pem"), "key": d.path(name + "-key.pem")},
 		"join":    map[string]any{"addresses": d.join},
@@ -253,6 +304,9 @@
 	}
 	for _, p := range d.procs {
 		<-p.done
+		if dir := os.Getenv("RELAY_LOGS"); dir != "" && d.t.Failed() {
+			_ = os.WriteFile(filepath.Join(dir, p.name+".log"), []byte(p.out.String()), 0o600)
+		}
 		if d.t.Failed() {
 			d.t.Logf("output of %s:\n%s", p.name, lastLines(p.out.String(), 40))
 		}
