jobs: stop a job that another entry has ended; a restarted owner is alive

Cause: the owner of a job that another entry had taken over and ended went on trying to start its tasks: the ledger answered its agents' records with Finished, and only Fenced stopped the job. It said "open" until the job's deadline while the other entries had the answer. The job had been taken from it although it lived: it had just restarted, and the others knew it by its earlier incarnation only. Ruled out: stale reads at a keeper that had been frozen. Change: any verdict but Full on a job that is not ours any more stops it; an owner whose earlier incarnation is listed counts as alive and is asked.

--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -125,10 +125,11 @@
 	return ledger.Owner{Entry: self.Name, Incarnation: self.Incarnation}
 }
 
-// find returns the live entry that is the owner.
+// find returns the live entry that is the owner. One that has just restarted may
+// still be known here by its earlier incarnation.
 func (m *Manager) find(o ledger.Owner) (wire.Node, bool) {
 	for _, n := range m.opts.Finder.Nodes(keys.Entry) {
-		if n.Name == o.Entry && n.Incarnation == o.Incarnation {
+		if n.Name == o.Entry && n.Incarnation <= o.Incarnation {
 			return n, true
 		}
 	}
--- a/jobs/offer_test.go
+++ b/jobs/offer_test.go
@@ -95,3 +95,45 @@
 	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
 	assert.Equal(t, router.starts.Load(), int64(3))
 }
+
+// robbed loses its job to another entry, which ends it, before the first start.
+type robbed struct {
+	led  *records
+	once sync.Once
+}
+
+func (r *robbed) Do(ctx context.Context, t model.Task, guard func(context.Context, wire.Node) bool) model.Outcome {
+	r.once.Do(func() {
+		other := ledger.Owner{Entry: "entry-2", Incarnation: 1}
+		for _, c := range []ledger.Command{
+			ledger.TakeJob{Key: t.Job, Epoch: 1, Owner: other},
+			ledger.FinishJob{Key: t.Job, Epoch: 2, Owner: other, Status: ledger.Failed, Outcomes: []byte{byte(ledger.NotRun)}},
+		} {
+			_, _ = r.led.Propose(ctx, 1, ledger.Commands.MustEncode(c))
+		}
+	})
+	if guard(ctx, wire.Node{Name: "agent-1", Incarnation: 1}) {
+		return model.Complete{Status: 200}
+	}
+	return model.NotRun{Code: model.CodeBusy}
+}
+
+func (r *robbed) Candidates(model.Task, int) []wire.Node { return nil }
+
+// TestJobThatAnotherHasEnded has another entry end the job that this one runs:
+// it stops and gives the other's answer.
+func TestJobThatAnotherHasEnded(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	led := &records{l: ledger.New()}
+	finder := member.NewFinder(nil, clock, zap.NewNop(), wire.Node{Name: "entry-1", Incarnation: 1}, nil)
+	m := jobs.New(jobs.Options{Router: &robbed{led: led}, Ledger: led, Finder: finder, Clock: clock, Log: zap.NewNop()})
+	_, refusal := m.Submit(context.Background(), jobs.Spec{Key: "k", TimeLeft: time.Minute, Tasks: make([]jobs.Body, 1)})
+	assert.Assert(t, refusal == nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		st, err := m.Ask(context.Background(), "k", wire.JobAnswer)
+		if err == nil && st.State == "notRun" {
+			return poll.Success()
+		}
+		return poll.Continue("the job is %q", st.State)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+}
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -84,7 +84,8 @@
 	}
 	r, ok := res.(ledger.JobResult)
 	if !ok || r.Verdict != ledger.Done {
-		if ok && r.Verdict == ledger.Fenced {
+		if ok && r.Verdict != ledger.Full {
+			// The job has another owner, who may have ended it.
 			j.cancel()
 		}
 		return false
