--- a/meter/meter.go
+++ b/meter/meter.go
@@ -34,6 +34,17 @@
 // Starts counts the starts sent to agents.
 func Starts() *metrics.Counter { return metrics.GetOrCreateCounter("relay_starts_total") }
 
+// Gauge reports f under the name. The name is registered once a process.
+func Gauge(name string, f func() float64) { metrics.GetOrCreateGauge(name, f) }
+
+// Synced takes how long one write of the replicated state took to be durable.
+func Synced(d time.Duration) { metrics.GetOrCreateHistogram("relay_sync_seconds").Update(d.Seconds()) }
+
+// Responded takes how long a caller waited for an outcome.
+func Responded(outcome string, d time.Duration) {
+	metrics.GetOrCreateHistogram(`relay_response_seconds{outcome="` + outcome + `"}`).Update(d.Seconds())
+}
+
 // Server serves /metrics, /live and /ready.
 type Server struct {
 	// Listen is an IP address and TCP port, empty for no server.
@@ -42,8 +53,6 @@
 	Profiles bool
 	// Ready reports whether the process takes new work.
 	Ready func() bool
-	// Version returns the version of the process's configuration, nil for none.
-	Version func() uint64
 }
 
 // Name implements kernel.Service.
@@ -55,10 +64,6 @@
 		<-ctx.Done()
 		return nil
 	}
-	if s.Version != nil {
-		metrics.GetOrCreateGauge("relay_config_version", func() float64 { return float64(s.Version()) })
-		metrics.GetOrCreateGauge("relay_config_usable", s.usable)
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
@@ -74,14 +79,6 @@
 	return Serve(ctx, &http.Server{Addr: s.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout})
 }
 
-// usable is 1 while new work may be decided by the configuration, else 0.
-func (s *Server) usable() float64 {
-	if s.Ready() {
-		return 1
-	}
-	return 0
-}
-
 // Serve runs an HTTP server until ctx ends; the error is nil then. Answers in
 // progress are sent before, within a bound.
 func Serve(ctx context.Context, srv *http.Server) error {
--- a/place/request.go
+++ b/place/request.go
@@ -78,7 +78,7 @@
 // when r was refused because of its selector.
 func (c *Core) classify(r *request) bool {
 	rule := c.rules.Classify(r.task.Labels)
-	k, err := c.fleet.Class(c.now, rule, r.task.Selector)
+	k, err := c.fleet.Class(c.now, rule, &r.task)
 	if err != nil {
 		code := model.CodeInvalid
 		if trace.IsLimitExceeded(err) {
@@ -105,8 +105,10 @@
 		c.refuse(r, model.CodeQueueFull, "the queue of this kind of work is full", retryAfter(wait))
 		return
 	}
-	if left := r.deadline.Sub(c.now); wait+r.item.Estimate > left {
-		c.refuse(r, model.CodeDeadline, "the work cannot finish before its deadline", retryAfter(wait+r.item.Estimate-left))
+	// A declared run time is a hint: only what was measured may refuse work.
+	need := wait + min(r.item.Estimate, r.kind.Usual())
+	if left := r.deadline.Sub(c.now); need > left {
+		c.refuse(r, model.CodeDeadline, "the work cannot finish before its deadline", retryAfter(need-left))
 		return
 	}
 	c.enqueue(r)
@@ -229,7 +231,7 @@
 func (c *Core) hedge(r *request) {
 	r.hedged = true
 	r.tried = append(r.tried, r.attempts[0].t)
-	if k, err := c.fleet.Class(c.now, c.rules.Classify(r.task.Labels), r.task.Selector); err == nil {
+	if k, err := c.fleet.Class(c.now, c.rules.Classify(r.task.Labels), &r.task); err == nil {
 		r.item.Class = k
 	}
 	if t := c.choose(r); t != nil && t.Free > 0 && c.budgets.Of(r.item.Share).Spend() {
--- a/rig/proc.go
+++ b/rig/proc.go
@@ -32,6 +32,8 @@
 	}
 	p := &proc{cmd: exec.Command(filepath.Join(r.opts.Programs, program), args...), log: log, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// An interrupt at the terminal is for the rig alone, which stops the processes.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := p.cmd.Start(); err != nil {
 		_ = log.Close()
 		return trace.Wrap(err)
@@ -60,6 +62,18 @@
 
 func (r *Rig) startLog(target string) string { return filepath.Join(r.opts.Folder, target+".starts") }
 
+// ended returns the name of a process that has ended, or nothing.
+func (r *Rig) ended() string {
+	for _, name := range r.names {
+		select {
+		case <-r.procs[name].done:
+			return name
+		default:
+		}
+	}
+	return ""
+}
+
 // Signal sends a signal to a process. The error is a trace.NotFound or from the system.
 func (r *Rig) Signal(name string, s syscall.Signal) error {
 	p := r.procs[name]
@@ -69,6 +83,15 @@
 	return trace.ConvertSystemError(p.cmd.Process.Signal(s))
 }
 
+// Processes returns the process IDs by the names of the processes.
+func (r *Rig) Processes() map[string]int {
+	out := map[string]int{}
+	for name, p := range r.procs {
+		out[name] = p.cmd.Process.Pid
+	}
+	return out
+}
+
 // Stop ends all processes and the relay, and waits for them.
 func (r *Rig) Stop() {
 	for _, p := range r.procs {
--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -29,6 +29,8 @@
 	startLimit = 30 * time.Second
 	stopLimit  = 20 * time.Second
 	certLife   = 24 * time.Hour
+	// spareKeepers may be added to a deployment; their links are open from the start.
+	spareKeepers = 2
 )
 
 var programs string
@@ -134,7 +136,7 @@
 	assert.NilError(t, d.ca.Write(d.path("ca.pem"), d.path("ca-key.pem")))
 	d.cert("operator", keys.Operator)
 	t.Cleanup(d.stopAll)
-	p := ports(t, 2*s.keepers+4*s.entries+4*s.targets)
+	p := ports(t, 2*s.keepers+spareKeepers+4*s.entries+4*s.targets)
 	next := func() string { a := p[0]; p = p[1:]; return a }
 	d.openRelay(next)
 	for i := range s.keepers {
@@ -168,7 +170,7 @@
 // openRelay opens a link of the fault relay in front of each node.
 func (d *deployment) openRelay(next func() string) {
 	var links []fault.Link
-	for role, n := range map[string]int{"keeper": d.shape.keepers, "entry": d.shape.entries, "agent": d.shape.targets} {
+	for role, n := range map[string]int{"keeper": d.shape.keepers + spareKeepers, "entry": d.shape.entries, "agent": d.shape.targets} {
 		for i := range n {
 			name := nodeName(role, i)
 			d.real[name] = next()
