--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -29,6 +29,8 @@
 	startLimit = 30 * time.Second
 	stopLimit  = 20 * time.Second
 	certLife   = 24 * time.Hour
+	// spareKeepers may be added to a deployment; their links are open from the start.
+	spareKeepers = 2
 )
 
 var programs string
@@ -134,7 +136,7 @@
 	assert.NilError(t, d.ca.Write(d.path("ca.pem"), d.path("ca-key.pem")))
 	d.cert("operator", keys.Operator)
 	t.Cleanup(d.stopAll)
-	p := ports(t, 2*s.keepers+4*s.entries+4*s.targets)
+	p := ports(t, 2*s.keepers+spareKeepers+4*s.entries+4*s.targets)
 	next := func() string { a := p[0]; p = p[1:]; return a }
 	d.openRelay(next)
 	for i := range s.keepers {
@@ -168,7 +170,7 @@
 // openRelay opens a link of the fault relay in front of each node.
 func (d *deployment) openRelay(next func() string) {
 	var links []fault.Link
-	for role, n := range map[string]int{"keeper": d.shape.keepers, "entry": d.shape.entries, "agent": d.shape.targets} {
+	for role, n := range map[string]int{"keeper": d.shape.keepers + spareKeepers, "entry": d.shape.entries, "agent": d.shape.targets} {
 		for i := range n {
 			name := nodeName(role, i)
 			d.real[name] = next()
@@ -181,14 +183,6 @@
 	d.t.Cleanup(d.relay.Close)
 }
 
-// advertised returns the address by which other nodes reach a node.
-func (d *deployment) advertised(name string) string {
-	if a := d.relay.Addr(name); a != nil {
-		return a.String()
-	}
-	return d.real[name]
-}
-
 // cut drops all packets between two nodes silently.
 func (d *deployment) cut(a, b string) {
 	cut := fault.Rules{Forward: fault.Rule{Cut: true}, Back: fault.Rule{Cut: true}}
@@ -229,7 +223,7 @@
 	settings := map[string]any{
 		"node": map[string]any{
 			"name": name, "dataCentre": centre, "roles": []string{role},
-			"listen": d.real[name], "advertise": d.advertised(name), "dataFolder": d.path(name),
+			"listen": d.real[name], "advertise": d.relay.Addr(name).String(), "dataFolder": d.path(name),
 		},
 		"tls":     map[string]any{"ca": d.path("ca.pem"), "cert": d.path(name + ".pem"), "key": d.path(name + "-key.pem")},
 		"join":    map[string]any{"addresses": d.join},
--- a/system/members_test.go
+++ b/system/members_test.go
@@ -11,10 +11,8 @@
 
 // newKeeper starts a keeper that is in no membership and returns its address.
 func (d *deployment) newKeeper(name string) string {
-	p := ports(d.t, 2)
-	d.real[name] = p[0]
-	d.relayd(name, "keeper", d.shape.centre(0), p[1], nil)
-	return p[0]
+	d.relayd(name, "keeper", d.shape.centre(0), ports(d.t, 1)[0], nil)
+	return d.relay.Addr(name).String()
 }
 
 // voters waits until the voting members are those of the names.
