member: an agent keeps the entries that one keeper does not name

Cause: seen while trying docs/OPERATING.md: after a keeper was started again, some targets counted as lost for seconds. An agent asks one keeper at a time and took its answer as the whole list; a keeper that has just started has not heard the entries yet, so the agent stopped announcing itself to them for 2 to 4 s, longer than the 2 s after which an entry gives a target up. Ruled out: keepers that refuse to answer at first would slow every start. Change: an agent knows a process for 10 s after it was last named. One that is gone costs it failed announcements meanwhile. Test: TestAgentKeepsEntriesThatOneKeeperLacks failed before (0 entries at the first answer of the other keeper), passes 20 times with -race.

--- a/member/finder.go
+++ b/member/finder.go
@@ -26,6 +26,9 @@
 	findTimeout   = time.Second
 	// NodeLease is how long a process counts as alive after it was heard of.
 	NodeLease = 5 * time.Second
+	// agentMemory is how long an agent knows a process that the keepers that it
+	// asks do not name. A keeper that has just started names few.
+	agentMemory = 5 * agentInterval
 )
 
 // Finder announces this process to the keepers and learns the other processes
@@ -41,12 +44,17 @@
 	found map[string]wire.Node
 	// answers holds the newest list of each keeper, by its address.
 	answers map[string]wire.Nodes
-	turn    int
+	// named holds what an agent was told, which asks one keeper at a time.
+	named *Table
+	turn  int
 }
 
 // NewFinder returns a finder that starts from the addresses in join.
 func NewFinder(node *link.Node, clock clockwork.Clock, log *zap.Logger, self wire.Node, join []string) *Finder {
-	return &Finder{node: node, clock: clock, log: log, self: self, join: join, found: map[string]wire.Node{}, answers: map[string]wire.Nodes{}}
+	return &Finder{
+		node: node, clock: clock, log: log, self: self, join: join,
+		found: map[string]wire.Node{}, answers: map[string]wire.Nodes{}, named: NewTable(clock, agentMemory),
+	}
 }
 
 // Name implements kernel.Service.
@@ -198,6 +206,7 @@
 // merge takes the union of the answers of the asked keepers. While none
 // answers, the last known processes stay.
 func (f *Finder) merge(asked []string) bool {
+	alone := !f.announces()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	found := map[string]wire.Node{}
@@ -208,6 +217,14 @@
 			}
 		}
 	}
+	if alone {
+		for _, n := range found {
+			f.named.Heard(n)
+		}
+		for _, n := range f.named.Live() {
+			found[n.Name] = n
+		}
+	}
 	if len(found) > 0 {
 		f.found = found
 	}
