--- a/member/finder.go
+++ b/member/finder.go
@@ -24,6 +24,8 @@
 	// agentInterval is the least time between an agent's questions.
 	agentInterval = 2 * time.Second
 	findTimeout   = time.Second
+	// roundsKept is how many times on average an agent asks one keeper.
+	roundsKept = 500
 	// NodeLease is how long a process counts as alive after it was heard of.
 	NodeLease = 5 * time.Second
 	// agentMemory is how long an agent knows a process that the keepers that it
@@ -44,16 +46,18 @@
 	found map[string]wire.Node
 	// answers holds the newest list of each keeper, by its address.
 	answers map[string]wire.Nodes
-	// named holds what an agent was told, which asks one keeper at a time.
+	kept    string // the keeper that an agent asks
+	// named holds what an agent was told, since it asks one keeper at a time.
 	named *Table
-	turn  int
+	// left is closed when this process begins to shut down.
+	left chan struct{}
 }
 
 // NewFinder returns a finder that starts from the addresses in join.
 func NewFinder(node *link.Node, clock clockwork.Clock, log *zap.Logger, self wire.Node, join []string) *Finder {
 	return &Finder{
 		node: node, clock: clock, log: log, self: self, join: join,
-		found: map[string]wire.Node{}, answers: map[string]wire.Nodes{}, named: NewTable(clock, agentMemory),
+		found: map[string]wire.Node{}, answers: map[string]wire.Nodes{}, named: NewTable(clock, agentMemory), left: make(chan struct{}),
 	}
 }
 
@@ -74,11 +78,14 @@
 	f.self.Replica = n
 }
 
-// Leave announces from now on that this process is shutting down.
+// Leave announces at once and from now on that this process is shutting down.
 func (f *Finder) Leave() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.self.Leaving = true
+	if !f.self.Leaving {
+		f.self.Leaving = true
+		close(f.left)
+	}
 }
 
 // Nodes returns the known processes of a role, those of this data centre first.
@@ -130,6 +137,7 @@
 
 // Run implements kernel.Service.
 func (f *Finder) Run(ctx context.Context) error {
+	left := f.left
 	for ctx.Err() == nil {
 		known := f.round(ctx)
 		pause := findInterval
@@ -138,6 +146,8 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-left:
+			left = nil
 		case <-f.clock.After(pause):
 		}
 	}
@@ -174,17 +184,26 @@
 	return f.merge(addrs)
 }
 
-// one returns one address: the keepers in turn, and now and then one to join by,
-// in case none of the known ones lives.
+// one returns one address: that of the keeper asked last if it answered and is
+// not cut off from all entries, else any of the known ones and those to join by,
+// in case none of the known ones lives. Now and then it takes another one, so
+// that a keeper that was away gets its part.
 func (f *Finder) one(addrs []string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if slices.Contains(addrs, f.kept) && slices.ContainsFunc(f.answers[f.kept].Nodes, isEntry) && rand.N(roundsKept) != 0 {
+		return []string{f.kept}
+	}
 	all := slices.Concat(addrs, f.join)
 	if len(all) == 0 {
 		return nil
 	}
-	f.turn++
-	return all[f.turn%len(all) : f.turn%len(all)+1]
+	f.kept = all[rand.N(len(all))]
+	return []string{f.kept}
 }
 
+func isEntry(n wire.Node) bool { return slices.Contains(n.Roles, string(keys.Entry)) }
+
 // ask keeps a keeper's answer; one that does not answer is forgotten.
 func (f *Finder) ask(ctx context.Context, addr string) {
 	f.mu.Lock()
