--- a/steer/members.go
+++ b/steer/members.go
@@ -44,7 +44,7 @@
 		row.Voter = row.Voter || m.Voter
 	}
 	for _, n := range s.finder.Nodes(keys.Keeper) {
-		if row := byName[n.Name]; row != nil && row.Address == "" {
+		if row := byName[n.Name]; row != nil {
 			row.Address, row.DataCentre = n.Address, n.DataCentre
 		}
 	}
