--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,6 +24,9 @@
 // ServiceName is the name that other services find the agent by.
 const ServiceName = "agent"
 
+// linger is the time from a start's end until its answer is being sent.
+const linger = 100 * time.Millisecond
+
 // Options configure an Agent.
 type Options struct {
 	// Listen is the IP address and TCP port for the target's announcements.
@@ -56,7 +59,8 @@
 	slots    int
 	waiting  map[string]chan *model.NotRun
 	draining bool
-	idle     chan struct{} // closed when draining and nothing runs
+	active   int           // starts that are not answered
+	idle     chan struct{} // closed when draining and no start is active
 }
 
 // New returns an agent that has not heard of its target yet.
@@ -105,21 +109,44 @@
 }
 
 // Drain implements kernel.Drainer: no new task starts, and it returns when the
-// running ones have ended.
+// running ones have ended and their answers have had time to leave.
 func (a *Agent) Drain(ctx context.Context) {
 	a.mu.Lock()
 	a.draining = true
 	a.stepLocked(share.Leave{})
+	a.closeIdle()
 	a.mu.Unlock()
 	a.finder.Leave()
 	a.announceSoon()
 	select {
 	case <-a.idle:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-a.opts.Clock.After(linger):
 	case <-ctx.Done():
 	}
 }
 
+func (a *Agent) enterExchange() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.active++
+}
+
+func (a *Agent) leaveExchange() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.active--
+	a.closeIdle()
+}
+
+// closeIdle is called with mu held.
 func (a *Agent) closeIdle() {
+	if !a.draining || a.active > 0 {
+		return
+	}
 	select {
 	case <-a.idle:
 	default:
--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,142 @@
+package agent_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/wire"
+)
+
+// gate is a target whose tasks wait until they are let go.
+type gate struct {
+	*httptest.Server
+	starts  atomic.Int64
+	entered chan string
+	leave   chan struct{}
+	answer  string
+}
+
+func newGate(t *testing.T) *gate {
+	g := &gate{entered: make(chan string, 100), leave: make(chan struct{}), answer: "whole"}
+	g.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		g.starts.Add(1)
+		g.entered <- strings.TrimPrefix(r.URL.Path, "/v1/tasks/")
+		select {
+		case <-g.leave:
+			_, _ = io.WriteString(w, g.answer)
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(g.Close)
+	return g
+}
+
+func TestTaskOfAJobStartsOnce(t *testing.T) {
+	g := newGate(t)
+	b := newBench(t, g.URL, 8)
+	owned := task("a").WithOwner("job", 2)
+	answers := make(chan model.Outcome, 3)
+	go func() { answers <- b.try(owned) }()
+	<-g.entered
+	for range 2 {
+		go func() { answers <- b.try(owned) }()
+	}
+	close(g.leave)
+	for range 3 {
+		c, ok := (<-answers).(model.Complete)
+		assert.Assert(t, ok && string(c.Body) == "whole")
+	}
+	c, ok := b.outcome(owned).(model.Complete)
+	assert.Assert(t, ok && string(c.Body) == "whole", "the outcome was not kept")
+	n, ok := b.outcome(task("b").WithOwner("job", 1)).(model.NotRun)
+	assert.Assert(t, ok && n.Code == model.CodeFenced)
+	assert.Equal(t, g.starts.Load(), int64(1))
+}
+
+func TestLateStartsAreRefused(t *testing.T) {
+	g := newGate(t)
+	b := newBench(t, g.URL, 8)
+	n, ok := b.outcome(task("a").WithTimeLeft(0)).(model.NotRun)
+	assert.Assert(t, ok && n.Code == model.CodeDeadline)
+	n, ok = b.outcome(task("a").WithTimeLeft(-time.Hour)).(model.NotRun)
+	assert.Assert(t, ok && n.Code == model.CodeDeadline)
+	m, err := b.entry.CallPeer(t.Context(), "agent-1", wire.Start{Task: task("a"), Incarnation: incarnation - 1})
+	assert.NilError(t, err)
+	assert.Assert(t, m.(wire.Result).NotRun != nil, "a start for an earlier process was run")
+	assert.Equal(t, g.starts.Load(), int64(0))
+}
+
+// A target that cannot be reached is not announced before it announces itself again.
+func TestUnreachableTargetIsNotAnnounced(t *testing.T) {
+	g := newGate(t)
+	close(g.leave)
+	b := newBench(t, g.URL, 8)
+	g.Close()
+	n, ok := b.outcome(task("a")).(model.NotRun)
+	assert.Assert(t, ok && n.Code == model.CodeNoTarget)
+	b.wait(func(m wire.Announce) bool { return m.Target == nil })
+	n, ok = b.outcome(task("b")).(model.NotRun)
+	assert.Assert(t, ok && n.Code == model.CodeNoTarget)
+	again := newGate(t)
+	close(again.leave)
+	b.announceUntil(again.URL, 8)
+	_, ok = b.outcome(task("c")).(model.Complete)
+	assert.Assert(t, ok)
+}
+
+func TestTaskThatMayStillRunIsStopped(t *testing.T) {
+	g := newGate(t)
+	b := newBench(t, g.URL, 8)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-g.entered
+		cancel()
+	}()
+	_, err := b.start(ctx, task("gave-up"))
+	assert.Assert(t, err != nil)
+	assert.Equal(t, <-b.platform.stopped, "gave-up")
+
+	ended := make(chan model.Outcome, 1)
+	go func() { ended <- b.try(task("cancelled").WithOwner("job", 1)) }()
+	<-g.entered
+	assert.NilError(t, b.entry.PostPeer(t.Context(), "agent-1", wire.Cancel{ID: "cancelled"}))
+	assert.Equal(t, <-b.platform.stopped, "cancelled")
+	f, ok := (<-ended).(model.Failed)
+	assert.Assert(t, ok && f.MayHaveRun)
+
+	go func() { ended <- b.try(task("cut")) }()
+	<-g.entered
+	g.CloseClientConnections()
+	assert.Equal(t, <-b.platform.stopped, "cut")
+	f, ok = (<-ended).(model.Failed)
+	assert.Assert(t, ok && f.MayHaveRun)
+	b.wait(func(m wire.Announce) bool { return m.Free == 8 })
+}
+
+// An agent that is told to stop while a task runs still delivers its answer.
+func TestShutdownDeliversTheLastAnswer(t *testing.T) {
+	g := newGate(t)
+	g.answer = strings.Repeat("x", 4<<20)
+	b := newBench(t, g.URL, 8)
+	ended := make(chan model.Outcome, 1)
+	go func() { ended <- b.try(task("a")) }()
+	<-g.entered
+	b.stop()
+	b.wait(func(m wire.Announce) bool { return m.Self.Leaving })
+	n, ok := b.outcome(task("b")).(model.NotRun)
+	assert.Assert(t, ok && n.Code == model.CodeLeaving)
+	close(g.leave)
+	c, ok := (<-ended).(model.Complete)
+	assert.Assert(t, ok && len(c.Body) == len(g.answer), "the answer was cut off")
+	assert.NilError(t, <-b.ended)
+}
--- /dev/null
+++ b/agent/bench_test.go
@@ -0,0 +1,176 @@
+package agent_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/agent"
+	"cyclamenrelay.example/kernel"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/share"
+	"cyclamenrelay.example/spread"
+	"cyclamenrelay.example/wire"
+	"cyclamenrelay.example/worker"
+)
+
+const incarnation = 7
+
+// platform counts the tasks that it was told to stop.
+type platform struct {
+	worker.Platform
+	stopped chan string
+}
+
+func (p platform) Stop(_ context.Context, id string) error {
+	p.stopped <- id
+	return nil
+}
+
+// bench is an agent in a kernel of its own, and an entry's end of its link.
+type bench struct {
+	t        *testing.T
+	entry    *link.Node
+	heard    chan wire.Announce
+	listen   string
+	platform platform
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+func identity(t *testing.T, ca *keys.CA, dir, name string, role keys.Role) *keys.Identity {
+	path := func(s string) string { return filepath.Join(dir, s) }
+	p, err := ca.Node(name, []keys.Role{role}, time.Now(), time.Hour)
+	assert.NilError(t, err)
+	assert.NilError(t, p.Write(path(name+".pem"), path(name+".key")))
+	id, err := keys.Load(path("ca.pem"), path(name+".pem"), path(name+".key"))
+	assert.NilError(t, err)
+	return id
+}
+
+func newBench(t *testing.T, url string, slots int) *bench {
+	ca, err := keys.NewCA("test", time.Now(), time.Hour)
+	assert.NilError(t, err)
+	dir, clock := t.TempDir(), clockwork.NewRealClock()
+	assert.NilError(t, ca.Write(filepath.Join(dir, "ca.pem"), filepath.Join(dir, "ca.key")))
+	b := &bench{
+		t: t, heard: make(chan wire.Announce, 1000), ended: make(chan error, 1),
+		platform: platform{worker.New(""), make(chan string, 100)},
+	}
+	b.entry = link.New(link.Options{
+		Address: "127.0.0.1:0", Keys: identity(t, ca, dir, "entry-1", keys.Entry), Log: zap.NewNop(), Clock: clock,
+	})
+	link.On(b.entry.Mux(), func(_ context.Context, _ link.Peer, m wire.Announce) wire.Message {
+		b.heard <- m
+		return wire.Announced{}
+	}, keys.Agent)
+	link.On(b.entry.Mux(), func(_ context.Context, _ link.Peer, m wire.FindNodes) wire.Message {
+		return member.AnswerTo(m, []wire.Node{{Name: "entry-1", Address: b.entry.Address(), Roles: []string{string(keys.Entry)}}})
+	}, keys.Agent)
+	assert.NilError(t, b.entry.Start(nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = b.entry.Run(ctx) })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	b.listen = l.Addr().String()
+	assert.NilError(t, l.Close())
+	k := b.agentKernel(identity(t, ca, dir, "agent-1", keys.Agent), clock)
+	var actx context.Context
+	actx, b.stop = context.WithCancel(context.Background())
+	go func() { b.ended <- k.Run(actx, 10*time.Second) }()
+	t.Cleanup(func() {
+		b.stop()
+		cancel()
+		wg.Wait()
+	})
+	b.announceUntil(url, slots)
+	return b
+}
+
+func (b *bench) agentKernel(id *keys.Identity, clock clockwork.Clock) *kernel.Kernel {
+	view := spread.NewView(clock, time.Hour)
+	view.Apply(wire.ConfigUpdate{}, clock.Now())
+	node := link.New(link.Options{Address: "127.0.0.1:0", Keys: id, Log: zap.NewNop(), Clock: clock})
+	self := wire.Node{Name: "agent-1", Roles: []string{string(keys.Agent)}, Incarnation: incarnation}
+	k := kernel.New(zap.NewNop())
+	k.Add(member.NewFinder(node, clock, zap.NewNop(), self, []string{b.entry.Address()}))
+	k.Add(agent.New(agent.Options{
+		Listen: b.listen, TargetLease: time.Minute, Clock: clock, Log: zap.NewNop(), View: view,
+		Platform: b.platform, Shares: share.DefaultSettings(0),
+	}))
+	k.Add(node)
+	return k
+}
+
+// announce announces the target once and returns the status of the answer, 0 for none.
+func (b *bench) announce(url string, slots int) int {
+	body := fmt.Sprintf(`{"name":"t1","url":%q,"slots":%d,"connections":%d,"lease":"1m"}`, url, slots, 2*slots)
+	req, err := http.NewRequest(http.MethodPut, "http://"+b.listen+"/v1/target", bytes.NewReader([]byte(body)))
+	assert.NilError(b.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (b *bench) announceUntil(url string, slots int) {
+	for b.announce(url, slots) != http.StatusNoContent {
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.wait(func(m wire.Announce) bool { return m.Target != nil && m.Free == slots })
+}
+
+// wait waits for an announcement at the entry that ok accepts.
+func (b *bench) wait(ok func(wire.Announce) bool) {
+	b.t.Helper()
+	limit := time.After(20 * time.Second)
+	for {
+		select {
+		case m := <-b.heard:
+			if ok(m) {
+				return
+			}
+		case <-limit:
+			b.t.Fatal("the announcement did not come")
+		}
+	}
+}
+
+func task(id string) model.Task { return model.Task{ID: id, Body: []byte("{}"), TimeLeft: time.Minute} }
+
+func (b *bench) start(ctx context.Context, t model.Task) (model.Outcome, error) {
+	m, err := b.entry.CallPeer(ctx, "agent-1", wire.Start{Task: t, Incarnation: incarnation})
+	if err != nil {
+		return nil, err
+	}
+	return m.(wire.Result).Outcome(), nil
+}
+
+func (b *bench) outcome(t model.Task) model.Outcome {
+	o, err := b.start(b.t.Context(), t)
+	assert.NilError(b.t, err)
+	return o
+}
+
+// try is outcome for goroutines besides the test's own: an exchange without an
+// answer is a nil outcome.
+func (b *bench) try(t model.Task) model.Outcome {
+	o, _ := b.start(b.t.Context(), t)
+	return o
+}
--- a/agent/journal.go
+++ b/agent/journal.go
@@ -42,11 +42,10 @@
 type record struct {
 	cancel context.CancelFunc
 	done   chan struct{}
-	// outcome is set before done is closed.
+	// outcome is set before done is closed: what a duplicate or a next owner
+	// gets, which may be that the body was too much to keep.
 	outcome model.Outcome
-	// kept is what a next owner gets: the outcome, or that its body was too much to keep.
-	kept model.Outcome
-	size int
+	size    int // of the kept body
 }
 
 func newJournal(clock clockwork.Clock) *journal {
@@ -102,10 +101,10 @@
 func (j *journal) end(t model.Task, r *record, o model.Outcome) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	r.outcome, r.kept = o, o
+	r.outcome = o
 	if c, ok := o.(model.Complete); ok && t.Job != "" {
 		if j.kept+len(c.Body) > maxKept {
-			r.kept = model.Failed{Reason: "complete, but its answer was too large to be kept", MayHaveRun: true}
+			r.outcome = model.Failed{Reason: "complete, but its answer was too large to be kept", MayHaveRun: true}
 		} else {
 			r.size = len(c.Body)
 			j.kept += r.size
@@ -116,8 +115,8 @@
 	if notRun || t.Job == "" {
 		delete(j.tasks, t.ID)
 	}
-	if notRun && t.Job != "" {
-		delete(j.jobs[t.Job].tasks, t.ID)
+	if l := j.jobs[t.Job]; notRun && l != nil {
+		delete(l.tasks, t.ID)
 	}
 }
 
@@ -131,6 +130,16 @@
 	return l
 }
 
+// running reports whether a task of the job has not ended.
+func (l *jobLog) running() bool {
+	for _, r := range l.tasks {
+		if r.outcome == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // fence refuses owners of the job before the epoch from now on, and returns
 // the tasks that were started.
 func (j *journal) fence(job string, epoch uint64) (tasks []wire.FencedTask, ok bool) {
@@ -143,8 +152,8 @@
 	l.epoch = epoch
 	for id, r := range l.tasks {
 		t := wire.FencedTask{ID: id}
-		if r.kept != nil {
-			res := wire.ResultOf(id, r.kept)
+		if r.outcome != nil {
+			res := wire.ResultOf(id, r.outcome)
 			t.Result = &res
 		}
 		tasks = append(tasks, t)
@@ -169,7 +178,7 @@
 	}
 	j.swept = now
 	for key, l := range j.jobs {
-		if now.Sub(l.used) < journalWindow {
+		if now.Sub(l.used) < journalWindow || l.running() {
 			continue
 		}
 		for id, r := range l.tasks {
--- a/agent/slots.go
+++ b/agent/slots.go
@@ -37,9 +37,6 @@
 			go a.grant(e.Entry, e.Grant)
 		}
 	}
-	if a.draining && a.core.Running() == 0 {
-		a.closeIdle()
-	}
 	select {
 	case a.stepped <- struct{}{}:
 	default:
--- a/agent/tend.go
+++ b/agent/tend.go
@@ -17,8 +17,7 @@
 	usageInterval = 2 * time.Second
 )
 
-// tend renews the task's lease until the returned function is called, which
-// has the platform stop the task when ctx has ended.
+// tend renews the task's lease until ctx ends or the returned function is called.
 func (a *Agent) tend(ctx context.Context, id string) (done func()) {
 	over := make(chan struct{})
 	ended := make(chan struct{})
@@ -40,12 +39,10 @@
 	return func() {
 		close(over)
 		<-ended
-		if ctx.Err() != nil {
-			a.stop(id)
-		}
 	}
 }
 
+// stop has the platform stop a task that may still run.
 func (a *Agent) stop(id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), worker.Timeout)
 	defer cancel()
--- a/model/check.go
+++ b/model/check.go
@@ -22,3 +22,23 @@
 	}
 	return nil
 }
+
+// CheckTarget reports what is wrong with a target as announced. The error is a
+// trace.BadParameter that names the fields.
+func CheckTarget(t Target) error {
+	var errs []error
+	if t.Name == "" || len(t.Name) > MaxLabelLen {
+		errs = append(errs, trace.BadParameter("name: 1 to %d bytes are allowed", MaxLabelLen))
+	}
+	if len(t.DataCentre) > MaxLabelLen {
+		errs = append(errs, trace.BadParameter("dataCentre: at most %d bytes are allowed", MaxLabelLen))
+	}
+	if t.Slots < 1 || t.Slots > MaxSlots {
+		errs = append(errs, trace.BadParameter("slots: %d is not within 1 to %d", t.Slots, MaxSlots))
+	}
+	if t.Conns < t.Slots {
+		errs = append(errs, trace.BadParameter("connections: %d is fewer than the slots", t.Conns))
+	}
+	errs = append(errs, CheckLabels(t.Labels))
+	return trace.NewAggregate(errs...)
+}
--- a/model/task.go
+++ b/model/task.go
@@ -22,6 +22,7 @@
 	MaxKeyLen     = 200              // bytes in a submission key or claim key
 	MaxJobTasks   = 890              // tasks in a job
 	MaxUrgency    = 9                // the most urgent work
+	MaxSlots      = 4096             // slots of a target
 	MaxTimeToLive = 10 * time.Minute // from arrival to deadline
 )
 
--- a/place/answer.go
+++ b/place/answer.go
@@ -73,7 +73,7 @@
 		return
 	case model.CodeBusy, model.CodeStale:
 		t.Free = min(t.Free, 0)
-	case model.CodeLeaving:
+	case model.CodeLeaving, model.CodeNoTarget:
 		c.fleet.Leaving(c.now, t)
 	default:
 		r.bounces = maxBounces
