link: bounded receipt, messages too long are not sent, answers leave before the links close

Cause: a peer that never ended its stream held a goroutine for good, one that sent too long messages held the stream; a message over the limit was sent and refused by the peer; the links closed while answers were being written. The router forgot an agent after 2 s while the placement core could still start work there: such a start carried no incarnation, and a job recorded a nameless agent. Its queue and goroutine for each agent were kept for good.

--- a/link/call.go
+++ b/link/call.go
@@ -76,14 +76,22 @@
 }
 
 func post(ctx context.Context, c *quic.Conn, m wire.Message) error {
+	b, err := encode(m)
+	if err != nil {
+		return notSentError{err}
+	}
 	s, err := c.OpenUniStreamSync(ctx)
 	if err != nil {
 		return notSentError{trace.Wrap(err)}
 	}
-	return trace.Wrap(writeMessage(s, m))
+	return trace.Wrap(write(s, b))
 }
 
 func call(ctx context.Context, c *quic.Conn, m wire.Message) (wire.Message, error) {
+	b, err := encode(m)
+	if err != nil {
+		return nil, notSentError{err}
+	}
 	s, err := c.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, notSentError{trace.Wrap(err)}
@@ -93,7 +101,7 @@
 		s.CancelRead(0)
 	})
 	defer done()
-	if err := writeMessage(s, m); err != nil {
+	if err := write(s, b); err != nil {
 		s.CancelRead(0)
 		return nil, trace.Wrap(err)
 	}
@@ -105,11 +113,19 @@
 	return a, nil
 }
 
-func writeMessage(s io.WriteCloser, m wire.Message) error {
+// encode returns m as bytes that a peer accepts.
+func encode(m wire.Message) ([]byte, error) {
 	b, err := wire.Encode(m)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	if len(b) > wire.MaxMessage {
+		return nil, trace.LimitExceeded("message %T has %d bytes, allowed are %d", m, len(b), wire.MaxMessage)
 	}
+	return b, nil
+}
+
+func write(s io.WriteCloser, b []byte) error {
 	if _, err := s.Write(b); err != nil {
 		return trace.Wrap(err)
 	}
--- a/link/node.go
+++ b/link/node.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -19,10 +21,17 @@
 )
 
 const (
-	idleTimeout  = 6 * time.Second
-	keepAlive    = 2 * time.Second
-	dialTimeout  = 2 * time.Second
-	redialPause  = 200 * time.Millisecond
+	idleTimeout = 6 * time.Second
+	keepAlive   = 2 * time.Second
+	dialTimeout = 2 * time.Second
+	redialPause = 200 * time.Millisecond
+	// receiveTimeout bounds the time in which a peer's message must arrive.
+	receiveTimeout = 30 * time.Second
+	// A node that ends waits for the answers in progress, and then a while
+	// for what the peers have not acknowledged.
+	flushTimeout = 5 * time.Second
+	flushPause   = 10 * time.Millisecond
+	linger       = 200 * time.Millisecond
 	maxStreams   = 1 << 14
 	streamWindow = 1 << 20 // bytes
 	connWindow   = 16 << 20
@@ -52,6 +61,9 @@
 	ctx  context.Context
 	stop context.CancelFunc
 	wg   sync.WaitGroup
+	// answering counts the answers that are being written.
+	answering atomic.Int64
+	answered  atomic.Bool
 
 	mu     sync.Mutex
 	byAddr map[string]*dialled
@@ -103,9 +115,22 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.wg.Go(n.accept)
 	<-ctx.Done()
+	n.flush()
 	return n.Close()
 }
 
+// flush waits for a bounded time until the answers in progress have left.
+func (n *Node) flush() {
+	end := n.opts.Clock.Now().Add(flushTimeout)
+	for n.answering.Load() > 0 && n.opts.Clock.Now().Before(end) {
+		<-n.opts.Clock.After(flushPause)
+	}
+	if n.answered.Load() {
+		// What was written last is sent again if it was lost on the way.
+		<-n.opts.Clock.After(linger)
+	}
+}
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:       dialTimeout,
@@ -187,7 +212,7 @@
 			return
 		}
 		n.wg.Go(func() {
-			m, err := readMessage(s)
+			m, err := n.receive(s)
 			if err != nil {
 				n.opts.Log.Debug("bad message", zap.String("peer", p.Name), zap.Error(err))
 				return
@@ -197,8 +222,24 @@
 	}
 }
 
+// incoming is the receiving side of a stream that a peer has opened.
+type incoming interface {
+	io.Reader
+	SetReadDeadline(time.Time) error
+	CancelRead(quic.StreamErrorCode)
+}
+
+// receive reads a peer's message within a bounded time, and gives up what comes after it.
+func (n *Node) receive(s incoming) (wire.Message, error) {
+	defer s.CancelRead(0)
+	if err := s.SetReadDeadline(n.opts.Clock.Now().Add(receiveTimeout)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return readMessage(s)
+}
+
 func (n *Node) exchange(s *quic.Stream, p Peer) {
-	m, err := readMessage(s)
+	m, err := n.receive(s)
 	if err != nil {
 		n.opts.Log.Debug("bad message", zap.String("peer", p.Name), zap.Error(err))
 		n.answer(s, wire.Refused{Reason: err.Error()})
@@ -208,7 +249,14 @@
 }
 
 func (n *Node) answer(s *quic.Stream, m wire.Message) {
-	if err := writeMessage(s, m); err != nil {
+	n.answering.Add(1)
+	defer n.answering.Add(-1)
+	n.answered.Store(true)
+	b, err := encode(m)
+	if err == nil {
+		err = write(s, b)
+	}
+	if err != nil {
 		s.CancelWrite(0)
 		n.opts.Log.Debug("answer not sent", zap.Error(err))
 	}
--- a/route/answer.go
+++ b/route/answer.go
@@ -27,12 +27,13 @@
 	switch a := a.(type) {
 	case wire.Result:
 		if whole(m.Task.ID, a) {
+			a.Free = max(a.Free, 0)
 			return place.Answer{Agent: agent, Result: a}
 		}
 		r.opts.Log.Warn("damaged answer", zap.String("agent", agent), zap.String("task", m.Task.ID))
 	case wire.Refused:
 		r.opts.Log.Warn("start refused", zap.String("agent", agent), zap.String("reason", a.Reason))
-		lost.Unsent = true
+		lost.Unsent = !a.MayBeDone
 	}
 	return lost
 }
@@ -66,7 +67,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-c:
+		case m, ok := <-c:
+			if !ok {
+				return
+			}
 			cctx, cancel := context.WithTimeout(ctx, postTimeout)
 			if _, err := r.node.CallPeer(cctx, agent, m); err != nil {
 				r.opts.Log.Debug("demand not sent", zap.String("agent", agent), zap.Error(err))
--- a/route/route.go
+++ b/route/route.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -170,6 +171,12 @@
 	if m.Self.Name != p.Name {
 		return wire.Refused{Reason: "the announced name is not the certificate's"}
 	}
+	if m.Target != nil {
+		if err := model.CheckTarget(*m.Target); err != nil {
+			return wire.Refused{Reason: "target: " + trace.UserMessage(err)}
+		}
+	}
+	m.Free = max(m.Free, 0)
 	r.send(event{in: place.Heard{Announce: m}})
 	return wire.Announced{Config: r.opts.View.Update(m.Version)}
 }
@@ -193,6 +200,7 @@
 		now := r.opts.Clock.Now()
 		if now.Sub(reported) >= useInterval {
 			reported = now
+			r.forget(now)
 			r.reportUse(ctx, &wg)
 		}
 		select {
@@ -218,7 +226,7 @@
 		r.waiting[a.Task.ID] = e.waiter
 	}
 	delete(r.calls, e.ended)
-	if h, ok := e.in.(place.Heard); ok && h.Announce.Self.Incarnation >= r.nodes[h.Announce.Self.Name].said.Self.Incarnation {
+	if h, ok := e.in.(place.Heard); ok && newer(h.Announce, r.nodes[h.Announce.Self.Name].said) {
 		r.nodes[h.Announce.Self.Name] = agentRow{said: h.Announce, heard: r.opts.Clock.Now()}
 	}
 	if c, ok := e.in.(place.Cancelled); ok {
@@ -296,7 +304,7 @@
 	wg.Go(func() {
 		defer cancel()
 		var in place.Input = place.Lost{Agent: e.Agent, ID: e.Task.ID, Unsent: true}
-		if w.guard == nil || w.guard(cctx, to) {
+		if to.Name != "" && (w.guard == nil || w.guard(cctx, to)) {
 			in = r.call(cctx, e.Agent, m)
 		}
 		r.send(event{in: in, ended: key})
