entry: bounds on bytes in progress, slow bodies, headers and slow readers

Cause: nothing bounded the bodies that an entry holds (16 MiB each), the time in which a body arrives or an answer is taken, both of which also held up a shutdown; and a server that ended closed connections whose answers were still in its buffers. Change: entry.maxBytes (128 MiB) bounds the bodies of all requests in progress, over it notRun with 429 and Retry-After; 30 s for a body and for taking an answer, 64 KiB of headers; servers end by Shutdown, bounded to 1 s. Left: the answers' bytes and a job's bodies after its submission are not counted; connections are not counted.

--- a/conf/entry.go
+++ b/conf/entry.go
@@ -14,6 +14,9 @@
 	PolicyStrict     = "strict"     // as joinIdle, but the most urgent work always goes first
 )
 
+// maxBytes is the most that entry.maxBytes may allow.
+const maxBytes = 64 << 30
+
 // policies are the allowed values of a policy; the same is set on all nodes.
 var policies = []string{PolicyJoinIdle, PolicyTwoChoices, PolicyRandom, PolicyLeast, PolicyStrict}
 
@@ -25,6 +28,8 @@
 	Operators string `json:"operators"`
 	// MaxBody bounds a task's body, in bytes.
 	MaxBody int `json:"maxBody"`
+	// MaxBytes bounds the bodies of all requests in progress at the entry, in bytes.
+	MaxBytes int `json:"maxBytes"`
 	// Policy is the placement policy: joinIdle, or another one to compare with.
 	Policy string `json:"policy"`
 	// NoTargetWait is how long work waits for a matching target to appear.
@@ -38,6 +43,7 @@
 func defaultEntry() Entry {
 	return Entry{
 		MaxBody:        model.MaxBody,
+		MaxBytes:       8 * model.MaxBody,
 		Policy:         PolicyJoinIdle,
 		NoTargetWait:   seconds(2),
 		RequestTimeout: seconds(30),
@@ -53,6 +59,7 @@
 		c.listen("entry.operators", e.Operators)
 	}
 	c.number("entry.maxBody", e.MaxBody, 1, model.MaxBody)
+	c.number("entry.maxBytes", e.MaxBytes, e.MaxBody, maxBytes)
 	c.oneOf("entry.policy", e.Policy, policies...)
 	c.duration("entry.noTargetWait", e.NoTargetWait, 0, seconds(60))
 	c.duration("entry.requestTimeout", e.RequestTimeout, millis(10), Duration(model.MaxTimeToLive))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,7 +22,14 @@
 // ServiceName is the name that other services find the entry by.
 const ServiceName = "entry"
 
-const headerTimeout = 5 * time.Second
+// Bounds on one caller's connection.
+const (
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 30 * time.Second // until the whole request was read
+	answerTimeout = 30 * time.Second // until the caller has taken the answer
+	waitTimeout   = model.MaxTimeToLive + time.Minute
+	maxHeaders    = 64 << 10 // bytes
+)
 
 // Options configure an Entry.
 type Options struct {
@@ -30,6 +37,8 @@
 	Listen string
 	// MaxBody bounds the body of a request, in bytes.
 	MaxBody int64
+	// MaxBytes bounds the bodies of all requests in progress, in bytes.
+	MaxBytes int64
 	// RequestTimeout is the time to live of a request that names no deadline.
 	RequestTimeout time.Duration
 	Clock          clockwork.Clock
@@ -43,6 +52,7 @@
 	router jobs.Router
 	jobs   *jobs.Manager
 	finder *member.Finder
+	bodies *budget
 
 	mu       sync.Mutex
 	draining bool
@@ -51,7 +61,9 @@
 }
 
 // New returns an entry that does not listen yet.
-func New(opts Options) *Entry { return &Entry{opts: opts, idle: make(chan struct{})} }
+func New(opts Options) *Entry {
+	return &Entry{opts: opts, bodies: &budget{left: opts.MaxBytes}, idle: make(chan struct{})}
+}
 
 // Name implements kernel.Service.
 func (e *Entry) Name() string { return ServiceName }
@@ -70,7 +82,10 @@
 
 // Run implements kernel.Service.
 func (e *Entry) Run(ctx context.Context) error {
-	srv := &http.Server{Addr: e.opts.Listen, Handler: e.Handler(), ReadHeaderTimeout: headerTimeout}
+	srv := &http.Server{
+		Addr: e.opts.Listen, Handler: e.Handler(), MaxHeaderBytes: maxHeaders,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, WriteTimeout: waitTimeout,
+	}
 	return meter.Serve(ctx, srv)
 }
 
@@ -137,6 +152,19 @@
 	return nil
 }
 
+// answering bounds the time that the caller may take to read the answer.
+func (e *Entry) answering(w http.ResponseWriter) {
+	// A writer without deadlines, as in tests, has no connection to bound.
+	_ = http.NewResponseController(w).SetWriteDeadline(e.opts.Clock.Now().Add(answerTimeout))
+}
+
+// tooMuch refuses a request whose body would exceed the entry's budget.
+func tooMuch() model.NotRun {
+	return model.NotRun{
+		Code: model.CodeQueueFull, Reason: "the entry holds too many bytes of other requests", RetryAfter: time.Second,
+	}
+}
+
 func (e *Entry) leave() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -23,7 +23,10 @@
 	"cyclamenrelay.example/wire"
 )
 
-const maxBody = 1 << 16
+const (
+	maxBody  = 1 << 16
+	maxBytes = 3 * maxBody
+)
 
 // router answers every task alike.
 type router struct{ outcome model.Outcome }
@@ -62,7 +65,7 @@
 	k.Add(f)
 	k.Add(r)
 	k.Add(jobs.New(jobs.Options{Router: r, Ledger: noLedger{}, Finder: f, Clock: c, Log: zap.NewNop()}))
-	e := entry.New(entry.Options{MaxBody: maxBody, RequestTimeout: time.Second, Clock: c, Log: zap.NewNop(), View: v})
+	e := entry.New(entry.Options{MaxBody: maxBody, MaxBytes: maxBytes, RequestTimeout: time.Second, Clock: c, Log: zap.NewNop(), View: v})
 	assert.NilError(t, e.Start(k))
 	return e.Handler()
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -24,12 +24,20 @@
 		return
 	}
 	defer e.leave()
-	s, err := e.readSpec(w, r)
-	if err != nil {
+	held := share{b: e.bodies}
+	defer held.release()
+	s, err := e.readSpec(w, r, &held)
+	e.answering(w)
+	switch {
+	case held.full:
+		writeOutcome(w, tooMuch())
+		return
+	case err != nil:
 		writeError(w, err)
 		return
 	}
 	st, refusal := e.jobs.Submit(r.Context(), s)
+	e.answering(w)
 	if refusal != nil {
 		writeOutcome(w, *refusal)
 		return
@@ -37,7 +45,7 @@
 	writeState(w, st, false)
 }
 
-func (e *Entry) readSpec(w http.ResponseWriter, r *http.Request) (jobs.Spec, error) {
+func (e *Entry) readSpec(w http.ResponseWriter, r *http.Request, held *share) (jobs.Spec, error) {
 	var body struct {
 		Key      string       `json:"key"`
 		Labels   model.Labels `json:"labels"`
@@ -51,7 +59,7 @@
 			Type string `json:"type"`
 		} `json:"tasks"`
 	}
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*e.opts.MaxBody+jobHead))
+	dec := json.NewDecoder(held.reader(http.MaxBytesReader(w, r.Body, 2*e.opts.MaxBody+jobHead)))
 	dec.DisallowUnknownFields()
 	err := dec.Decode(&body)
 	var large *http.MaxBytesError
@@ -114,6 +122,7 @@
 
 func (e *Entry) askJob(w http.ResponseWriter, r *http.Request, what wire.JobAction) {
 	st, err := e.jobs.Ask(r.Context(), r.PathValue("key"), what)
+	e.answering(w)
 	switch {
 	case err != nil:
 		writeOutcome(w, model.NotRun{Code: model.CodeNoQuorum, Reason: err.Error(), RetryAfter: time.Second})
--- /dev/null
+++ b/entry/limits_test.go
@@ -0,0 +1,48 @@
+package entry_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/entry"
+	"cyclamenrelay.example/model"
+)
+
+// Bodies in progress are bounded: the request over the bound was not run, and
+// the bytes are free again once the requests are answered.
+func TestBytesInProgressAreBounded(t *testing.T) {
+	h := handler(t, model.Complete{Status: 200}, true)
+	var slow []*io.PipeWriter
+	done := make(chan *httptest.ResponseRecorder, 3)
+	for range 3 {
+		r, w := io.Pipe()
+		slow = append(slow, w)
+		go func() { done <- serve(h, httptest.NewRequest(http.MethodPost, "/v1/requests", r)) }()
+	}
+	for _, w := range slow {
+		// All but the last byte, so that the pipe's reader has charged what was written before.
+		_, err := w.Write(make([]byte, maxBody-1))
+		assert.NilError(t, err)
+		_, err = w.Write([]byte("x"))
+		assert.NilError(t, err)
+	}
+	body := func() io.Reader { return strings.NewReader(strings.Repeat("x", 100)) }
+	for _, path := range []string{"/v1/requests", "/v1/jobs"} {
+		a := serve(h, httptest.NewRequest(http.MethodPost, path, body()))
+		assert.Equal(t, a.Code, http.StatusTooManyRequests, a.Body.String())
+		assert.Equal(t, a.Header().Get(entry.HeaderOutcome), "notRun")
+		assert.Assert(t, a.Header().Get("Retry-After") != "")
+	}
+	for _, w := range slow {
+		assert.NilError(t, w.Close())
+	}
+	for range slow {
+		assert.Equal(t, (<-done).Code, 200)
+	}
+	assert.Equal(t, serve(h, httptest.NewRequest(http.MethodPost, "/v1/requests", body())).Code, 200)
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -26,8 +26,15 @@
 		return
 	}
 	defer e.leave()
-	t, err := e.readTask(w, r)
-	if err != nil {
+	held := share{b: e.bodies}
+	defer held.release()
+	t, err := e.readTask(w, r, &held)
+	e.answering(w)
+	switch {
+	case held.full:
+		writeOutcome(w, tooMuch())
+		return
+	case err != nil:
 		writeError(w, err)
 		return
 	}
@@ -39,6 +46,7 @@
 	e.opts.Log.Debug("request answered", zap.String("task", t.ID), zap.String("kind", t.Kind()),
 		zap.String("outcome", model.OutcomeName(o)), zap.Duration("took", e.opts.Clock.Since(began)))
 	w.Header().Set("Relay-Task", t.ID)
+	e.answering(w)
 	writeOutcome(w, o)
 }
 
@@ -51,7 +59,7 @@
 }
 
 // readTask reads a task from the headers and body. The error names the header.
-func (e *Entry) readTask(w http.ResponseWriter, r *http.Request) (t model.Task, err error) {
+func (e *Entry) readTask(w http.ResponseWriter, r *http.Request, held *share) (t model.Task, err error) {
 	p := headerParser{h: r.Header}
 	t = model.Task{
 		ID:         uuid.NewString(),
@@ -70,7 +78,7 @@
 	if err := trace.NewAggregate(p.errs...); err != nil {
 		return t, err
 	}
-	t.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, e.opts.MaxBody))
+	t.Body, err = io.ReadAll(held.reader(http.MaxBytesReader(w, r.Body, e.opts.MaxBody)))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return t, trace.LimitExceeded("body: more than %d bytes", large.Limit)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -14,7 +14,11 @@
 // ServiceName is the name that other services find the server by.
 const ServiceName = "meter"
 
-const headerTimeout = 5 * time.Second
+const (
+	headerTimeout = 5 * time.Second
+	// closeTimeout bounds the wait for answers in progress when a server ends.
+	closeTimeout = time.Second
+)
 
 // Wasted counts messages that did not serve a request's one answer, by cause:
 // retry, hedge, bounced, stale or cancelled.
@@ -69,13 +73,22 @@
 	return Serve(ctx, &http.Server{Addr: s.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout})
 }
 
-// Serve runs an HTTP server until ctx ends; the error is nil then.
+// Serve runs an HTTP server until ctx ends, and then until the answers in
+// progress have left, for a bounded time. The error is nil then.
 func Serve(ctx context.Context, srv *http.Server) error {
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		if srv.Shutdown(sctx) != nil {
+			_ = srv.Close()
+		}
+	})
 	err := srv.ListenAndServe()
-	if ctx.Err() != nil {
-		return nil
+	if stop() {
+		return trace.Wrap(err)
 	}
-	return trace.Wrap(err)
+	<-closed
+	return nil
 }
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -93,8 +93,9 @@
 	client := &leader.Client{Node: b.node, Finder: b.finder, Clock: b.clock, Log: b.log, Groups: b.s.Keeper.Groups}
 	b.k.Add(jobs.New(jobs.Options{Router: router, Ledger: client, Finder: b.finder, Clock: b.clock, Log: b.log}))
 	b.k.Add(entry.New(entry.Options{
-		Listen: b.s.Entry.Callers, MaxBody: int64(b.s.Entry.MaxBody), RequestTimeout: time.Duration(b.s.Entry.RequestTimeout),
-		Clock: b.clock, Log: b.log, View: b.view,
+		Listen: b.s.Entry.Callers, MaxBody: int64(b.s.Entry.MaxBody), MaxBytes: int64(b.s.Entry.MaxBytes),
+		RequestTimeout: time.Duration(b.s.Entry.RequestTimeout),
+		Clock:          b.clock, Log: b.log, View: b.view,
 	}))
 }
 
