system: the path under killed, frozen, cut and leaving processes, judged by the start logs

TestLongRunOfFaults first failed by a data race of the harness on its table of processes (two faults at once); the harness locks it now.

--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -231,18 +231,24 @@
 
 // kill ends a process at once and waits for it.
 func (d *deployment) kill(name string) {
-	p := d.procs[name]
+	p := d.proc(name)
 	_ = p.cmd.Process.Kill()
 	<-p.done
 }
 
 // signal sends a signal to a process.
 func (d *deployment) signal(name string, s syscall.Signal) {
-	assert.NilError(d.t, d.procs[name].cmd.Process.Signal(s))
+	assert.NilError(d.t, d.proc(name).cmd.Process.Signal(s))
 }
 
 // restart starts a process that has ended with its old arguments.
-func (d *deployment) restart(name string) { d.run(d.procs[name]) }
+func (d *deployment) restart(name string) { d.run(d.proc(name)) }
+
+func (d *deployment) proc(name string) *proc {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.procs[name]
+}
 
 func (d *deployment) stopAll() {
 	d.mu.Lock()
