--- a/repair/repair_test.go
+++ b/repair/repair_test.go
@@ -77,9 +77,15 @@
 	assert.Assert(t, !ok, "the old replica was given up before the new one has all")
 }
 
-func TestWantedKeepersJoinAndLeave(t *testing.T) {
-	m, _ := steps(t, voters(a, b, c), map[string]bool{"a": true, "b": true, "d": true}, alive(a, b, c, d))
+func TestDecidedKeepersJoinAndLeave(t *testing.T) {
+	m, done := steps(t, voters(a, b, c), map[string]bool{"d": true, "c": false}, alive(a, b, c, d))
 	assert.DeepEqual(t, m, voters(a, b, d))
+	assert.DeepEqual(t, done[len(done)-1], rlog.ChangeMember{Member: rlog.Member{ID: c, Voter: true}, Remove: true})
+}
+
+func TestNobodyLeavesBeforeTheNewKeeperVotes(t *testing.T) {
+	_, done := steps(t, voters(a, b, c), map[string]bool{"d": true, "c": false}, alive(a, b, c))
+	assert.Equal(t, len(done), 0)
 }
 
 func TestUnwantedKeeperIsNotAdded(t *testing.T) {
