--- a/link/node.go
+++ b/link/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -19,10 +20,14 @@
 )
 
 const (
-	idleTimeout  = 6 * time.Second
-	keepAlive    = 2 * time.Second
-	dialTimeout  = 2 * time.Second
-	redialPause  = 200 * time.Millisecond
+	idleTimeout = 6 * time.Second
+	keepAlive   = 2 * time.Second
+	dialTimeout = 2 * time.Second
+	redialPause = 200 * time.Millisecond
+	// receiveTimeout bounds the time in which a peer's message must arrive.
+	receiveTimeout = 30 * time.Second
+	// A node that ends waits for the answers in progress, and then a while
+	// for what the peers have not acknowledged.
 	maxStreams   = 1 << 14
 	streamWindow = 1 << 20 // bytes
 	connWindow   = 16 << 20
@@ -233,7 +238,7 @@
 			return
 		}
 		n.wg.Go(func() {
-			m, err := readMessage(s)
+			m, err := n.receive(s)
 			if err != nil {
 				n.opts.Log.Debug("bad message", zap.String("peer", p.Name), zap.Error(err))
 				return
@@ -243,11 +248,27 @@
 	}
 }
 
+// incoming is the receiving side of a stream that a peer has opened.
+type incoming interface {
+	io.Reader
+	SetReadDeadline(time.Time) error
+	CancelRead(quic.StreamErrorCode)
+}
+
+// receive reads a peer's message within a bounded time, and gives up what comes after it.
+func (n *Node) receive(s incoming) (wire.Message, error) {
+	defer s.CancelRead(0)
+	if err := s.SetReadDeadline(n.opts.Clock.Now().Add(receiveTimeout)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return readMessage(s)
+}
+
 func (n *Node) exchange(s *quic.Stream, p Peer) {
 	if n.begin() {
 		defer n.end()
 	}
-	m, err := readMessage(s)
+	m, err := n.receive(s)
 	if err != nil {
 		n.opts.Log.Debug("bad message", zap.String("peer", p.Name), zap.Error(err))
 		n.answer(s, wire.Refused{Reason: err.Error()})
@@ -257,7 +278,11 @@
 }
 
 func (n *Node) answer(s *quic.Stream, m wire.Message) {
-	if err := writeMessage(s, m); err != nil {
+	b, err := encode(m)
+	if err == nil {
+		err = write(s, b)
+	}
+	if err != nil {
 		s.CancelWrite(0)
 		n.opts.Log.Debug("answer not sent", zap.Error(err))
 	}
