--- a/gauge/kind.go
+++ b/gauge/kind.go
@@ -14,6 +14,7 @@
 	sketchDecay  = 4096 // samples after which old ones lose weight
 	minSamples   = 8    // samples before an estimate is used
 	estimateStep = 0.05 // weight of the newest sample
+	mostRank     = 0.9  // quantile of run time that is most of it
 )
 
 // DefaultRunTime is the estimate for work of which nothing is known.
@@ -84,6 +85,15 @@
 	return time.Duration(k.mean * float64(time.Second))
 }
 
+// Most returns the time that most work of the kind takes at most, 0 while too
+// little was measured.
+func (k *Kind) Most() time.Duration {
+	if d, ok := k.Quantile(mostRank); ok {
+		return d
+	}
+	return k.Usual()
+}
+
 // Quantile returns the measured run time at q and true, or false while too
 // little was measured to know it.
 func (k *Kind) Quantile(q float64) (time.Duration, bool) {
--- a/place/agents.go
+++ b/place/agents.go
@@ -53,7 +53,8 @@
 	}
 }
 
-// pop takes the next queued request that may run on t and was not started there before.
+// pop takes the next queued request that may run on t and was not started there
+// before. It refuses what can no longer finish before its deadline.
 func (c *Core) pop(t *fleet.Target, share string) *request {
 	var again []*request
 	defer func() {
@@ -74,6 +75,11 @@
 			again = append(again, r)
 			continue
 		}
+		if c.now.Add(r.kind.Most()).After(r.deadline) {
+			c.queue.Correct(i, 0)
+			c.refuse(r, model.CodeDeadline, "the work cannot finish before its deadline", retryAfter(c.paces.Of(i.Share).Wait(1)))
+			continue
+		}
 		r.charged = true
 		c.paces.Of(i.Share).Served(c.now, c.queue.ShareLen(i.Share) > 0)
 		return r
--- a/place/fault_test.go
+++ b/place/fault_test.go
@@ -9,6 +9,7 @@
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/place"
 	"cyclamenrelay.example/share"
+	"cyclamenrelay.example/wire"
 
 	"gotest.tools/v3/assert"
 )
@@ -229,3 +230,27 @@
 	g.hear(0, 1, nil)
 	assert.Equal(t, g.sent["a"], 1)
 }
+
+// Queued work that can no longer finish before its deadline is refused in place
+// of being started; what has the time takes the slot.
+func TestLateWorkIsNotStarted(t *testing.T) {
+	g := newRig(t, compile(t, 1, nil))
+	g.hear(0, 8, nil)
+	for i := range 20 { // teaches that the kind takes a second
+		id := fmt.Sprint("past", i)
+		g.arrive(id, nil, "")
+		g.now = g.now.Add(time.Second)
+		g.hear(0, 7, nil)
+		g.step(place.Answer{Agent: "agent0", Result: wire.Result{ID: id, Complete: &model.Complete{}, Free: 8}})
+	}
+	g.hear(0, 0, nil)
+	g.step(place.Arrive{Task: model.Task{ID: "late", Idempotent: true, TimeLeft: 1500 * time.Millisecond}})
+	g.step(place.Arrive{Task: model.Task{ID: "soon", Idempotent: true, TimeLeft: 5 * time.Second}})
+	assert.Equal(t, len(g.ends), 20)
+	g.now = g.now.Add(time.Second)
+	g.hear(0, 1, nil)
+	_, notRun := g.ends["late"].(model.NotRun)
+	assert.Assert(t, notRun, "%v", g.ends["late"])
+	assert.Equal(t, g.sent["late"], 0)
+	assert.Equal(t, g.sent["soon"], 1)
+}
