--- a/rig/proc.go
+++ b/rig/proc.go
@@ -149,12 +149,6 @@
 	return out
 }
 
-// Identity returns the certificate of an operator.
-func (r *Rig) Identity() (*keys.Identity, error) {
-	f := keys.Folder(filepath.Join(r.opts.Folder, "tls"))
-	return keys.Load(f.Cert("ca"), f.Cert(operator), f.Key(operator))
-}
-
 // MetricsURLs returns the URLs of the metrics of the processes with a role.
 func (r *Rig) MetricsURLs(roles ...keys.Role) []string {
 	var out []string
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -12,6 +12,8 @@
 	"slices"
 	"time"
 
+	"cyclamenrelay.example/admin"
+	"cyclamenrelay.example/client"
 	"cyclamenrelay.example/conf"
 	"cyclamenrelay.example/fault"
 	"cyclamenrelay.example/keys"
@@ -28,6 +30,9 @@
 	fileMode  = 0o600
 	readyStep = 50 * time.Millisecond
 	stopLimit = 10 * time.Second
+
+	changeTries = 10
+	changeLimit = 2 * time.Second
 )
 
 // Options say what is started and where.
@@ -199,10 +204,15 @@
 	return s
 }
 
-// ready waits until every entry takes requests.
+// ready waits until every entry takes requests and knows all targets.
 func (r *Rig) ready(ctx context.Context) error {
-	for _, u := range r.EntryURLs() {
-		for !get(ctx, u+"/v1/ready") {
+	operators := r.OperatorURLs()
+	for i, u := range r.EntryURLs() {
+		c, err := r.Client(operators[i])
+		if err != nil {
+			return err
+		}
+		for !get(ctx, u+"/v1/ready") || r.known(ctx, c) < len(r.targets) {
 			if name := r.ended(); name != "" {
 				return trace.ConnectionProblem(nil, "%s has ended: see %s", name, filepath.Join(r.opts.Folder, name+".log"))
 			}
@@ -216,6 +226,27 @@
 	return nil
 }
 
+// known returns the number of targets that an entry knows.
+func (r *Rig) known(ctx context.Context, c *client.Client) int {
+	var a admin.TargetsAnswer
+	if err := c.Get(ctx, "/v1/targets", nil, &a); err != nil {
+		return 0
+	}
+	return a.Known
+}
+
+// Client returns an operator's client of the entries with the URLs.
+func (r *Rig) Client(servers ...string) (*client.Client, error) {
+	f := keys.Folder(filepath.Join(r.opts.Folder, "tls"))
+	id, err := keys.Load(f.Cert("ca"), f.Cert(operator), f.Key(operator))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return client.New(client.Options{
+		Servers: servers, Identity: id, Attempts: changeTries, AttemptTimeout: changeLimit, Clock: r.opts.Clock,
+	})
+}
+
 func get(ctx context.Context, u string) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 	if err != nil {
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"cyclamenrelay.example/admin"
-	"cyclamenrelay.example/client"
 	"cyclamenrelay.example/conf"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/load"
@@ -25,7 +24,7 @@
 )
 
 const (
-	settle      = time.Second // for the rules to reach all nodes and the targets to announce themselves
+	settle      = time.Second // for the rules to reach all nodes
 	changeTries = 10
 	changeLimit = 2 * time.Second
 	startLimit  = 30 * time.Second
@@ -131,15 +130,9 @@
 
 // rules gives each kind of the plan a rule of weight 1.
 func (o Options) rules(ctx context.Context, r *rig.Rig) error {
-	id, err := r.Identity()
+	c, err := r.Client(r.OperatorURLs()...)
 	if err != nil {
-		return trace.Wrap(err)
-	}
-	c, err := client.New(client.Options{
-		Servers: r.OperatorURLs(), Identity: id, Attempts: changeTries, AttemptTimeout: changeLimit, Clock: o.Clock,
-	})
-	if err != nil {
-		return trace.Wrap(err)
+		return err
 	}
 	for _, k := range o.Plan.Kinds {
 		v, err := json.Marshal(model.Rule{Work: "kind=" + k.Name, Weight: 1, Hedge: o.Hedge, RetryBudget: o.RetryBudget})
