--- a/agent/agent.go
+++ b/agent/agent.go
@@ -50,6 +50,7 @@
 	mu       sync.Mutex
 	target   *lease
 	set      *rules.Set
+	judged   judgement
 	seq      uint64
 	core     *share.Core
 	slots    int
--- a/agent/slots.go
+++ b/agent/slots.go
@@ -143,8 +143,18 @@
 }
 
 // drained reports whether the operators drain the target. It is called with mu
-// held and a target present.
+// held and a target present, for each start and after each step.
 func (a *Agent) drained(cfg model.Config) bool {
-	_, d := a.compiled(cfg).Target(a.target.target)
-	return d
+	if set := a.compiled(cfg); a.judged.set != set || a.judged.lease != a.target {
+		_, d := set.Target(a.target.target)
+		a.judged = judgement{set, a.target, d}
+	}
+	return a.judged.drained
+}
+
+// judgement is what the rules say of the target's announcement.
+type judgement struct {
+	set     *rules.Set
+	lease   *lease
+	drained bool
 }
