agent: one entry brings a change of the configuration, not all

Cause: an agent announced itself to all its entries at once, and again as soon as it had a change; all of them sent the change, and it went round twice.

Ruled out: spreading the announcements evenly over the interval.

Change: at each interval one entry comes first, each time the next; the others follow when it has answered, or after 100 ms. A change of the target still goes to all at once, a change of the configuration to none.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -16,6 +16,8 @@
 const (
 	announceInterval = 500 * time.Millisecond
 	announceTimeout  = 2 * time.Second
+	// firstWait bounds the wait for the entry that is asked first.
+	firstWait = 100 * time.Millisecond
 	// maxEntries bounds the entries that one agent serves.
 	maxEntries = 8
 )
@@ -27,31 +29,55 @@
 	}
 }
 
-// announceLoop announces the target to each entry, at intervals and when it changes.
+// announceLoop announces the target to its entries, at intervals and when it
+// changes. At an interval one entry comes first, each time the next, so that it
+// brings a change of the configuration and the others need not.
 func (a *Agent) announceLoop(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	busy := &sync.Map{}
+	turn, changed := 0, true
 	for ctx.Err() == nil {
-		entries := a.finder.Nodes(keys.Entry)
-		for _, e := range choose(a.finder.Self().Name, entries, maxEntries) {
-			if _, on := busy.LoadOrStore(e.Address, true); on {
-				continue
+		entries := choose(a.finder.Self().Name, a.finder.Nodes(keys.Entry), maxEntries)
+		if len(entries) > 0 && !changed {
+			turn++
+			select {
+			case <-ctx.Done():
+			case <-a.announceTo(ctx, &wg, busy, entries[turn%len(entries)]):
+			case <-a.opts.Clock.After(firstWait):
 			}
-			wg.Go(func() {
-				defer busy.Delete(e.Address)
-				a.announce(ctx, e.Address)
-			})
 		}
+		for i, e := range entries {
+			if changed || i != turn%len(entries) {
+				a.announceTo(ctx, &wg, busy, e)
+			}
+		}
+		changed = false
 		select {
 		case <-ctx.Done():
 		case <-a.wake:
-		case <-a.opts.View.Changed():
+			changed = true
 		case <-a.opts.Clock.After(announceInterval):
 		}
 	}
 }
 
+// announceTo announces the target to an entry unless it is still being asked.
+// The channel is closed once that has ended.
+func (a *Agent) announceTo(ctx context.Context, wg *sync.WaitGroup, busy *sync.Map, e wire.Node) <-chan struct{} {
+	done := make(chan struct{})
+	if _, on := busy.LoadOrStore(e.Address, true); on {
+		close(done)
+		return done
+	}
+	wg.Go(func() {
+		defer close(done)
+		defer busy.Delete(e.Address)
+		a.announce(ctx, e.Address)
+	})
+	return done
+}
+
 func (a *Agent) announce(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
