slope: show what the processes logged when a part fails

A keeper that stopped at the start of a cluster showed as an entry that does not get ready. The parts now print the processes' warnings and errors, and the groups wait until a job is recorded.

--- a/slope/real.go
+++ b/slope/real.go
@@ -309,10 +309,7 @@
 		if err != nil {
 			return err
 		}
-		err = d.idle(ctx, r, "groups", float64(n))
-		if err == nil {
-			err = d.records(ctx, r, n)
-		}
+		err = d.records(ctx, r, n)
 		d.stop()
 		if err != nil {
 			return err
@@ -328,6 +325,12 @@
 		return err
 	}
 	defer stop()
+	if err := d.until(ctx, func() bool { return d.propose(ctx, c, "first", openJob("first")) }); err != nil {
+		return trace.Wrap(err, "%s", d.outputs())
+	}
+	if err := d.idle(ctx, r, "groups", float64(groups)); err != nil {
+		return err
+	}
 	for _, writers := range []int{16, 64, 256} {
 		before, own := use(d.keepers), ownCPU()
 		done, err := d.jobs(ctx, c, writers)
--- a/slope/state.go
+++ b/slope/state.go
@@ -91,6 +91,7 @@
 		r.add("ledger: open jobs", "jobs", "B", x, held(func() any { return openJobs(n) }))
 		r.add("ledger: finished jobs", "jobs", "B", x, held(func() any { return finishJobs(openJobs(n), n, 0) }))
 		r.add("ledger: claims", "claims", "B", x, held(func() any { return openClaims(n) }))
+		r.add("ledger: snapshot of finished jobs", "jobs", "us", x, snapshotCost(n))
 	}
 	l := openJobs(10_000)
 	micros, _ := repeat(1, func() { finishJobs(l, 10_000, 0) })
@@ -150,6 +151,12 @@
 	return l
 }
 
+func snapshotCost(n int) float64 {
+	l := finishJobs(openJobs(n), n, 0)
+	micros, _ := repeat(1, func() { l.Snapshot() })
+	return micros
+}
+
 func openClaims(n int) *ledger.Ledger {
 	l := openJobs(0)
 	for i := range n {
--- a/slope/system.go
+++ b/slope/system.go
@@ -24,8 +24,8 @@
 
 const (
 	certLife    = 24 * time.Hour
-	targetLease = 60 * time.Second
-	ticksPerSec = 100 // of /proc/PID/stat
+	targetLease = 60 * time.Second // the longest that settings allow
+	ticksPerSec = 100              // of /proc/PID/stat
 	readyLimit  = 30 * time.Second
 	pollPause   = 100 * time.Millisecond
 	stopLimit   = 10 * time.Second
@@ -148,7 +148,7 @@
 	s.Join.Addresses = d.join
 	s.Keeper.Groups = groups
 	s.Metrics.Listen = p.metrics
-	s.Log.Level = "info"
+	s.Log.Level = "warn"
 	switch p.role {
 	case keys.Keeper:
 		for _, k := range d.keepers {
@@ -238,12 +238,21 @@
 			return err == nil && answered(req, http.StatusOK)
 		})
 		if err != nil {
-			return trace.Wrap(err, "%s: %s", p.name, p.out.String())
+			return trace.Wrap(err, "%s is not ready: %s", p.name, d.outputs())
 		}
 	}
 	return nil
 }
 
+// outputs returns the warnings and errors that the processes have logged.
+func (d *deployment) outputs() string {
+	var b strings.Builder
+	for _, p := range d.all {
+		b.WriteString(p.out.String())
+	}
+	return b.String()
+}
+
 func (d *deployment) until(ctx context.Context, ok func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
