--- a/place/agents.go
+++ b/place/agents.go
@@ -130,7 +130,7 @@
 // ask tells agents of queued work of k when what was asked of them runs low.
 func (c *Core) ask(k *fleet.Class) {
 	share := k.Share()
-	for _, t := range k.Ask(c.now, c.set.Fanout) {
+	for _, t := range k.Ask(c.now, c.queue.Len(), c.set.Fanout) {
 		w := wire.Want{Share: share, Count: c.fleet.Asked(t, share), Urgency: c.queue.Urgency(share)}
 		c.emit(Ask{Agent: t.Name, Demand: wire.Demand{Wants: []wire.Want{w}}})
 	}
