--- a/agent/agent.go
+++ b/agent/agent.go
@@ -56,6 +56,7 @@
 	answering map[string]wire.Node // entries that answered the last announcement
 	target    *lease
 	set       *rules.Set
+	judged    judgement
 	seq       uint64
 	core      *share.Core
 	slots     int
