--- a/system/config_test.go
+++ b/system/config_test.go
@@ -33,7 +33,7 @@
 }
 
 // TestRestartAfterChanges restarts all keepers at once, and then fails one over,
-// after 700 changes with several snapshots.
+// after 700 changes with several snapshots, half of them by operators' HTTPS.
 func TestRestartAfterChanges(t *testing.T) {
 	s := small()
 	s.extra = func(role string, settings map[string]any) {
@@ -45,6 +45,9 @@
 	o := d.operator()
 	defer d.watchVersions()()
 	for i := range 700 {
+		if i == 350 {
+			o.byHTTPS()
+		}
 		o.change(fmt.Sprintf("team-%d", i%50))
 	}
 	d.inForce(o.version)
--- a/system/jobs_test.go
+++ b/system/jobs_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"cyclamenrelay.example/dummy"
 )
 
 func three() shape { return shape{centres: almaty, keepers: 3, entries: 3, targets: 3, slots: 4} }
@@ -23,6 +26,16 @@
 	}, poll.WithTimeout(soon), poll.WithDelay(20*time.Millisecond))
 }
 
+// targetOf returns the number of a target that has started a task of the prefix.
+func (d *deployment) targetOf(prefix string) string {
+	for _, e := range d.startLog() {
+		if e.Event == dummy.EventStart && strings.HasPrefix(e.Task, prefix) {
+			return strings.TrimPrefix(e.Target, "target-")
+		}
+	}
+	return ""
+}
+
 // submitAt submits a job at several entries at the same instant until each has
 // accepted it.
 func (d *deployment) submitAt(body string, entries ...int) {
@@ -83,9 +96,10 @@
 	a, _ := d.job(1, "POST", "", body)
 	assert.Equal(t, a.status, 202, a.body)
 	d.started("both/", 6)
+	agent := "agent-" + d.targetOf("both/")
 	d.kill("entry-1")
-	d.kill("agent-1")
-	d.restart("agent-1")
+	d.kill(agent)
+	d.restart(agent)
 	d.submitAt(body, 2, 3)
 	d.restart("entry-1")
 	d.submitAt(body, 1)
--- a/system/tester_test.go
+++ b/system/tester_test.go
@@ -16,6 +16,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"cyclamenrelay.example/admin"
+	"cyclamenrelay.example/client"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/leader"
 	"cyclamenrelay.example/link"
@@ -38,6 +40,7 @@
 	d      *deployment
 	node   *link.Node
 	client *leader.Client
+	https  *client.Client // used for changes when set
 
 	mu      sync.Mutex
 	seq     int
@@ -61,10 +64,29 @@
 	}
 }
 
+// byHTTPS has changes go through the operators' HTTPS of all entries.
+func (o *operator) byHTTPS() {
+	id, err := keys.Load(o.d.path("ca.pem"), o.d.path("operator.pem"), o.d.path("operator-key.pem"))
+	assert.NilError(o.d.t, err)
+	opts := client.Options{Identity: id, Attempts: 10, AttemptTimeout: 5 * time.Second, Clock: clockwork.NewRealClock()}
+	for i := range o.d.shape.entries {
+		opts.Servers = append(opts.Servers, "https://"+o.d.operators(i+1))
+	}
+	o.https, err = client.New(opts)
+	assert.NilError(o.d.t, err)
+}
+
 // propose sends a change until it is answered or the limit has passed.
 func (o *operator) propose(c model.Change, limit time.Duration) (model.ChangeResult, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	if o.https != nil {
+		a, err := o.https.Change(ctx, admin.ChangeRequest{
+			ID: c.ID, Section: c.Key.Section, Name: c.Key.Name, Expected: c.Expected, Value: c.Value,
+		})
+		item := model.Item{Key: c.Key, Count: a.Item.Count, Version: a.Item.Version, Value: a.Item.Value}
+		return model.ChangeResult{Accepted: a.Accepted, Item: item, Version: a.Version, Reason: a.Reason}, err
+	}
 	b, err := o.client.Propose(ctx, leader.ConfigGroup, state.ConfigCommands.MustEncode(state.Change{Change: c}))
 	if err != nil {
 		return model.ChangeResult{}, err
@@ -82,7 +104,7 @@
 	o.mu.Lock()
 	o.seq++
 	c := model.Change{
-		ID: fmt.Sprintf("change-%d", o.seq), Operator: "tester", Key: model.ItemKey{Section: model.SectionTeam, Name: name},
+		ID: changeID(o.seq), Operator: "tester", Key: model.ItemKey{Section: model.SectionTeam, Name: name},
 		Expected: o.acked[name].Count, Value: fmt.Appendf(nil, `{"quota":%d,"weight":1}`, o.seq),
 	}
 	o.mu.Unlock()
@@ -108,7 +130,7 @@
 	key := model.ItemKey{Section: model.SectionDrain, Name: name}
 	o.mu.Lock()
 	o.seq++
-	c := model.Change{ID: fmt.Sprintf("change-%d", o.seq), Operator: "tester", Key: key, Expected: o.acked[name].Count}
+	c := model.Change{ID: changeID(o.seq), Operator: "tester", Key: key, Expected: o.acked[name].Count}
 	o.mu.Unlock()
 	if on {
 		c.Value = fmt.Appendf(nil, `{"targets":%q}`, selector)
@@ -290,3 +312,6 @@
 	d.t.Cleanup(stop)
 	return stop
 }
+
+// changeID returns a change's ID in the form that the operators' HTTPS wants.
+func changeID(seq int) string { return fmt.Sprintf("00000000-0000-4000-8000-%012d", seq) }
