system: a cancel wave seen in the gauges of pending and queued tasks

Cause: the test waited fixed times, and 1500 requests of one kind were more than its queue takes (the gauge showed 992). Change: 2100 requests of three kinds; the gauges must show all queued, then none queued and only the running ones pending, then none, while the callers go away. Proved: go test -race -run TestCallers ./system passes in 2.3 s.

--- a/system/flow_test.go
+++ b/system/flow_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -133,3 +135,18 @@
 	case <-t.Context().Done():
 	}
 }
+
+// gauge waits until ok accepts the value of a process's gauge.
+func (d *deployment) gauge(name, gauge string, ok func(int) bool) {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		req, err := http.NewRequest(http.MethodGet, "http://"+d.metrics(name)+"/metrics", nil)
+		assert.NilError(d.t, err)
+		_, after, found := strings.Cut(do(req).body, "\n"+gauge+" ")
+		line, _, _ := strings.Cut(after, "\n")
+		if n, err := strconv.Atoi(line); found && err == nil && ok(n) {
+			return poll.Success()
+		}
+		return poll.Continue("%s is %q", gauge, line)
+	}, poll.WithTimeout(startLimit), poll.WithDelay(20*time.Millisecond))
+}
--- a/system/path_test.go
+++ b/system/path_test.go
@@ -92,32 +92,35 @@
 // TestCallersGoAway cancels a wave of queued requests and those that run: the
 // queued ones never start, the running ones are stopped through the platform.
 func TestCallersGoAway(t *testing.T) {
-	const waiting, running = 1500, 8
+	const waiting, running, kinds = 2100, 8, 3
 	d := deploy(t, shape{centres: almaty, keepers: 1, entries: 1, targets: 1, slots: running})
 	runs, cancelRunning := context.WithCancel(t.Context())
 	waits, cancelWaiting := context.WithCancel(t.Context())
 	defer cancelRunning()
 	defer cancelWaiting()
 	var wg sync.WaitGroup
-	send := func(ctx context.Context, id string) {
+	send := func(ctx context.Context, kind int, id string) {
 		body := strings.NewReader(fmt.Sprintf(`{"runTime":"20s","request":%q}`, id))
 		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers(1)+"/v1/requests", body)
 		assert.NilError(t, err)
 		req.Header.Set("Relay-Deadline", "5m")
+		req.Header.Set("Relay-Labels", fmt.Sprintf("kind=wave-%d", kind))
 		wg.Go(func() { do(req) })
 	}
 	for i := range running {
-		send(runs, fmt.Sprint("run-", i))
+		send(runs, 0, fmt.Sprint("run-", i))
 	}
 	d.await("the first tasks run", func(log []dummy.Record) bool { return ofRequest(log, "run-", dummy.EventStart, "") == running })
 	for i := range waiting {
-		send(waits, fmt.Sprint("wait-", i))
+		send(waits, i%kinds, fmt.Sprint("wait-", i))
 	}
-	pause(t, time.Second)
+	d.gauge("entry-1", "relay_tasks_queued", func(n int) bool { return n == waiting })
 	// The running ones go last, so that their slots are no use to the waiting ones.
 	cancelWaiting()
-	pause(t, time.Second)
+	d.gauge("entry-1", "relay_tasks_queued", func(n int) bool { return n == 0 })
+	d.gauge("entry-1", "relay_tasks_pending", func(n int) bool { return n == running })
 	cancelRunning()
+	d.gauge("entry-1", "relay_tasks_pending", func(n int) bool { return n == 0 })
 	wg.Wait()
 	d.await("the running tasks are stopped", func(log []dummy.Record) bool {
 		return ofRequest(log, "run-", dummy.EventEnd, "stopped") == running
