--- a/link/node.go
+++ b/link/node.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -29,13 +28,15 @@
 	receiveTimeout = 30 * time.Second
 	// A node that ends waits for the answers in progress, and then a while
 	// for what the peers have not acknowledged.
-	flushTimeout = 5 * time.Second
-	flushPause   = 10 * time.Millisecond
-	linger       = 200 * time.Millisecond
 	maxStreams   = 1 << 14
 	streamWindow = 1 << 20 // bytes
 	connWindow   = 16 << 20
 
+	// closeWait bounds how long Close waits for answers in progress, and
+	// closeLinger is the time that the last of them gets to arrive.
+	closeWait   = time.Second
+	closeLinger = 100 * time.Millisecond
+
 	closeNormal quic.ApplicationErrorCode = 0
 	closeDenied quic.ApplicationErrorCode = 1
 )
@@ -61,13 +62,14 @@
 	ctx  context.Context
 	stop context.CancelFunc
 	wg   sync.WaitGroup
-	// answering counts the answers that are being written.
-	answering atomic.Int64
-	answered  atomic.Bool
 
 	mu     sync.Mutex
 	byAddr map[string]*dialled
 	byName map[string]*quic.Conn
+	// answering counts the exchanges whose answers are not written.
+	answering int
+	closing   bool
+	answered  chan struct{} // closed when closing and none is left
 }
 
 type dialled struct {
@@ -80,7 +82,7 @@
 
 // New returns a node that does not listen yet.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, mux: NewMux(), byAddr: map[string]*dialled{}, byName: map[string]*quic.Conn{}}
+	n := &Node{opts: opts, mux: NewMux(), byAddr: map[string]*dialled{}, byName: map[string]*quic.Conn{}, answered: make(chan struct{})}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	return n
 }
@@ -115,22 +117,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.wg.Go(n.accept)
 	<-ctx.Done()
-	n.flush()
 	return n.Close()
 }
 
-// flush waits for a bounded time until the answers in progress have left.
-func (n *Node) flush() {
-	end := n.opts.Clock.Now().Add(flushTimeout)
-	for n.answering.Load() > 0 && n.opts.Clock.Now().Before(end) {
-		<-n.opts.Clock.After(flushPause)
-	}
-	if n.answered.Load() {
-		// What was written last is sent again if it was lost on the way.
-		<-n.opts.Clock.After(linger)
-	}
-}
-
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:       dialTimeout,
@@ -146,9 +135,11 @@
 // Address returns the address that the node listens on.
 func (n *Node) Address() string { return n.tr.Conn.LocalAddr().String() }
 
-// Close ends all links and waits for the handlers.
+// Close ends all links and waits for the handlers. Answers in progress are sent
+// before, within bounds: a shutdown must not cut off what has been done.
 func (n *Node) Close() error {
 	n.stop()
+	n.finish()
 	_ = n.ln.Close()
 	n.mu.Lock()
 	for _, d := range n.byAddr {
@@ -166,6 +157,41 @@
 	return trace.Wrap(err)
 }
 
+// finish waits a bounded time for the answers in progress.
+func (n *Node) finish() {
+	n.mu.Lock()
+	if !n.closing && n.answering == 0 {
+		close(n.answered)
+	}
+	n.closing = true
+	n.mu.Unlock()
+	select {
+	case <-n.answered:
+	case <-n.opts.Clock.After(closeWait):
+	}
+	<-n.opts.Clock.After(closeLinger)
+}
+
+// begin counts an exchange, and reports false when the node is closing.
+func (n *Node) begin() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closing {
+		return false
+	}
+	n.answering++
+	return true
+}
+
+func (n *Node) end() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.answering--
+	if n.closing && n.answering == 0 {
+		close(n.answered)
+	}
+}
+
 func (n *Node) accept() {
 	for {
 		c, err := n.ln.Accept(n.ctx)
@@ -239,6 +265,9 @@
 }
 
 func (n *Node) exchange(s *quic.Stream, p Peer) {
+	if n.begin() {
+		defer n.end()
+	}
 	m, err := n.receive(s)
 	if err != nil {
 		n.opts.Log.Debug("bad message", zap.String("peer", p.Name), zap.Error(err))
@@ -249,9 +278,6 @@
 }
 
 func (n *Node) answer(s *quic.Stream, m wire.Message) {
-	n.answering.Add(1)
-	defer n.answering.Add(-1)
-	n.answered.Store(true)
 	b, err := encode(m)
 	if err == nil {
 		err = write(s, b)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -16,8 +16,8 @@
 
 const (
 	headerTimeout = 5 * time.Second
-	// closeTimeout bounds the wait for answers in progress when a server ends.
-	closeTimeout = time.Second
+	// shutdownTimeout bounds the wait for answers in progress.
+	shutdownTimeout = 2 * time.Second
 )
 
 // Wasted counts messages that did not serve a request's one answer, by cause:
@@ -79,22 +79,22 @@
 	return Serve(ctx, &http.Server{Addr: s.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout})
 }
 
-// Serve runs an HTTP server until ctx ends, and then until the answers in
-// progress have left, for a bounded time. The error is nil then.
+// Serve runs an HTTP server until ctx ends; the error is nil then. Answers in
+// progress are sent before, within a bound.
 func Serve(ctx context.Context, srv *http.Server) error {
-	closed := make(chan struct{})
+	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
-		defer close(closed)
-		sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer close(ended)
+		sctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		if srv.Shutdown(sctx) != nil {
 			_ = srv.Close()
 		}
 	})
 	err := srv.ListenAndServe()
-	if stop() {
-		return trace.Wrap(err)
+	if !stop() {
+		<-ended
+		return nil
 	}
-	<-closed
-	return nil
+	return trace.Wrap(err)
 }
