--- a/link/node.go
+++ b/link/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -19,14 +20,23 @@
 )
 
 const (
-	idleTimeout  = 6 * time.Second
-	keepAlive    = 2 * time.Second
-	dialTimeout  = 2 * time.Second
-	redialPause  = 200 * time.Millisecond
+	idleTimeout = 6 * time.Second
+	keepAlive   = 2 * time.Second
+	dialTimeout = 2 * time.Second
+	redialPause = 200 * time.Millisecond
+	// receiveTimeout bounds the time in which a peer's message must arrive.
+	receiveTimeout = 30 * time.Second
+	// A node that ends waits for the answers in progress, and then a while
+	// for what the peers have not acknowledged.
 	maxStreams   = 1 << 14
 	streamWindow = 1 << 20 // bytes
 	connWindow   = 16 << 20
 
+	// closeWait bounds how long Close waits for answers in progress, and
+	// closeLinger is the time that the last of them gets to arrive.
+	closeWait   = time.Second
+	closeLinger = 100 * time.Millisecond
+
 	closeNormal quic.ApplicationErrorCode = 0
 	closeDenied quic.ApplicationErrorCode = 1
 )
@@ -56,6 +66,10 @@
 	mu     sync.Mutex
 	byAddr map[string]*dialled
 	byName map[string]*quic.Conn
+	// answering counts the exchanges whose answers are not written.
+	answering int
+	closing   bool
+	answered  chan struct{} // closed when closing and none is left
 }
 
 type dialled struct {
@@ -68,7 +82,7 @@
 
 // New returns a node that does not listen yet.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, mux: NewMux(), byAddr: map[string]*dialled{}, byName: map[string]*quic.Conn{}}
+	n := &Node{opts: opts, mux: NewMux(), byAddr: map[string]*dialled{}, byName: map[string]*quic.Conn{}, answered: make(chan struct{})}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	return n
 }
@@ -121,9 +135,11 @@
 // Address returns the address that the node listens on.
 func (n *Node) Address() string { return n.tr.Conn.LocalAddr().String() }
 
-// Close ends all links and waits for the handlers.
+// Close ends all links and waits for the handlers. Answers in progress are sent
+// before, within bounds: a shutdown must not cut off what has been done.
 func (n *Node) Close() error {
 	n.stop()
+	n.finish()
 	_ = n.ln.Close()
 	n.mu.Lock()
 	for _, d := range n.byAddr {
@@ -141,6 +157,41 @@
 	return trace.Wrap(err)
 }
 
+// finish waits a bounded time for the answers in progress.
+func (n *Node) finish() {
+	n.mu.Lock()
+	if !n.closing && n.answering == 0 {
+		close(n.answered)
+	}
+	n.closing = true
+	n.mu.Unlock()
+	select {
+	case <-n.answered:
+	case <-n.opts.Clock.After(closeWait):
+	}
+	<-n.opts.Clock.After(closeLinger)
+}
+
+// begin counts an exchange, and reports false when the node is closing.
+func (n *Node) begin() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closing {
+		return false
+	}
+	n.answering++
+	return true
+}
+
+func (n *Node) end() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.answering--
+	if n.closing && n.answering == 0 {
+		close(n.answered)
+	}
+}
+
 func (n *Node) accept() {
 	for {
 		c, err := n.ln.Accept(n.ctx)
@@ -187,7 +238,7 @@
 			return
 		}
 		n.wg.Go(func() {
-			m, err := readMessage(s)
+			m, err := n.receive(s)
 			if err != nil {
 				n.opts.Log.Debug("bad message", zap.String("peer", p.Name), zap.Error(err))
 				return
@@ -197,8 +248,27 @@
 	}
 }
 
+// incoming is the receiving side of a stream that a peer has opened.
+type incoming interface {
+	io.Reader
+	SetReadDeadline(time.Time) error
+	CancelRead(quic.StreamErrorCode)
+}
+
+// receive reads a peer's message within a bounded time, and gives up what comes after it.
+func (n *Node) receive(s incoming) (wire.Message, error) {
+	defer s.CancelRead(0)
+	if err := s.SetReadDeadline(n.opts.Clock.Now().Add(receiveTimeout)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return readMessage(s)
+}
+
 func (n *Node) exchange(s *quic.Stream, p Peer) {
-	m, err := readMessage(s)
+	if n.begin() {
+		defer n.end()
+	}
+	m, err := n.receive(s)
 	if err != nil {
 		n.opts.Log.Debug("bad message", zap.String("peer", p.Name), zap.Error(err))
 		n.answer(s, wire.Refused{Reason: err.Error()})
@@ -208,7 +278,11 @@
 }
 
 func (n *Node) answer(s *quic.Stream, m wire.Message) {
-	if err := writeMessage(s, m); err != nil {
+	b, err := encode(m)
+	if err == nil {
+		err = write(s, b)
+	}
+	if err != nil {
 		s.CancelWrite(0)
 		n.opts.Log.Debug("answer not sent", zap.Error(err))
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -14,7 +14,11 @@
 // ServiceName is the name that other services find the server by.
 const ServiceName = "meter"
 
-const headerTimeout = 5 * time.Second
+const (
+	headerTimeout = 5 * time.Second
+	// shutdownTimeout bounds the wait for answers in progress.
+	shutdownTimeout = 2 * time.Second
+)
 
 // Wasted counts messages that did not serve a request's one answer, by cause:
 // retry, hedge, bounced, stale or cancelled.
@@ -75,12 +79,21 @@
 	return Serve(ctx, &http.Server{Addr: s.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout})
 }
 
-// Serve runs an HTTP server until ctx ends; the error is nil then.
+// Serve runs an HTTP server until ctx ends; the error is nil then. Answers in
+// progress are sent before, within a bound.
 func Serve(ctx context.Context, srv *http.Server) error {
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		sctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if srv.Shutdown(sctx) != nil {
+			_ = srv.Close()
+		}
+	})
 	err := srv.ListenAndServe()
-	if ctx.Err() != nil {
+	if !stop() {
+		<-ended
 		return nil
 	}
 	return trace.Wrap(err)
