place: work that agents bounce three times waits for a slot

Cause: 1 of 175 deposits at 40 % load with stragglers, and 8 to 15 requests of each flood, were refused with code busy after eight targets in a row had no free slot after all, although their queue had room. Ruled out: more bounces, each of which is a wasted message. Change: from the third bounce on work is queued and agents are asked.

--- a/place/answer.go
+++ b/place/answer.go
@@ -131,9 +131,11 @@
 		r.charged = false
 	}
 	c.schedule(r, r.deadline)
-	if t := c.choose(r); t != nil {
-		c.start(r, t, 0, cause)
-		return
+	if r.bounces < maxDirect {
+		if t := c.choose(r); t != nil {
+			c.start(r, t, 0, cause)
+			return
+		}
 	}
 	if r.last != nil && r.item.Class.Size() <= len(r.tried) {
 		c.refuse(r, model.CodeNoTarget, "no other target matches", 0)
--- a/place/fault_test.go
+++ b/place/fault_test.go
@@ -254,3 +254,25 @@
 	assert.Equal(t, g.sent["late"], 0)
 	assert.Equal(t, g.sent["soon"], 1)
 }
+
+// Work that agents refuse again and again waits for a slot; it is not refused.
+func TestBouncedWorkWaits(t *testing.T) {
+	g := newRig(t, compile(t, 1, nil))
+	for i := range 8 {
+		g.hear(i, 2, nil)
+	}
+	g.arrive("a", nil, "")
+	for bounces := range 3 {
+		assert.Equal(t, g.sent["a"], 1, "after %d bounces", bounces)
+		for _, agent := range g.open {
+			delete(g.open, "a"+agent)
+			g.sent["a"]--
+			g.step(place.Answer{Agent: agent, Result: wire.Result{ID: "a", NotRun: &model.NotRun{Code: model.CodeBusy}}})
+			break
+		}
+	}
+	all, queued := g.core.Pending()
+	assert.Equal(t, all, 1)
+	assert.Equal(t, queued, 1)
+	assert.Equal(t, len(g.open), 0)
+}
--- a/place/request.go
+++ b/place/request.go
@@ -16,6 +16,7 @@
 const (
 	maxStarts    = 3 // starts that may have run, hedges included
 	maxBounces   = 8 // refusals by agents
+	maxDirect    = 3 // refusals after which work waits for an agent's slot
 	defaultLimit = 30 * time.Second
 	timeoutRatio = 10 // multiple of the kind's 99th percentile
 	timeoutRank  = 0.99
