--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,12 +18,16 @@
 	"cyclamenrelay.example/rules"
 	"cyclamenrelay.example/share"
 	"cyclamenrelay.example/spread"
+	"cyclamenrelay.example/wire"
 	"cyclamenrelay.example/worker"
 )
 
 // ServiceName is the name that other services find the agent by.
 const ServiceName = "agent"
 
+// linger is the time from a start's end until its answer is being sent.
+const linger = 100 * time.Millisecond
+
 // Options configure an Agent.
 type Options struct {
 	// Listen is the IP address and TCP port for the target's announcements.
@@ -48,29 +52,33 @@
 	// stepped tells the slot loop that the core has taken an input.
 	stepped chan struct{}
 
-	mu       sync.Mutex
-	target   *lease
-	set      *rules.Set
-	seq      uint64
-	core     *share.Core
-	slots    int
-	waiting  map[string]chan *model.NotRun
-	draining bool
-	idle     chan struct{} // closed when draining and nothing runs
+	mu        sync.Mutex
+	answering map[string]wire.Node // entries that answered the last announcement
+	target    *lease
+	set       *rules.Set
+	judged    judgement
+	seq       uint64
+	core      *share.Core
+	slots     int
+	waiting   map[string]chan *model.NotRun
+	draining  bool
+	active    int           // starts that are not answered
+	idle      chan struct{} // closed when draining and no start is active
 }
 
 // New returns an agent that has not heard of its target yet.
 func New(opts Options) *Agent {
 	set, _ := rules.Compile(model.Config{})
 	return &Agent{
-		opts:    opts,
-		wake:    make(chan struct{}, 1),
-		stepped: make(chan struct{}, 1),
-		log:     newJournal(opts.Clock),
-		set:     set,
-		core:    share.New(opts.Shares, set),
-		waiting: map[string]chan *model.NotRun{},
-		idle:    make(chan struct{}),
+		opts:      opts,
+		wake:      make(chan struct{}, 1),
+		stepped:   make(chan struct{}, 1),
+		log:       newJournal(opts.Clock),
+		set:       set,
+		core:      share.New(opts.Shares, set),
+		waiting:   map[string]chan *model.NotRun{},
+		answering: map[string]wire.Node{},
+		idle:      make(chan struct{}),
 	}
 }
 
@@ -105,21 +113,44 @@
 }
 
 // Drain implements kernel.Drainer: no new task starts, and it returns when the
-// running ones have ended.
+// running ones have ended and their answers have had time to leave.
 func (a *Agent) Drain(ctx context.Context) {
 	a.mu.Lock()
 	a.draining = true
 	a.stepLocked(share.Leave{})
+	a.closeIdle()
 	a.mu.Unlock()
 	a.finder.Leave()
 	a.announceSoon()
 	select {
 	case <-a.idle:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-a.opts.Clock.After(linger):
 	case <-ctx.Done():
 	}
 }
 
+func (a *Agent) enterExchange() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.active++
+}
+
+func (a *Agent) leaveExchange() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.active--
+	a.closeIdle()
+}
+
+// closeIdle is called with mu held.
 func (a *Agent) closeIdle() {
+	if !a.draining || a.active > 0 {
+		return
+	}
 	select {
 	case <-a.idle:
 	default:
--- a/member/finder.go
+++ b/member/finder.go
@@ -28,6 +28,9 @@
 	roundsKept = 500
 	// NodeLease is how long a process counts as alive after it was heard of.
 	NodeLease = 5 * time.Second
+	// agentMemory is how long an agent knows a process that the keepers that it
+	// asks do not name. A keeper that has just started names few.
+	agentMemory = 5 * agentInterval
 )
 
 // Finder announces this process to the keepers and learns the other processes
@@ -44,11 +47,18 @@
 	// answers holds the newest list of each keeper, by its address.
 	answers map[string]wire.Nodes
 	kept    string // the keeper that an agent asks
+	// named holds what an agent was told, since it asks one keeper at a time.
+	named *Table
+	// left is closed when this process begins to shut down.
+	left chan struct{}
 }
 
 // NewFinder returns a finder that starts from the addresses in join.
 func NewFinder(node *link.Node, clock clockwork.Clock, log *zap.Logger, self wire.Node, join []string) *Finder {
-	return &Finder{node: node, clock: clock, log: log, self: self, join: join, found: map[string]wire.Node{}, answers: map[string]wire.Nodes{}}
+	return &Finder{
+		node: node, clock: clock, log: log, self: self, join: join,
+		found: map[string]wire.Node{}, answers: map[string]wire.Nodes{}, named: NewTable(clock, agentMemory), left: make(chan struct{}),
+	}
 }
 
 // Name implements kernel.Service.
@@ -68,11 +78,14 @@
 	f.self.Replica = n
 }
 
-// Leave announces from now on that this process is shutting down.
+// Leave announces at once and from now on that this process is shutting down.
 func (f *Finder) Leave() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.self.Leaving = true
+	if !f.self.Leaving {
+		f.self.Leaving = true
+		close(f.left)
+	}
 }
 
 // Nodes returns the known processes of a role, those of this data centre first.
@@ -124,6 +137,7 @@
 
 // Run implements kernel.Service.
 func (f *Finder) Run(ctx context.Context) error {
+	left := f.left
 	for ctx.Err() == nil {
 		known := f.round(ctx)
 		pause := findInterval
@@ -132,6 +146,8 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-left:
+			left = nil
 		case <-f.clock.After(pause):
 		}
 	}
@@ -209,6 +225,7 @@
 // merge takes the union of the answers of the asked keepers. While none
 // answers, the last known processes stay.
 func (f *Finder) merge(asked []string) bool {
+	alone := !f.announces()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	found := map[string]wire.Node{}
@@ -219,6 +236,14 @@
 			}
 		}
 	}
+	if alone {
+		for _, n := range found {
+			f.named.Heard(n)
+		}
+		for _, n := range f.named.Live() {
+			found[n.Name] = n
+		}
+	}
 	if len(found) > 0 {
 		f.found = found
 	}
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -66,6 +66,9 @@
 	}
 	b.finder = member.NewFinder(b.node, clock, log, self, s.Join.Addresses)
 	b.view = spread.NewView(clock, time.Duration(s.Freshness.Lease))
+	if s.Freshness.ServeStale {
+		b.view.ServeStale()
+	}
 	b.k.Add(b.finder)
 	if s.Node.Has(keys.Keeper) {
 		b.keeper()
@@ -123,8 +126,9 @@
 	client := &leader.Client{Node: b.node, Finder: b.finder, Clock: b.clock, Log: b.log, Groups: b.s.Keeper.Groups}
 	b.k.Add(jobs.New(jobs.Options{Router: router, Ledger: client, Finder: b.finder, Clock: b.clock, Log: b.log}))
 	b.k.Add(entry.New(entry.Options{
-		Listen: b.s.Entry.Callers, MaxBody: int64(b.s.Entry.MaxBody), RequestTimeout: time.Duration(b.s.Entry.RequestTimeout),
-		Clock: b.clock, Log: b.log, View: b.view,
+		Listen: b.s.Entry.Callers, MaxBody: int64(b.s.Entry.MaxBody), MaxBytes: int64(b.s.Entry.MaxBytes),
+		RequestTimeout: time.Duration(b.s.Entry.RequestTimeout),
+		Clock:          b.clock, Log: b.log, View: b.view,
 	}))
 	b.k.Add(steer.New(steer.Options{
 		Listen: b.s.Entry.Operators, Identity: b.id, Keepers: client, Clock: b.clock, Log: b.log, View: b.view,
