--- a/keeper/boot.go
+++ b/keeper/boot.go
@@ -12,6 +12,7 @@
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/repair"
 	"cyclamenrelay.example/rlog"
+	"cyclamenrelay.example/synced"
 	"cyclamenrelay.example/wire"
 )
 
@@ -39,7 +40,7 @@
 			}
 			s := rlog.Bootstrap(members, r.machine.Snapshot())
 			batch[uint32(g)] = disk.Update{
-				Snapshot: diskSnapshot(s.Snapshot),
+				Snapshot: synced.Snapshot(s.Snapshot),
 				Hard:     &disk.Hard{Term: s.Hard.Term, Commit: s.Hard.Commit},
 			}
 			defer k.mustAdd(g, s)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -23,6 +23,7 @@
 	"cyclamenrelay.example/member"
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/state"
+	"cyclamenrelay.example/synced"
 	"cyclamenrelay.example/wire"
 )
 
@@ -133,7 +134,7 @@
 	if err != nil {
 		return trace.Wrap(err, "group %d", g)
 	}
-	stored, err := storedOf(l)
+	stored, err := synced.Stored(l)
 	if err != nil {
 		return trace.Wrap(err, "group %d", g)
 	}
--- a/rig/rig.go
+++ b/launch/launch.go
@@ -1,7 +1,7 @@
-// Package rig starts a whole deployment on one host as processes: keepers,
+// Package launch starts a whole deployment on one host as processes: keepers,
 // entries, agents and stand-in targets, with the distances between data
 // centres and to callers added by a fault relay.
-package rig
+package launch
 
 import (
 	"context"
@@ -53,8 +53,8 @@
 	Clock      clockwork.Clock
 }
 
-// Rig is a running deployment.
-type Rig struct {
+// Deployment is a running deployment.
+type Deployment struct {
 	opts     Options
 	relay    *fault.Relay
 	settings []conf.Settings
@@ -64,9 +64,9 @@
 }
 
 // Start starts the deployment and returns when every entry is ready. The caller
-// stops it, also after an error when a Rig is returned.
-func Start(ctx context.Context, o Options) (*Rig, error) {
-	r := &Rig{opts: o, procs: map[string]*proc{}}
+// stops it, also after an error when a Deployment is returned.
+func Start(ctx context.Context, o Options) (*Deployment, error) {
+	r := &Deployment{opts: o, procs: map[string]*proc{}}
 	if err := r.prepare(); err != nil {
 		return r, err
 	}
@@ -85,7 +85,7 @@
 }
 
 // prepare writes the settings and certificates and opens the relay.
-func (r *Rig) prepare() error {
+func (r *Deployment) prepare() error {
 	files, err := r.opts.Spec.Files()
 	if err != nil {
 		return trace.Wrap(err)
@@ -123,7 +123,7 @@
 }
 
 // openRelay puts a link before each node and before the callers of each entry.
-func (r *Rig) openRelay() error {
+func (r *Deployment) openRelay() error {
 	var links []fault.Link
 	far := fault.Rule{Delay: units.Duration(r.opts.Callers)}
 	for _, s := range r.settings {
@@ -145,7 +145,7 @@
 func callers(name string) string { return name + "-callers" }
 
 // Heal gives every link between nodes its distance back.
-func (r *Rig) Heal() error {
+func (r *Deployment) Heal() error {
 	for _, s := range r.settings {
 		for _, from := range r.settings {
 			if err := r.relay.SetSource(s.Node.Name, from.Node.Listen, r.distance(s, from)); err != nil {
@@ -156,7 +156,7 @@
 	return nil
 }
 
-func (r *Rig) distance(a, b conf.Settings) fault.Rules {
+func (r *Deployment) distance(a, b conf.Settings) fault.Rules {
 	if a.Node.DataCentre == b.Node.DataCentre {
 		return fault.Rules{}
 	}
@@ -165,7 +165,7 @@
 }
 
 // Cut drops silently everything between the named node and all others.
-func (r *Rig) Cut(name string) error {
+func (r *Deployment) Cut(name string) error {
 	i := slices.IndexFunc(r.settings, func(s conf.Settings) bool { return s.Node.Name == name })
 	if i < 0 {
 		return trace.NotFound("node %q is unknown", name)
@@ -182,7 +182,7 @@
 }
 
 // relayed returns s with the addresses of the links in place of the nodes' own.
-func (r *Rig) relayed(s conf.Settings) conf.Settings {
+func (r *Deployment) relayed(s conf.Settings) conf.Settings {
 	front := map[string]string{}
 	for _, o := range r.settings {
 		front[o.Node.Listen] = r.relay.Addr(o.Node.Name).String()
@@ -205,7 +205,7 @@
 }
 
 // ready waits until every entry takes requests and knows all targets.
-func (r *Rig) ready(ctx context.Context) error {
+func (r *Deployment) ready(ctx context.Context) error {
 	operators := r.OperatorURLs()
 	for i, u := range r.EntryURLs() {
 		c, err := r.Client(operators[i])
@@ -227,7 +227,7 @@
 }
 
 // known returns the number of targets that an entry knows.
-func (r *Rig) known(ctx context.Context, c *client.Client) int {
+func (r *Deployment) known(ctx context.Context, c *client.Client) int {
 	var a admin.TargetsAnswer
 	if err := c.Get(ctx, "/v1/targets", nil, &a); err != nil {
 		return 0
@@ -236,7 +236,7 @@
 }
 
 // Client returns an operator's client of the entries with the URLs.
-func (r *Rig) Client(servers ...string) (*client.Client, error) {
+func (r *Deployment) Client(servers ...string) (*client.Client, error) {
 	f := keys.Folder(filepath.Join(r.opts.Folder, "tls"))
 	id, err := keys.Load(f.Cert("ca"), f.Cert(operator), f.Key(operator))
 	if err != nil {
--- a/rig/rig_test.go
+++ b/launch/launch_test.go
@@ -1,4 +1,4 @@
-package rig_test
+package launch_test
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
+	"cyclamenrelay.example/launch"
 	"cyclamenrelay.example/layout"
-	"cyclamenrelay.example/rig"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
@@ -31,9 +31,9 @@
 	assert.NilError(t, os.Mkdir(folder, 0o755))
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	port, err := rig.FreePorts(5)
+	port, err := launch.FreePorts(5)
 	assert.NilError(t, err)
-	r, err := rig.Start(ctx, rig.Options{
+	r, err := launch.Start(ctx, launch.Options{
 		Spec: layout.Spec{
 			Name: "small", Port: port, DataCentres: []string{"a", "b"}, Entries: 1, Workers: 2, WorkersPerRack: 1,
 			Executor: "desk", Slots: 2, Connections: 4,
--- a/rig/ports.go
+++ b/launch/ports.go
@@ -1,4 +1,4 @@
-package rig
+package launch
 
 import (
 	"fmt"
--- a/rig/proc.go
+++ b/launch/proc.go
@@ -1,4 +1,4 @@
-package rig
+package launch
 
 import (
 	"fmt"
@@ -25,14 +25,14 @@
 }
 
 // run starts a program; its output goes to a file of its name.
-func (r *Rig) run(name, program string, args ...string) error {
+func (r *Deployment) run(name, program string, args ...string) error {
 	log, err := os.Create(filepath.Join(r.opts.Folder, name+".log"))
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
 	p := &proc{cmd: exec.Command(filepath.Join(r.opts.Programs, program), args...), log: log, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	// An interrupt at the terminal is for the rig alone, which stops the processes.
+	// An interrupt at the terminal is for this process alone, which stops the processes.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := p.cmd.Start(); err != nil {
 		_ = log.Close()
@@ -48,7 +48,7 @@
 	return nil
 }
 
-func (r *Rig) targetArgs(t layout.Target) []string {
+func (r *Deployment) targetArgs(t layout.Target) []string {
 	args := []string{
 		"target", "--agent", t.Agent, "--listen", strings.TrimPrefix(t.URL, "http://"), "--name", t.Name,
 		"--data-centre", t.DataCentre, "--slots", fmt.Sprint(t.Slots), "--connections", fmt.Sprint(t.Connections),
@@ -60,10 +60,12 @@
 	return append(args, r.opts.TargetArgs...)
 }
 
-func (r *Rig) startLog(target string) string { return filepath.Join(r.opts.Folder, target+".starts") }
+func (r *Deployment) startLog(target string) string {
+	return filepath.Join(r.opts.Folder, target+".starts")
+}
 
 // ended returns the name of a process that has ended, or nothing.
-func (r *Rig) ended() string {
+func (r *Deployment) ended() string {
 	for _, name := range r.names {
 		select {
 		case <-r.procs[name].done:
@@ -75,7 +77,7 @@
 }
 
 // Signal sends a signal to a process. The error is a trace.NotFound or from the system.
-func (r *Rig) Signal(name string, s syscall.Signal) error {
+func (r *Deployment) Signal(name string, s syscall.Signal) error {
 	p := r.procs[name]
 	if p == nil {
 		return trace.NotFound("process %q is unknown", name)
@@ -84,7 +86,7 @@
 }
 
 // Processes returns the process IDs by the names of the processes.
-func (r *Rig) Processes() map[string]int {
+func (r *Deployment) Processes() map[string]int {
 	out := map[string]int{}
 	for name, p := range r.procs {
 		out[name] = p.cmd.Process.Pid
@@ -93,7 +95,7 @@
 }
 
 // Stop ends all processes and the relay, and waits for them.
-func (r *Rig) Stop() {
+func (r *Deployment) Stop() {
 	for _, p := range r.procs {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Signal(syscall.SIGTERM)
@@ -115,10 +117,10 @@
 }
 
 // Targets returns the targets in their order.
-func (r *Rig) Targets() []layout.Target { return r.targets }
+func (r *Deployment) Targets() []layout.Target { return r.targets }
 
 // AgentOf returns the name of the agent beside a target.
-func (r *Rig) AgentOf(t layout.Target) string {
+func (r *Deployment) AgentOf(t layout.Target) string {
 	for _, s := range r.settings {
 		if "http://"+s.Agent.Targets == t.Agent {
 			return s.Node.Name
@@ -128,7 +130,7 @@
 }
 
 // EntryURLs returns the callers' URLs of the entries.
-func (r *Rig) EntryURLs() []string {
+func (r *Deployment) EntryURLs() []string {
 	var out []string
 	for _, s := range r.settings {
 		if s.Node.Has(keys.Entry) {
@@ -139,7 +141,7 @@
 }
 
 // OperatorURLs returns the operators' URLs of the entries.
-func (r *Rig) OperatorURLs() []string {
+func (r *Deployment) OperatorURLs() []string {
 	var out []string
 	for _, s := range r.settings {
 		if s.Node.Has(keys.Entry) {
@@ -150,7 +152,7 @@
 }
 
 // MetricsURLs returns the URLs of the metrics of the processes with a role.
-func (r *Rig) MetricsURLs(roles ...keys.Role) []string {
+func (r *Deployment) MetricsURLs(roles ...keys.Role) []string {
 	var out []string
 	for _, s := range r.settings {
 		if slices.ContainsFunc(roles, s.Node.Has) {
@@ -161,7 +163,7 @@
 }
 
 // StartLogs returns the files of the targets' start logs.
-func (r *Rig) StartLogs() []string {
+func (r *Deployment) StartLogs() []string {
 	var out []string
 	for _, t := range r.targets {
 		out = append(out, r.startLog(t.Name))
--- a/stand/demo.go
+++ b/stand/demo.go
@@ -16,9 +16,9 @@
 
 	"cyclamenrelay.example/admin"
 	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/launch"
 	"cyclamenrelay.example/load"
 	"cyclamenrelay.example/plan"
-	"cyclamenrelay.example/rig"
 
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
@@ -50,7 +50,7 @@
 	Folder   string        `long:"folder" description:"new folder for all files, by default a temporary one; removed at the end"`
 	Programs string        `long:"programs" default:"bin" description:"folder of relayd, relctl and stand"`
 
-	rig *rig.Rig
+	deployed *launch.Deployment
 }
 
 // Execute runs the demonstration. It stops what it has started, also on SIGINT.
@@ -86,13 +86,13 @@
 		return err
 	}
 	c.note("starting %d keepers, %d entries, %d agents and as many targets in %s",
-		len(o.Rig.Spec.DataCentres), o.Rig.Spec.Entries, o.Rig.Spec.Workers, c.Folder)
-	if err := c.start(ctx, o.Rig); err != nil {
+		len(o.Deploy.Spec.DataCentres), o.Deploy.Spec.Entries, o.Deploy.Spec.Workers, c.Folder)
+	if err := c.start(ctx, o.Deploy); err != nil {
 		return err
 	}
 	defer func() {
 		c.note("stopping all processes")
-		c.rig.Stop()
+		c.deployed.Stop()
 		c.note("stopped")
 	}()
 	for _, rule := range demoRules {
@@ -128,8 +128,8 @@
 	}
 	tls := keys.Folder(filepath.Join(folder, "tls"))
 	env := fmt.Sprintf("export RELCTL_SERVER=%s\nexport RELCTL_CA=%s\nexport RELCTL_CERT=%s\nexport RELCTL_KEY=%s\nexport ENTRY=%s\n",
-		strings.Join(c.rig.OperatorURLs(), ","), tls.Cert("ca"), tls.Cert("operator"), tls.Key("operator"), c.rig.EntryURLs()[0])
-	pids := c.rig.Processes()
+		strings.Join(c.deployed.OperatorURLs(), ","), tls.Cert("ca"), tls.Cert("operator"), tls.Key("operator"), c.deployed.EntryURLs()[0])
+	pids := c.deployed.Processes()
 	env += "pid() {\n  case $1 in\n"
 	for _, name := range slices.Sorted(maps.Keys(pids)) {
 		env += fmt.Sprintf("  %s) echo %d ;;\n", name, pids[name])
@@ -145,16 +145,16 @@
 }
 
 // start starts the processes; none is left running when it fails.
-func (c *demo) start(ctx context.Context, o rig.Options) error {
+func (c *demo) start(ctx context.Context, o launch.Options) error {
 	ctx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
 	o.Folder, o.Programs, o.Clock = c.Folder, c.Programs, clockwork.NewRealClock()
-	r, err := rig.Start(ctx, o)
+	r, err := launch.Start(ctx, o)
 	if err != nil {
 		r.Stop()
 		return trace.Wrap(err)
 	}
-	c.rig = r
+	c.deployed = r
 	return nil
 }
 
@@ -169,12 +169,12 @@
 			err = json.Unmarshal(b, &known)
 		}
 		behind := func(t admin.TargetStatus) bool { return t.Version < uint64(len(demoRules)) }
-		if err == nil && known.Matched == len(c.rig.Targets()) && !slices.ContainsFunc(known.Targets, behind) {
+		if err == nil && known.Matched == len(c.deployed.Targets()) && !slices.ContainsFunc(known.Targets, behind) {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return trace.LimitExceeded("%d of %d targets are up: %v", known.Matched, len(c.rig.Targets()), err)
+			return trace.LimitExceeded("%d of %d targets are up: %v", known.Matched, len(c.deployed.Targets()), err)
 		case <-time.After(pollStep):
 		}
 	}
@@ -184,7 +184,7 @@
 func (c *demo) command(ctx context.Context, args ...string) *exec.Cmd {
 	tls := keys.Folder(filepath.Join(c.Folder, "tls"))
 	all := []string{"--ca", tls.Cert("ca"), "--cert", tls.Cert("operator"), "--key", tls.Key("operator")}
-	for _, u := range c.rig.OperatorURLs() {
+	for _, u := range c.deployed.OperatorURLs() {
 		all = append(all, "--server", u)
 	}
 	return exec.CommandContext(ctx, filepath.Join(c.Programs, "relctl"), append(all, args...)...)
@@ -200,8 +200,8 @@
 
 func (c *demo) load(ctx context.Context, p plan.Plan) error {
 	res, err := load.Run(ctx, p, load.Options{
-		Run: "demo", Entries: c.rig.EntryURLs(), Metrics: c.rig.MetricsURLs(keys.Entry, keys.Agent), Clock: clockwork.NewRealClock(),
-		StartLogs: func() ([]io.ReadCloser, error) { return openAll(c.rig.StartLogs()) },
+		Run: "demo", Entries: c.deployed.EntryURLs(), Metrics: c.deployed.MetricsURLs(keys.Entry, keys.Agent), Clock: clockwork.NewRealClock(),
+		StartLogs: func() ([]io.ReadCloser, error) { return openAll(c.deployed.StartLogs()) },
 	})
 	if err != nil {
 		return err
--- a/stand/lab.go
+++ b/stand/lab.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
+	"cyclamenrelay.example/launch"
 	"cyclamenrelay.example/layout"
 	"cyclamenrelay.example/load"
-	"cyclamenrelay.example/rig"
 	"cyclamenrelay.example/trial"
 	"cyclamenrelay.example/units"
 
@@ -58,12 +58,12 @@
 		}
 		defer func() { _ = os.RemoveAll(c.Folder) }()
 	}
-	o.Rig.Folder = c.Folder
+	o.Deploy.Folder = c.Folder
 	ctx, stop := untilSignal()
 	defer stop()
 	if c.Profile != "" {
 		o.Profiles = true
-		o.Started = func(r *rig.Rig) { c.profile(ctx, r) }
+		o.Started = func(r *launch.Deployment) { c.profile(ctx, r) }
 	}
 	rep, err := trial.Run(ctx, o)
 	if err != nil {
@@ -106,11 +106,11 @@
 	if err != nil {
 		return trial.Options{}, err
 	}
-	if spec.Port, err = rig.FreePorts(len(spec.DataCentres) + spec.Entries + spec.Workers); err != nil {
+	if spec.Port, err = launch.FreePorts(len(spec.DataCentres) + spec.Entries + spec.Workers); err != nil {
 		return trial.Options{}, err
 	}
 	o := trial.Options{
-		Rig: rig.Options{
+		Deploy: launch.Options{
 			Spec: spec, Programs: c.Programs, Between: between[c.Firm], Callers: toCallers, TargetArgs: c.Target, Seed: c.Seed,
 		},
 		Plan: p, Policy: c.Policy, Rules: !c.NoRules, Hedge: c.Hedge, RetryBudget: c.Budget,
--- a/stand/profile.go
+++ b/stand/profile.go
@@ -8,14 +8,14 @@
 	"strings"
 
 	"cyclamenrelay.example/keys"
-	"cyclamenrelay.example/rig"
+	"cyclamenrelay.example/launch"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 )
 
 // profile takes CPU profiles of the first entry and agent while the load runs.
-func (c *lab) profile(ctx context.Context, r *rig.Rig) {
+func (c *lab) profile(ctx context.Context, r *launch.Deployment) {
 	for _, role := range []keys.Role{keys.Entry, keys.Agent} {
 		u := strings.TrimSuffix(r.MetricsURLs(role)[0], "/metrics") + "/debug/pprof/profile?seconds=8"
 		go func() {
--- a/system/firms_test.go
+++ b/system/firms_test.go
@@ -14,22 +14,22 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"cyclamenrelay.example/launch"
 	"cyclamenrelay.example/layout"
-	"cyclamenrelay.example/rig"
 )
 
 // firm starts a firm's whole deployment as it is described under deploy.
-func firm(t *testing.T, name string, between time.Duration) *rig.Rig {
+func firm(t *testing.T, name string, between time.Duration) *launch.Deployment {
 	t.Helper()
 	b, err := os.ReadFile(filepath.Join("..", "deploy", name, layout.SpecFile))
 	assert.NilError(t, err)
 	spec, err := layout.ParseSpec(b)
 	assert.NilError(t, err)
-	spec.Port, err = rig.FreePorts(len(spec.DataCentres) + spec.Entries + spec.Workers)
+	spec.Port, err = launch.FreePorts(len(spec.DataCentres) + spec.Entries + spec.Workers)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithTimeout(t.Context(), startLimit)
 	defer cancel()
-	r, err := rig.Start(ctx, rig.Options{
+	r, err := launch.Start(ctx, launch.Options{
 		Spec: spec, Folder: t.TempDir(), Programs: programs, Between: between, Callers: 3 * time.Millisecond,
 		Clock: clockwork.NewRealClock(),
 	})
--- a/trial/event.go
+++ b/trial/event.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"cyclamenrelay.example/dummy"
+	"cyclamenrelay.example/launch"
 	"cyclamenrelay.example/layout"
-	"cyclamenrelay.example/rig"
 	"cyclamenrelay.example/units"
 
 	"github.com/gravitational/trace"
@@ -66,7 +66,7 @@
 }
 
 // inject lets the events happen at their times.
-func (o Options) inject(ctx context.Context, r *rig.Rig, began time.Time) error {
+func (o Options) inject(ctx context.Context, r *launch.Deployment, began time.Time) error {
 	for _, e := range o.Events {
 		select {
 		case <-o.Clock.After(began.Add(e.At.Std()).Sub(o.Clock.Now())):
@@ -85,7 +85,7 @@
 	return nil
 }
 
-func act(ctx context.Context, r *rig.Rig, action string, t layout.Target) error {
+func act(ctx context.Context, r *launch.Deployment, action string, t layout.Target) error {
 	switch action {
 	case ActionFail:
 		return setMode(ctx, t, dummy.Mode{Fail: true})
@@ -104,7 +104,7 @@
 	return signal(r, t, syscall.SIGCONT)
 }
 
-func signal(r *rig.Rig, t layout.Target, s syscall.Signal) error {
+func signal(r *launch.Deployment, t layout.Target, s syscall.Signal) error {
 	if err := r.Signal(t.Name, s); err != nil {
 		return err
 	}
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -13,10 +13,10 @@
 	"cyclamenrelay.example/admin"
 	"cyclamenrelay.example/conf"
 	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/launch"
 	"cyclamenrelay.example/load"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/plan"
-	"cyclamenrelay.example/rig"
 
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
@@ -32,7 +32,7 @@
 
 // Options describe one trial.
 type Options struct {
-	Rig    rig.Options
+	Deploy launch.Options
 	Plan   plan.Plan
 	Policy string
 	// Rules gives each kind a rule of its own, so that kinds share the slots.
@@ -46,7 +46,7 @@
 	Timeout time.Duration
 	Clock   clockwork.Clock
 	// Started is told when the load begins, nil for nobody.
-	Started func(*rig.Rig)
+	Started func(*launch.Deployment)
 }
 
 // Report is what a trial measured.
@@ -63,11 +63,11 @@
 
 // Run starts a deployment, runs the plan against it and stops it.
 func Run(ctx context.Context, o Options) (Report, error) {
-	o.Rig.Clock = o.Clock
-	o.Rig.Adapt = o.adapt
+	o.Deploy.Clock = o.Clock
+	o.Deploy.Adapt = o.adapt
 	starting, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	r, err := rig.Start(starting, o.Rig)
+	r, err := launch.Start(starting, o.Deploy)
 	defer r.Stop()
 	if err != nil {
 		return Report{}, trace.Wrap(err)
@@ -89,7 +89,7 @@
 	return s
 }
 
-func (o Options) measure(ctx context.Context, r *rig.Rig) (Report, error) {
+func (o Options) measure(ctx context.Context, r *launch.Deployment) (Report, error) {
 	rep := Report{Policy: o.Policy, Events: o.Events}
 	entries, agents := r.MetricsURLs(keys.Entry), r.MetricsURLs(keys.Agent)
 	entriesBefore, agentsBefore := readCost(ctx, entries), readCost(ctx, agents)
@@ -121,7 +121,7 @@
 }
 
 // alive returns the metrics of the agents that no event stops.
-func (o Options) alive(r *rig.Rig) []string {
+func (o Options) alive(r *launch.Deployment) []string {
 	if len(o.Events) > 0 {
 		return nil
 	}
@@ -129,7 +129,7 @@
 }
 
 // rules gives each kind of the plan a rule of weight 1.
-func (o Options) rules(ctx context.Context, r *rig.Rig) error {
+func (o Options) rules(ctx context.Context, r *launch.Deployment) error {
 	c, err := r.Client(r.OperatorURLs()...)
 	if err != nil {
 		return err
