--- a/jobs/claim.go
+++ b/claims/claims.go
@@ -1,8 +1,11 @@
-package jobs
+// Package claims runs non-idempotent requests at most once: each is recorded in
+// the ledger before it starts, whoever dies and however often callers resend.
+package claims
 
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -11,33 +14,77 @@
 	"cyclamenrelay.example/leader"
 	"cyclamenrelay.example/ledger"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/record"
+	"cyclamenrelay.example/wire"
 )
 
+// ServiceName is the name that other services find the manager by.
+const ServiceName = "claims"
+
 const (
-	// recordLimit bounds the wait for a record that work must not start without.
-	recordLimit = 10 * time.Second
-	// settleLimit bounds how long the end of work is offered to the ledger.
-	settleLimit = time.Minute
 	// settleWait bounds how long an answer waits for its record.
 	settleWait = 3 * time.Second
 	pollPause  = 100 * time.Millisecond
-	maxPause   = time.Second
 	maxUnrun   = 10_000 // claims that are remembered as not run
 )
 
-// Claim runs a non-idempotent request at most once: its key is recorded before
+// Router runs single tasks; route.Router is one.
+type Router interface {
+	Do(ctx context.Context, t model.Task, guard func(ctx context.Context, agent wire.Node) bool) model.Outcome
+}
+
+// Manager is the service that owns claims.
+type Manager struct {
+	book   record.Book
+	router Router
+	wg     sync.WaitGroup
+	ctx    context.Context
+	stop   context.CancelFunc
+
+	mu    sync.Mutex
+	unrun map[string]bool // claims whose record was not confirmed and which were not run
+}
+
+// New returns a manager of claims.
+func New(b record.Book, r Router) *Manager {
+	m := &Manager{book: b, router: r, unrun: map[string]bool{}}
+	m.ctx, m.stop = context.WithCancel(context.Background())
+	return m
+}
+
+// Name implements kernel.Service.
+func (m *Manager) Name() string { return ServiceName }
+
+// Run implements kernel.Service.
+func (m *Manager) Run(ctx context.Context) error {
+	<-ctx.Done()
+	m.stop()
+	m.wg.Wait()
+	return nil
+}
+
+func (m *Manager) background(f func(context.Context)) {
+	m.wg.Go(func() { f(m.ctx) })
+}
+
+// digest identifies what a task asks for; how soon and how urgent is not part of it.
+func digest(t model.Task) []byte {
+	return record.Digest(model.Task{Labels: t.Labels, Selector: t.Selector, Body: t.Body, Type: t.Type})
+}
+
+// Do runs a non-idempotent request at most once: its key is recorded before
 // it starts, and a resend gets the first answer or the truth that it may have run.
-func (m *Manager) Claim(ctx context.Context, key string, t model.Task) model.Outcome {
+func (m *Manager) Do(ctx context.Context, key string, t model.Task) model.Outcome {
 	// The work goes on when its caller goes away, so that a resend finds its answer.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), t.TimeLeft)
 	defer cancel()
-	deadline := m.opts.Clock.Now().Add(t.TimeLeft)
-	digest := taskDigest(t)
+	deadline := m.book.Clock.Now().Add(t.TimeLeft)
+	digest := digest(t)
 	id := uuid.NewString()
-	open := ledger.OpenClaim{Key: key, Digest: digest, Owner: m.owner(), ID: id}
-	rctx, rcancel := context.WithTimeout(ctx, recordLimit)
+	open := ledger.OpenClaim{Key: key, Digest: digest, Owner: m.book.Owner(), ID: id}
+	rctx, rcancel := context.WithTimeout(ctx, record.OpenLimit)
 	defer rcancel()
-	res, err := m.propose(rctx, key, open)
+	res, err := m.book.Propose(rctx, key, open)
 	if err != nil {
 		m.unclaim(key, id, err)
 		return model.NotRun{Code: model.CodeNoQuorum, Reason: "the claim could not be recorded: " + err.Error(), RetryAfter: time.Second}
@@ -45,16 +92,16 @@
 	r, ok := res.(ledger.ClaimResult)
 	switch {
 	case !ok:
-		return model.NotRun{Code: model.CodeInvalid, Reason: invalid(res)}
+		return model.NotRun{Code: model.CodeInvalid, Reason: record.Reason(res)}
 	case r.Verdict == ledger.Full:
 		return model.NotRun{Code: model.CodeQueueFull, Reason: "the ledger is full", RetryAfter: time.Minute}
 	case r.Verdict == ledger.Conflict:
 		return model.NotRun{Code: model.CodeConflict, Reason: "the key was used for another request"}
-	case r.Claim.ID != id || r.Claim.Owner != m.owner():
+	case r.Claim.ID != id || r.Claim.Owner != m.book.Owner():
 		return m.earlier(ctx, *r.Claim)
 	}
-	t = t.WithTimeLeft(deadline.Sub(m.opts.Clock.Now()))
-	o := m.opts.Router.Do(ctx, t, nil)
+	t = t.WithTimeLeft(deadline.Sub(m.book.Clock.Now()))
+	o := m.router.Do(ctx, t, nil)
 	m.settle(key, id, o)
 	return o
 }
@@ -71,7 +118,7 @@
 	}
 	m.mu.Unlock()
 	m.background(func(ctx context.Context) {
-		m.finish(ctx, key, ledger.ReleaseClaim{Key: key, Owner: m.owner(), ID: id})
+		m.finish(ctx, key, ledger.ReleaseClaim{Key: key, Owner: m.book.Owner(), ID: id})
 	})
 }
 
@@ -86,11 +133,11 @@
 	var c ledger.Command
 	switch o := o.(type) {
 	case model.Complete:
-		c = ledger.FinishClaim{Key: key, Owner: m.owner(), ID: id, Complete: &o}
+		c = ledger.FinishClaim{Key: key, Owner: m.book.Owner(), ID: id, Complete: &o}
 	case model.Failed:
-		c = ledger.FinishClaim{Key: key, Owner: m.owner(), ID: id, Failed: &o}
+		c = ledger.FinishClaim{Key: key, Owner: m.book.Owner(), ID: id, Failed: &o}
 	case model.NotRun:
-		c = ledger.ReleaseClaim{Key: key, Owner: m.owner(), ID: id}
+		c = ledger.ReleaseClaim{Key: key, Owner: m.book.Owner(), ID: id}
 	}
 	done := make(chan struct{})
 	m.background(func(ctx context.Context) {
@@ -99,15 +146,15 @@
 	})
 	select {
 	case <-done:
-	case <-m.opts.Clock.After(settleWait):
+	case <-m.book.Clock.After(settleWait):
 	}
 }
 
 func (m *Manager) finish(ctx context.Context, key string, c ledger.Command) {
-	ctx, cancel := context.WithTimeout(ctx, settleLimit)
+	ctx, cancel := context.WithTimeout(ctx, record.EndLimit)
 	defer cancel()
-	if _, err := m.propose(ctx, key, c); err != nil {
-		m.opts.Log.Warn("end of work not recorded", zap.String("key", key), zap.Error(err))
+	if _, err := m.book.Propose(ctx, key, c); err != nil {
+		m.book.Log.Warn("end of work not recorded", zap.String("key", key), zap.Error(err))
 	}
 }
 
@@ -116,17 +163,17 @@
 	if m.forsaken(c.ID) {
 		// The record came through after its request was answered as not run.
 		m.background(func(ctx context.Context) {
-			m.finish(ctx, c.Key, ledger.ReleaseClaim{Key: c.Key, Owner: m.owner(), ID: c.ID})
+			m.finish(ctx, c.Key, ledger.ReleaseClaim{Key: c.Key, Owner: m.book.Owner(), ID: c.ID})
 		})
 		return model.NotRun{Code: model.CodeBusy, Reason: "an earlier claim is being released", RetryAfter: pollPause}
 	}
-	for pause := pollPause; c.Status == ledger.Open && m.alive(c.Owner); pause = min(2*pause, maxPause) {
+	for pause := pollPause; c.Status == ledger.Open && m.book.Alive(c.Owner); pause = min(2*pause, record.MaxPause) {
 		select {
 		case <-ctx.Done():
 			return model.Failed{Reason: "the first request with this key is still in progress", MayHaveRun: true}
-		case <-m.opts.Clock.After(pause):
+		case <-m.book.Clock.After(pause):
 		}
-		res, err := m.query(ctx, c.Key, ledger.GetClaim{Key: c.Key})
+		res, err := m.book.Query(ctx, c.Key, ledger.GetClaim{Key: c.Key})
 		if err != nil {
 			continue
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"cyclamenrelay.example/claims"
 	"cyclamenrelay.example/jobs"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/member"
@@ -51,6 +52,7 @@
 	opts   Options
 	router jobs.Router
 	jobs   *jobs.Manager
+	claims *claims.Manager
 	finder *member.Finder
 	bodies *budget
 
@@ -73,6 +75,9 @@
 	if e.finder, err = kernel.Find[*member.Finder](k, member.ServiceName); err != nil {
 		return err
 	}
+	if e.claims, err = kernel.Find[*claims.Manager](k, claims.ServiceName); err != nil {
+		return err
+	}
 	if e.jobs, err = kernel.Find[*jobs.Manager](k, jobs.ServiceName); err != nil {
 		return err
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -19,6 +19,7 @@
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/member"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/record"
 	"cyclamenrelay.example/spread"
 	"cyclamenrelay.example/wire"
 )
@@ -64,7 +65,7 @@
 	k := kernel.New(zap.NewNop())
 	k.Add(f)
 	k.Add(r)
-	k.Add(jobs.New(jobs.Options{Router: r, Ledger: noLedger{}, Finder: f, Clock: c, Log: zap.NewNop()}))
+	k.Add(jobs.New(record.Book{Ledger: noLedger{}, Finder: f, Clock: c, Log: zap.NewNop()}, r))
 	e := entry.New(entry.Options{MaxBody: maxBody, MaxBytes: maxBytes, RequestTimeout: time.Second, Clock: c, Log: zap.NewNop(), View: v})
 	assert.NilError(t, e.Start(k))
 	return e.Handler()
--- a/entry/request.go
+++ b/entry/request.go
@@ -57,7 +57,7 @@
 	if t.Idempotent {
 		return e.router.Do(ctx, t, nil)
 	}
-	return e.jobs.Claim(ctx, key, t)
+	return e.claims.Do(ctx, key, t)
 }
 
 // readTask reads a task from the headers and body. The error names the header.
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -1,25 +1,18 @@
-// Package jobs owns jobs and non-idempotent requests at an entry: each is
-// recorded in the ledger before it starts, so that nothing starts twice,
-// whoever dies and however often callers resend.
+// Package jobs owns jobs at an entry: each is recorded in the ledger before its
+// first start, so that no task starts twice, whoever dies and however often
+// callers resend.
 package jobs
 
 import (
 	"context"
-	"crypto/sha256"
 	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
-	"github.com/jonboulle/clockwork"
-	"go.uber.org/zap"
-
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
-	"cyclamenrelay.example/ledger"
 	"cyclamenrelay.example/link"
-	"cyclamenrelay.example/member"
 	"cyclamenrelay.example/model"
-	"cyclamenrelay.example/spans"
+	"cyclamenrelay.example/record"
 	"cyclamenrelay.example/wire"
 )
 
@@ -35,39 +28,23 @@
 	Candidates(t model.Task, n int) []wire.Node
 }
 
-// Ledger carries commands and queries to the ledger groups; leader.Client is one.
-type Ledger interface {
-	GroupOf(key string) uint32
-	Propose(ctx context.Context, group uint32, command []byte) ([]byte, error)
-	Query(ctx context.Context, group uint32, query []byte) ([]byte, error)
-}
-
-// Options configure a Manager.
-type Options struct {
-	Router Router
-	Ledger Ledger
-	Finder *member.Finder
-	Clock  clockwork.Clock
-	Log    *zap.Logger
-}
-
-// Manager is the service that owns jobs and claims.
+// Manager is the service that owns jobs.
 type Manager struct {
-	opts Options
-	node *link.Node
-	wg   sync.WaitGroup
-	ctx  context.Context
-	stop context.CancelFunc
+	book   record.Book
+	router Router
+	node   *link.Node
+	wg     sync.WaitGroup
+	ctx    context.Context
+	stop   context.CancelFunc
 
-	mu    sync.Mutex
-	jobs  map[string]*job
-	unrun map[string]bool // claims whose record was not confirmed and which were not run
-	kept  int             // bytes of kept answers
+	mu   sync.Mutex
+	jobs map[string]*job
+	kept int // bytes of kept answers
 }
 
 // New returns a manager without jobs.
-func New(opts Options) *Manager {
-	m := &Manager{opts: opts, jobs: map[string]*job{}, unrun: map[string]bool{}}
+func New(b record.Book, r Router) *Manager {
+	m := &Manager{book: b, router: r, jobs: map[string]*job{}}
 	m.ctx, m.stop = context.WithCancel(context.Background())
 	return m
 }
@@ -89,7 +66,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-m.opts.Clock.After(sweepInterval):
+		case <-m.book.Clock.After(sweepInterval):
 			m.sweep()
 		}
 	}
@@ -120,82 +97,18 @@
 	}
 }
 
-func (m *Manager) owner() ledger.Owner {
-	self := m.opts.Finder.Self()
-	return ledger.Owner{Entry: self.Name, Incarnation: self.Incarnation}
-}
-
-// find returns the live entry that is the owner. One that has just restarted may
-// still be known here by its earlier incarnation.
-func (m *Manager) find(o ledger.Owner) (wire.Node, bool) {
-	for _, n := range m.opts.Finder.Nodes(keys.Entry) {
-		if n.Name == o.Entry && n.Incarnation <= o.Incarnation {
-			return n, true
-		}
-	}
-	return wire.Node{}, false
-}
-
-func (m *Manager) alive(o ledger.Owner) bool {
-	_, ok := m.find(o)
-	return ok || o == m.owner()
-}
-
 func (m *Manager) background(f func(context.Context)) {
 	m.wg.Go(func() { f(m.ctx) })
 }
 
-func (m *Manager) propose(ctx context.Context, key string, c ledger.Command) (ledger.Result, error) {
-	ctx, span := spans.Start(ctx, "ledger")
-	defer span.End()
-	b, err := ledger.Commands.Encode(c)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	a, err := m.opts.Ledger.Propose(ctx, m.opts.Ledger.GroupOf(key), b)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return ledger.Results.Decode(a)
-}
-
-func (m *Manager) query(ctx context.Context, key string, q ledger.Query) (ledger.Result, error) {
-	b, err := ledger.Queries.Encode(q)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	a, err := m.opts.Ledger.Query(ctx, m.opts.Ledger.GroupOf(key), b)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return ledger.Results.Decode(a)
-}
-
-func invalid(r ledger.Result) string {
-	if i, ok := r.(ledger.Invalid); ok {
-		return i.Reason
-	}
-	return "unexpected answer of the ledger"
-}
-
-// taskDigest identifies what a task asks for.
-func taskDigest(t model.Task) []byte {
-	return Spec{Labels: t.Labels, Selector: t.Selector, Tasks: []Body{{Data: t.Body, Type: t.Type}}}.digest()
-}
-
 // digest identifies what the job asks for; how soon and how urgent is not part of it.
 func (s Spec) digest() []byte {
-	b, err := wire.MarshalValue(struct {
+	return record.Digest(struct {
 		Labels   model.Labels `cbor:"1,keyasint"`
 		Selector string       `cbor:"2,keyasint"`
 		Tasks    []Body       `cbor:"3,keyasint"`
 		Restart  bool         `cbor:"4,keyasint"`
 	}{s.Labels, s.Selector, s.Tasks, s.Restart})
-	if err != nil {
-		panic("jobs: " + err.Error())
-	}
-	d := sha256.Sum256(b)
-	return d[:]
 }
 
 const (
@@ -211,7 +124,7 @@
 func (m *Manager) sweep() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.opts.Clock.Now()
+	now := m.book.Clock.Now()
 	for key, j := range m.jobs {
 		if !j.ended() {
 			continue
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -18,6 +18,7 @@
 	"cyclamenrelay.example/ledger"
 	"cyclamenrelay.example/member"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/record"
 	"cyclamenrelay.example/wire"
 )
 
@@ -95,7 +96,7 @@
 func managerNamed(t *testing.T, name string, b *book, s jobs.Router) *jobs.Manager {
 	c := clockwork.NewRealClock()
 	f := member.NewFinder(nil, c, zap.NewNop(), wire.Node{Name: name, Incarnation: 5}, nil)
-	m := jobs.New(jobs.Options{Router: s, Ledger: b, Finder: f, Clock: c, Log: zap.NewNop()})
+	m := jobs.New(record.Book{Ledger: b, Finder: f, Clock: c, Log: zap.NewNop()}, s)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -195,80 +196,6 @@
 	assert.Equal(t, s.total(), 0)
 }
 
-func claim() model.Task {
-	return model.Task{ID: "x", TimeLeft: 10 * time.Second, Body: []byte("pay")}
-}
-
-func TestUnrecordedClaimIsNotRun(t *testing.T) {
-	b, s := newBook(), newStarter()
-	b.down = true
-	m := manager(t, b, s)
-	o := m.Claim(t.Context(), "k", claim())
-	assert.Equal(t, model.OutcomeName(o), "notRun")
-	assert.Equal(t, s.total(), 0)
-}
-
-func TestClaimWithALostAnswerMayBeResent(t *testing.T) {
-	b, s := newBook(), newStarter()
-	b.lost = 1
-	m := manager(t, b, s)
-	o := m.Claim(t.Context(), "k", claim())
-	assert.Equal(t, model.OutcomeName(o), "notRun")
-	assert.Equal(t, s.total(), 0)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		o = m.Claim(t.Context(), "k", claim())
-		if _, ok := o.(model.Complete); ok {
-			return poll.Success()
-		}
-		return poll.Continue("%v", o)
-	})
-	assert.Equal(t, s.total(), 1)
-	again := m.Claim(t.Context(), "k", claim())
-	assert.DeepEqual(t, again, o)
-	assert.Equal(t, s.total(), 1)
-}
-
-func TestClaimThatWasNotRunIsFree(t *testing.T) {
-	b, s := newBook(), newStarter()
-	full := true
-	s.answer = func(model.Task) model.Outcome {
-		if full {
-			return model.NotRun{Code: model.CodeQueueFull}
-		}
-		return model.Complete{Status: 200}
-	}
-	m := manager(t, b, s)
-	assert.Equal(t, model.OutcomeName(m.Claim(t.Context(), "k", claim())), "notRun")
-	full = false
-	assert.Equal(t, model.OutcomeName(m.Claim(t.Context(), "k", claim())), "complete")
-}
-
-func TestClaimOfADeadEntryMayHaveRun(t *testing.T) {
-	b, first, second := newBook(), newStarter(), newStarter()
-	running, hold := make(chan struct{}), make(chan struct{})
-	first.answer = func(model.Task) model.Outcome {
-		close(running)
-		<-hold
-		return model.Complete{Status: 200}
-	}
-	dead, alive := manager(t, b, first), managerNamed(t, "e2", b, second)
-	done := make(chan struct{})
-	go func() {
-		dead.Claim(context.Background(), "k", claim())
-		close(done)
-	}()
-	<-running
-	// The second entry does not hear of the first.
-	o := alive.Claim(t.Context(), "k", claim())
-	f, ok := o.(model.Failed)
-	assert.Assert(t, ok && f.MayHaveRun, "%v", o)
-	assert.Equal(t, second.total(), 0)
-	close(hold)
-	<-done
-	assert.Equal(t, model.OutcomeName(alive.Claim(t.Context(), "k", claim())), "complete")
-	assert.Equal(t, second.total(), 0)
-}
-
 // TestFullSetLimitsTheTasks: once as many agents are recorded as may be, the
 // tasks of the job are limited to them, and only recorded ones count.
 func TestFullSetLimitsTheTasks(t *testing.T) {
--- a/jobs/offer_test.go
+++ b/jobs/offer_test.go
@@ -17,6 +17,7 @@
 	"cyclamenrelay.example/ledger"
 	"cyclamenrelay.example/member"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/record"
 	"cyclamenrelay.example/wire"
 )
 
@@ -66,7 +67,7 @@
 	clock := clockwork.NewFakeClock()
 	router, led := &targets{}, &records{l: ledger.New()}
 	finder := member.NewFinder(nil, clock, zap.NewNop(), wire.Node{Name: "entry-1", Incarnation: 1}, nil)
-	m := jobs.New(jobs.Options{Router: router, Ledger: led, Finder: finder, Clock: clock, Log: zap.NewNop()})
+	m := jobs.New(record.Book{Ledger: led, Finder: finder, Clock: clock, Log: zap.NewNop()}, router)
 	spec := jobs.Spec{Key: "k", TimeLeft: time.Minute, Tasks: make([]jobs.Body, 3)}
 	submit := func() string {
 		st, refusal := m.Submit(context.Background(), spec)
@@ -126,7 +127,7 @@
 	clock := clockwork.NewFakeClock()
 	led := &records{l: ledger.New()}
 	finder := member.NewFinder(nil, clock, zap.NewNop(), wire.Node{Name: "entry-1", Incarnation: 1}, nil)
-	m := jobs.New(jobs.Options{Router: &robbed{led: led}, Ledger: led, Finder: finder, Clock: clock, Log: zap.NewNop()})
+	m := jobs.New(record.Book{Ledger: led, Finder: finder, Clock: clock, Log: zap.NewNop()}, &robbed{led: led})
 	_, refusal := m.Submit(context.Background(), jobs.Spec{Key: "k", TimeLeft: time.Minute, Tasks: make([]jobs.Body, 1)})
 	assert.Assert(t, refusal == nil)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/jobs/recover.go
+++ b/jobs/recover.go
@@ -37,7 +37,7 @@
 		if unknown != "" {
 			reason += " and agent " + unknown + " cannot tell what it started"
 		}
-		m.opts.Log.Warn("job cannot go on", zap.String("job", j.spec.Key), zap.String("reason", reason))
+		m.book.Log.Warn("job cannot go on", zap.String("job", j.spec.Key), zap.String("reason", reason))
 		for i := range j.results {
 			if unknown != "" {
 				j.set(i, model.Failed{Reason: reason, MayHaveRun: true})
@@ -76,23 +76,23 @@
 	if !ok {
 		return false
 	}
-	lost := m.opts.Clock.Now().Add(fenceLimit)
+	lost := m.book.Clock.Now().Add(fenceLimit)
 	for ctx.Err() == nil {
 		f, answered := m.fence(ctx, name, j)
 		switch {
 		case answered && (f.Refused || strconv.FormatUint(f.Incarnation, 36) != inc):
 			return false
 		case answered:
-			lost = m.opts.Clock.Now().Add(fenceLimit)
+			lost = m.book.Clock.Now().Add(fenceLimit)
 			if j.learn(f.Tasks) {
 				return true
 			}
-		case m.opts.Clock.Now().After(lost):
+		case m.book.Clock.Now().After(lost):
 			return false
 		}
 		select {
 		case <-ctx.Done():
-		case <-m.opts.Clock.After(fencePause):
+		case <-m.book.Clock.After(fencePause):
 		}
 	}
 	return false
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -9,6 +9,7 @@
 
 	"cyclamenrelay.example/ledger"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/record"
 	"cyclamenrelay.example/spans"
 	"cyclamenrelay.example/wire"
 )
@@ -51,18 +52,18 @@
 // runTask tries a task again only while it certainly has not run.
 func (m *Manager) runTask(ctx context.Context, j *job, i int) model.Outcome {
 	for {
-		left := j.began.Add(j.spec.TimeLeft).Sub(m.opts.Clock.Now())
+		left := j.began.Add(j.spec.TimeLeft).Sub(m.book.Clock.Now())
 		if ctx.Err() != nil || left <= 0 {
 			return model.NotRun{Code: model.CodeCancelled, Reason: "the job ended before the task started"}
 		}
-		o := m.opts.Router.Do(ctx, j.task(i, left), func(ctx context.Context, a wire.Node) bool { return m.allow(ctx, j, a) })
+		o := m.router.Do(ctx, j.task(i, left), func(ctx context.Context, a wire.Node) bool { return m.allow(ctx, j, a) })
 		n, ok := o.(model.NotRun)
 		if !ok || (n.Code != model.CodeQueueFull && n.Code != model.CodeBusy) {
 			return o
 		}
 		select {
 		case <-ctx.Done():
-		case <-m.opts.Clock.After(max(n.RetryAfter, minRetry)):
+		case <-m.book.Clock.After(max(n.RetryAfter, minRetry)):
 		}
 	}
 }
@@ -76,8 +77,8 @@
 	if known || full {
 		return known
 	}
-	res, err := m.propose(ctx, j.spec.Key, ledger.AddAgents{
-		Key: j.spec.Key, Epoch: j.epoch, Owner: m.owner(), Agents: []string{id},
+	res, err := m.book.Propose(ctx, j.spec.Key, ledger.AddAgents{
+		Key: j.spec.Key, Epoch: j.epoch, Owner: m.book.Owner(), Agents: []string{id},
 	})
 	if err != nil {
 		return false
@@ -105,7 +106,7 @@
 		status = ledger.Complete
 	}
 	f := ledger.FinishJob{
-		Key: j.spec.Key, Epoch: j.epoch, Owner: m.owner(), Status: status, Outcomes: j.statuses(), Answer: j.answer(),
+		Key: j.spec.Key, Epoch: j.epoch, Owner: m.book.Owner(), Status: status, Outcomes: j.statuses(), Answer: j.answer(),
 	}
 	recorded := m.recordEnd(f)
 	m.mu.Lock()
@@ -117,13 +118,13 @@
 	}
 	m.mu.Unlock()
 	j.mu.Lock()
-	j.at = m.opts.Clock.Now()
+	j.at = m.book.Clock.Now()
 	if recorded {
 		j.state, j.reason = state, reason
 	}
 	j.mu.Unlock()
 	close(j.done)
-	m.opts.Log.Info("job ended", zap.String("job", j.spec.Key), zap.String("state", state), zap.Bool("recorded", recorded),
+	m.book.Log.Info("job ended", zap.String("job", j.spec.Key), zap.String("state", state), zap.Bool("recorded", recorded),
 		zap.String("reason", reason), zap.Duration("took", j.at.Sub(j.began)))
 }
 
@@ -132,18 +133,18 @@
 // that a resubmission does not start its tasks again.
 func (m *Manager) recordEnd(f ledger.FinishJob) bool {
 	for {
-		ctx, cancel := context.WithTimeout(m.ctx, settleLimit)
-		res, err := m.propose(ctx, f.Key, f)
+		ctx, cancel := context.WithTimeout(m.ctx, record.EndLimit)
+		res, err := m.book.Propose(ctx, f.Key, f)
 		cancel()
 		if err == nil {
 			r, ok := res.(ledger.JobResult)
 			return ok && (r.Verdict == ledger.Done || (r.Verdict == ledger.Finished && r.Job.Epoch == f.Epoch))
 		}
-		m.opts.Log.Warn("end of job not recorded yet", zap.String("job", f.Key), zap.Error(err))
+		m.book.Log.Warn("end of job not recorded yet", zap.String("job", f.Key), zap.Error(err))
 		select {
 		case <-m.ctx.Done():
 			return false
-		case <-m.opts.Clock.After(maxPause):
+		case <-m.book.Clock.After(record.MaxPause):
 		}
 	}
 }
--- a/jobs/submit.go
+++ b/jobs/submit.go
@@ -12,6 +12,7 @@
 	"cyclamenrelay.example/ledger"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/record"
 	"cyclamenrelay.example/wire"
 )
 
@@ -19,7 +20,7 @@
 // key has started, at any entry. A NotRun says that this submission started
 // nothing; CodeConflict that the key was used for another job.
 func (m *Manager) Submit(ctx context.Context, s Spec) (wire.JobState, *model.NotRun) {
-	began := m.opts.Clock.Now()
+	began := m.book.Clock.Now()
 	j, mine := m.reserve(s, began)
 	if !mine {
 		return m.resubmitted(ctx, j, s)
@@ -35,7 +36,7 @@
 	switch {
 	case !ok:
 		m.drop(j)
-		return wire.JobState{}, &model.NotRun{Code: model.CodeInvalid, Reason: invalid(res)}
+		return wire.JobState{}, &model.NotRun{Code: model.CodeInvalid, Reason: record.Reason(res)}
 	case r.Verdict == ledger.Full:
 		m.drop(j)
 		return wire.JobState{}, &model.NotRun{Code: model.CodeQueueFull, Reason: "the ledger is full", RetryAfter: time.Minute}
@@ -45,7 +46,7 @@
 	case r.Job.Status != ledger.Open:
 		m.drop(j)
 		return stored(*r.Job, true), nil
-	case r.Job.Owner == m.owner() && r.Job.Epoch == j.epoch:
+	case r.Job.Owner == m.book.Owner() && r.Job.Epoch == j.epoch:
 		j.record(r.Job.Agents)
 		close(j.opened)
 		m.background(func(ctx context.Context) { m.run(ctx, j) })
@@ -81,15 +82,15 @@
 }
 
 func (m *Manager) open(ctx context.Context, j *job) (ledger.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, recordLimit)
+	ctx, cancel := context.WithTimeout(ctx, record.OpenLimit)
 	defer cancel()
 	probe := j.task(0, j.spec.TimeLeft)
 	var agents []string
-	for _, n := range m.opts.Router.Candidates(probe, maxJobAgents) {
+	for _, n := range m.router.Candidates(probe, maxJobAgents) {
 		agents = append(agents, agentID(n))
 	}
-	return m.propose(ctx, j.spec.Key, ledger.OpenJob{
-		Key: j.spec.Key, Digest: j.spec.digest(), Owner: m.owner(), Tasks: len(j.spec.Tasks), Agents: agents,
+	return m.book.Propose(ctx, j.spec.Key, ledger.OpenJob{
+		Key: j.spec.Key, Digest: j.spec.digest(), Owner: m.book.Owner(), Tasks: len(j.spec.Tasks), Agents: agents,
 	})
 }
 
@@ -112,7 +113,7 @@
 // restarted, has opened: it asks the owner, or takes the job over from one that
 // is dead or has given it up.
 func (m *Manager) join(ctx context.Context, j *job, rec ledger.Job) (wire.JobState, *model.NotRun) {
-	if n, ok := m.find(rec.Owner); ok && rec.Owner != m.owner() {
+	if n, ok := m.book.Find(rec.Owner); ok && rec.Owner != m.book.Owner() {
 		st, answered := m.ask(ctx, n, rec.Key, wire.JobStatus)
 		if !answered {
 			st = stored(rec, false)
@@ -127,7 +128,7 @@
 		m.drop(j)
 		return stored(rec, rec.Status != ledger.Open), nil
 	}
-	m.opts.Log.Info("job taken over", zap.String("job", rec.Key), zap.Uint64("epoch", rec.Epoch))
+	m.book.Log.Info("job taken over", zap.String("job", rec.Key), zap.Uint64("epoch", rec.Epoch))
 	j.epoch = rec.Epoch
 	j.record(rec.Agents)
 	close(j.opened)
@@ -137,9 +138,9 @@
 
 // take makes this entry the owner, and reports whether it is.
 func (m *Manager) take(ctx context.Context, rec ledger.Job) (ledger.Job, bool) {
-	ctx, cancel := context.WithTimeout(ctx, recordLimit)
+	ctx, cancel := context.WithTimeout(ctx, record.OpenLimit)
 	defer cancel()
-	res, err := m.propose(ctx, rec.Key, ledger.TakeJob{Key: rec.Key, Epoch: rec.Epoch, Owner: m.owner()})
+	res, err := m.book.Propose(ctx, rec.Key, ledger.TakeJob{Key: rec.Key, Epoch: rec.Epoch, Owner: m.book.Owner()})
 	if err != nil {
 		return rec, false
 	}
@@ -147,12 +148,12 @@
 	if !ok || r.Job == nil {
 		return rec, false
 	}
-	mine := r.Job.Status == ledger.Open && r.Job.Owner == m.owner() && r.Job.Epoch == rec.Epoch+1
+	mine := r.Job.Status == ledger.Open && r.Job.Owner == m.book.Owner() && r.Job.Epoch == rec.Epoch+1
 	return *r.Job, mine
 }
 
 func (m *Manager) state(j *job, answer bool) wire.JobState {
-	return j.status(m.opts.Finder.Self().Name, m.opts.Clock.Now(), answer)
+	return j.status(m.book.Finder.Self().Name, m.book.Clock.Now(), answer)
 }
 
 // stored returns the state of a job by its record.
@@ -225,7 +226,7 @@
 	if s := m.own(key, what); s.State != "" {
 		return s, nil
 	}
-	res, err := m.query(ctx, key, ledger.GetJob{Key: key})
+	res, err := m.book.Query(ctx, key, ledger.GetJob{Key: key})
 	if err != nil {
 		return wire.JobState{}, err
 	}
@@ -234,8 +235,8 @@
 		return wire.JobState{Key: key}, nil
 	}
 	rec := *r.Job
-	n, alive := m.find(rec.Owner)
-	if alive && rec.Owner != m.owner() {
+	n, alive := m.book.Find(rec.Owner)
+	if alive && rec.Owner != m.book.Owner() {
 		s, answered := m.ask(ctx, n, key, what)
 		if s.State != "" {
 			return s, nil
@@ -243,7 +244,7 @@
 		alive = !answered
 	}
 	// An owner that does not have the job, this entry included, has given it up.
-	if rec.Status == ledger.Open && (!alive || rec.Owner == m.owner()) {
+	if rec.Status == ledger.Open && (!alive || rec.Owner == m.book.Owner()) {
 		return m.adopt(ctx, rec)
 	}
 	return stored(rec, what == wire.JobAnswer), nil
@@ -253,7 +254,7 @@
 // resubmission. Its tasks' bodies are not known here: what has not started stays so.
 func (m *Manager) adopt(ctx context.Context, rec ledger.Job) (wire.JobState, error) {
 	s := Spec{Key: rec.Key, TimeLeft: model.MaxTimeToLive, Tasks: make([]Body, rec.Tasks)}
-	j, mine := m.reserve(s, m.opts.Clock.Now())
+	j, mine := m.reserve(s, m.book.Clock.Now())
 	if !mine {
 		return m.state(j, false), nil
 	}
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/agent"
+	"cyclamenrelay.example/claims"
 	"cyclamenrelay.example/conf"
 	"cyclamenrelay.example/entry"
 	"cyclamenrelay.example/jobs"
@@ -19,6 +20,7 @@
 	"cyclamenrelay.example/member"
 	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/place"
+	"cyclamenrelay.example/record"
 	"cyclamenrelay.example/route"
 	"cyclamenrelay.example/spread"
 	"cyclamenrelay.example/steer"
@@ -124,7 +126,9 @@
 		return float64(queued)
 	})
 	client := &leader.Client{Node: b.node, Finder: b.finder, Clock: b.clock, Log: b.log, Groups: b.s.Keeper.Groups}
-	b.k.Add(jobs.New(jobs.Options{Router: router, Ledger: client, Finder: b.finder, Clock: b.clock, Log: b.log}))
+	book := record.Book{Ledger: client, Finder: b.finder, Clock: b.clock, Log: b.log}
+	b.k.Add(claims.New(book, router))
+	b.k.Add(jobs.New(book, router))
 	b.k.Add(entry.New(entry.Options{
 		Listen: b.s.Entry.Callers, MaxBody: int64(b.s.Entry.MaxBody), MaxBytes: int64(b.s.Entry.MaxBytes),
 		RequestTimeout: time.Duration(b.s.Entry.RequestTimeout),
