record: a job whose answer is gone says so, with 410

A complete job whose answer was too large for the ledger and whose entry is gone was answered as complete with an empty list. It now gives the reason and 410.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"cyclamenrelay.example/claims"
 	"cyclamenrelay.example/entry"
 	"cyclamenrelay.example/jobs"
 	"cyclamenrelay.example/kernel"
@@ -65,7 +66,9 @@
 	k := kernel.New(zap.NewNop())
 	k.Add(f)
 	k.Add(r)
-	k.Add(jobs.New(record.Book{Ledger: noLedger{}, Finder: f, Clock: c, Log: zap.NewNop()}, r))
+	b := record.Book{Ledger: noLedger{}, Finder: f, Clock: c, Log: zap.NewNop()}
+	k.Add(claims.New(b, r))
+	k.Add(jobs.New(b, r))
 	e := entry.New(entry.Options{MaxBody: maxBody, MaxBytes: maxBytes, RequestTimeout: time.Second, Clock: c, Log: zap.NewNop(), View: v})
 	assert.NilError(t, e.Start(k))
 	return e.Handler()
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -149,13 +149,16 @@
 }
 
 // writeState answers with a job's state; an answer carries its tasks' outcomes,
-// and is 202 while there is none yet.
+// and is 202 while there is none yet and 410 when it is gone.
 func writeState(w http.ResponseWriter, st wire.JobState, answer bool) {
 	status := http.StatusAccepted
-	if st.State != "open" {
+	if st.State != wire.JobOpen {
 		status = http.StatusOK
 		w.Header().Set(HeaderOutcome, st.State)
 	}
+	if answer && st.State != wire.JobOpen && len(st.Results) == 0 {
+		status = http.StatusGone
+	}
 	var tasks []taskAnswer
 	if answer {
 		for _, r := range st.Results {
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -71,7 +71,7 @@
 	return &job{
 		spec: s, epoch: epoch, began: now,
 		opened: make(chan struct{}), dropped: make(chan struct{}), done: make(chan struct{}),
-		agents: map[string]bool{}, results: make([]wire.Result, len(s.Tasks)), state: stateOpen,
+		agents: map[string]bool{}, results: make([]wire.Result, len(s.Tasks)), state: wire.JobOpen,
 	}
 }
 
@@ -133,14 +133,6 @@
 	}
 }
 
-// The states of a job.
-const (
-	stateOpen     = "open"
-	stateComplete = "complete"
-	stateFailed   = "failed"
-	stateNotRun   = "notRun"
-)
-
 func (j *job) ended() bool {
 	select {
 	case <-j.done:
@@ -201,11 +193,11 @@
 	}
 	switch {
 	case reason == "":
-		return stateComplete, ""
+		return wire.JobComplete, ""
 	case ran:
-		return stateFailed, reason
+		return wire.JobFailed, reason
 	}
-	return stateNotRun, reason
+	return wire.JobNotRun, reason
 }
 
 // dropLarge replaces all answers when they are too large together. It is called
@@ -241,7 +233,7 @@
 			s.Failed++
 		}
 	}
-	if answer && j.state != stateOpen {
+	if answer && j.state != wire.JobOpen {
 		s.Results = j.results
 	}
 	return s
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -102,7 +102,7 @@
 func (m *Manager) end(j *job) {
 	state, reason := j.verdict()
 	status := ledger.Failed
-	if state == stateComplete {
+	if state == wire.JobComplete {
 		status = ledger.Complete
 	}
 	f := ledger.FinishJob{
--- a/jobs/submit.go
+++ b/jobs/submit.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,7 +44,7 @@
 		return wire.JobState{}, conflict()
 	case r.Job.Status != ledger.Open:
 		m.drop(j)
-		return stored(*r.Job, true), nil
+		return record.State(*r.Job, true), nil
 	case r.Job.Owner == m.book.Owner() && r.Job.Epoch == j.epoch:
 		j.record(r.Job.Agents)
 		close(j.opened)
@@ -116,7 +115,7 @@
 	if n, ok := m.book.Find(rec.Owner); ok && rec.Owner != m.book.Owner() {
 		st, answered := m.ask(ctx, n, rec.Key, wire.JobStatus)
 		if !answered {
-			st = stored(rec, false)
+			st = record.State(rec, false)
 		}
 		if st.State != "" {
 			m.drop(j)
@@ -126,7 +125,7 @@
 	rec, ok := m.take(ctx, rec)
 	if !ok {
 		m.drop(j)
-		return stored(rec, rec.Status != ledger.Open), nil
+		return record.State(rec, rec.Status != ledger.Open), nil
 	}
 	m.book.Log.Info("job taken over", zap.String("job", rec.Key), zap.Uint64("epoch", rec.Epoch))
 	j.epoch = rec.Epoch
@@ -156,34 +155,6 @@
 	return j.status(m.book.Finder.Self().Name, m.book.Clock.Now(), answer)
 }
 
-// stored returns the state of a job by its record.
-func stored(rec ledger.Job, answer bool) wire.JobState {
-	s := wire.JobState{Key: rec.Key, State: stateOpen, Tasks: rec.Tasks, Owner: rec.Owner.Entry}
-	switch rec.Status {
-	case ledger.Complete:
-		s.State = stateComplete
-	case ledger.Failed:
-		s.State = stateFailed
-	}
-	if rec.Status == ledger.Open {
-		return s
-	}
-	if rec.Status == ledger.Failed && neverRan(rec.Outcomes) {
-		s.State = stateNotRun
-	}
-	s.Ended = rec.Tasks
-	if answer && rec.AnswerKept {
-		if err := wire.UnmarshalValue(rec.Answer, &s.Results); err != nil {
-			s.Reason = "the kept answer cannot be read: " + err.Error()
-		}
-	}
-	return s
-}
-
-func neverRan(outcomes []byte) bool {
-	return !slices.ContainsFunc(outcomes, func(o byte) bool { return ledger.Status(o) != ledger.NotRun })
-}
-
 // ask asks the owner of a job about it, and reports whether it answered. The
 // state is empty when it does not have the job.
 func (m *Manager) ask(ctx context.Context, owner wire.Node, key string, what wire.JobAction) (wire.JobState, bool) {
@@ -201,7 +172,7 @@
 	j := m.jobs[q.Key]
 	m.mu.Unlock()
 	if j != nil && !j.isOpened() {
-		return wire.JobState{Key: q.Key, State: stateOpen}
+		return wire.JobState{Key: q.Key, State: wire.JobOpen}
 	}
 	return m.own(q.Key, q.Action)
 }
@@ -247,7 +218,7 @@
 	if rec.Status == ledger.Open && (!alive || rec.Owner == m.book.Owner()) {
 		return m.adopt(ctx, rec)
 	}
-	return stored(rec, what == wire.JobAnswer), nil
+	return record.State(rec, what == wire.JobAnswer), nil
 }
 
 // adopt ends a job whose owner is dead, so that its caller learns of it without a
--- /dev/null
+++ b/record/state.go
@@ -0,0 +1,40 @@
+package record
+
+import (
+	"slices"
+
+	"cyclamenrelay.example/ledger"
+	"cyclamenrelay.example/wire"
+)
+
+// State returns the state of a job by its record, with the answer if it is
+// asked for and was kept.
+func State(rec ledger.Job, answer bool) wire.JobState {
+	s := wire.JobState{Key: rec.Key, State: wire.JobOpen, Tasks: rec.Tasks, Owner: rec.Owner.Entry}
+	switch {
+	case rec.Status == ledger.Open:
+		return s
+	case rec.Status == ledger.Complete:
+		s.State = wire.JobComplete
+	case neverRan(rec.Outcomes):
+		s.State = wire.JobNotRun
+	default:
+		s.State = wire.JobFailed
+	}
+	s.Ended = rec.Tasks
+	if !answer {
+		return s
+	}
+	if !rec.AnswerKept {
+		s.Reason = "the answer was too large for the ledger, and the entry that had it has forgotten it or is gone"
+		return s
+	}
+	if err := wire.UnmarshalValue(rec.Answer, &s.Results); err != nil {
+		s.Reason = "the kept answer cannot be read: " + err.Error()
+	}
+	return s
+}
+
+func neverRan(outcomes []byte) bool {
+	return !slices.ContainsFunc(outcomes, func(o byte) bool { return ledger.Status(o) != ledger.NotRun })
+}
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -44,6 +44,14 @@
 	JobCancel JobAction = 3
 )
 
+// The states of a job.
+const (
+	JobOpen     = "open"
+	JobComplete = "complete"
+	JobFailed   = "failed"
+	JobNotRun   = "notRun" // none of its tasks has run
+)
+
 // AskJob asks the entry that owns a job; the answer is JobState.
 type AskJob struct {
 	Key    string    `cbor:"1,keyasint"`
