--- a/place/answer.go
+++ b/place/answer.go
@@ -80,7 +80,7 @@
 	}
 	switch {
 	case len(r.attempts) > 0:
-		c.schedule(r, c.nextWake(r))
+		c.timers.Set(r, c.nextWake(r))
 	case r.bounces >= maxBounces:
 		c.refuse(r, n.Code, n.Reason, retryAfter(n.RetryAfter))
 	default:
@@ -112,7 +112,7 @@
 	r.last = &f
 	r.tried = append(r.tried, t)
 	if len(r.attempts) > 0 {
-		c.schedule(r, c.nextWake(r))
+		c.timers.Set(r, c.nextWake(r))
 		return
 	}
 	if !r.task.Idempotent || r.starts >= maxStarts || !c.budgets.Of(r.item.Share).Spend() {
@@ -130,7 +130,7 @@
 	if cause == Bounced {
 		r.charged = false
 	}
-	c.schedule(r, r.deadline)
+	c.timers.Set(r, r.deadline)
 	if r.bounces < maxDirect {
 		if t := c.choose(r); t != nil {
 			c.start(r, t, 0, cause)
--- a/place/core.go
+++ b/place/core.go
@@ -12,6 +12,7 @@
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/queue"
 	"cyclamenrelay.example/rules"
+	"cyclamenrelay.example/timer"
 	"cyclamenrelay.example/wire"
 )
 
@@ -37,7 +38,7 @@
 	queue    *queue.Queue[*fleet.Class]
 	fleet    *fleet.Fleet
 	requests map[string]*request
-	timers   timers
+	timers   timer.Queue[*request]
 	kinds    map[string]*kind
 	budgets  gauge.Budgets
 	paces    gauge.Paces
@@ -105,8 +106,8 @@
 
 // Wake returns the time at which the shell sends the next Tick.
 func (c *Core) Wake() time.Time {
-	if len(c.timers) > 0 && c.timers[0].wake.Before(c.sweepAt) {
-		return c.timers[0].wake
+	if r, ok := c.timers.First(); ok && r.Due().Before(c.sweepAt) {
+		return r.Due()
 	}
 	return c.sweepAt
 }
@@ -116,8 +117,8 @@
 
 // fire does what is due: timers of requests, then the periodic work.
 func (c *Core) fire() {
-	for len(c.timers) > 0 && !c.timers[0].wake.After(c.now) {
-		c.due(c.timers[0])
+	for r, ok := c.timers.First(); ok && !r.Due().After(c.now); r, ok = c.timers.First() {
+		c.due(r)
 	}
 	if !c.now.Before(c.sweepAt) {
 		c.sweepAt = c.now.Add(sweepEvery)
@@ -168,7 +169,7 @@
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b *request) int { return cmp.Compare(a.serial, b.serial) })
+	slices.SortFunc(out, func(a, b *request) int { return cmp.Compare(a.Serial(), b.Serial()) })
 	return out
 }
 
--- a/place/request.go
+++ b/place/request.go
@@ -1,13 +1,13 @@
 package place
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 
 	"cyclamenrelay.example/fleet"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/queue"
+	"cyclamenrelay.example/timer"
 
 	"github.com/gravitational/trace"
 )
@@ -31,6 +31,7 @@
 
 // request is work without an outcome.
 type request struct {
+	timer.Timer
 	item     queue.Item[*fleet.Class]
 	task     model.Task
 	kind     *kind
@@ -38,9 +39,6 @@
 	deadline time.Time
 	attempts []attempt
 	tried    []*fleet.Target
-	serial   uint64
-	wake     time.Time
-	slot     int // in the timers' heap, -1 when not there
 	starts   int // starts that were not refused
 	bounces  int
 	hedged   bool
@@ -60,14 +58,14 @@
 	left = min(left, model.MaxTimeToLive)
 	c.serial++
 	r := &request{
-		task: t, kind: c.kind(t.Kind()), arrived: c.now, deadline: c.now.Add(left), serial: c.serial, slot: -1,
+		task: t, kind: c.kind(t.Kind()), arrived: c.now, deadline: c.now.Add(left), Timer: timer.New(c.serial),
 	}
 	r.item.ID = t.ID
 	c.requests[t.ID] = r
 	if !c.classify(r) {
 		return
 	}
-	c.schedule(r, r.deadline)
+	c.timers.Set(r, r.deadline)
 	if to := c.choose(r); to != nil {
 		c.start(r, to, 0, First)
 		return
@@ -164,7 +162,7 @@
 		t.Push(c.now)
 	}
 	c.emit(Start{Agent: t.Name, Task: r.task.WithTimeLeft(r.deadline.Sub(c.now)), Grant: grant, Cause: cause})
-	c.schedule(r, c.nextWake(r))
+	c.timers.Set(r, c.nextWake(r))
 }
 
 // nextWake returns when a started request is looked at again.
@@ -207,7 +205,7 @@
 		return
 	}
 	if r.item.Queued() {
-		c.schedule(r, r.deadline)
+		c.timers.Set(r, r.deadline)
 		return
 	}
 	bound := c.timeout(r.kind)
@@ -225,7 +223,7 @@
 	if at, ok := c.hedgeAt(r); ok && !c.now.Before(at) {
 		c.hedge(r)
 	}
-	c.schedule(r, c.nextWake(r))
+	c.timers.Set(r, c.nextWake(r))
 }
 
 // hedge starts r on a second target if one is free and the budget allows it.
@@ -271,10 +269,7 @@
 		c.emit(Cancel{Agent: r.attempts[0].t.Name, ID: r.item.ID})
 		c.drop(r, 0)
 	}
-	if r.slot >= 0 {
-		heap.Remove(&c.timers, r.slot)
-		r.slot = -1
-	}
+	c.timers.Remove(r)
 	delete(c.requests, r.item.ID)
 	c.emit(Resolve{ID: r.item.ID, Outcome: o})
 }
