link, system: no race of a dial with a link's end; ports that nobody takes meanwhile

TestDiskLostTwice: forget reads the connection of every link under the lock while dial wrote its own without it (a real race, found by -race; the jobs without an answer followed from the failed test ending its load). TestCertificateIsRenewed: entry-1 did not start, its port had been taken as another process's client port between its choice and its use. Change: dial writes under the lock; deployments of the tests take ports below the clients' range, each only once a run. After: link and nine system tests, those two among them, pass with -race; the whole package was not run again.

--- a/link/call.go
+++ b/link/call.go
@@ -144,8 +144,11 @@
 func (n *Node) dial(ctx context.Context, to To) (*quic.Conn, error) {
 	d, mine := n.slot(to.Address)
 	if mine {
-		d.conn, d.peer, d.err = n.connect(to)
-		d.failed = n.opts.Clock.Now()
+		c, p, err := n.connect(to)
+		// forget and Close look at all connections, also at those being made.
+		n.mu.Lock()
+		d.conn, d.peer, d.err, d.failed = c, p, err, n.opts.Clock.Now()
+		n.mu.Unlock()
 		close(d.ready)
 		if d.err == nil {
 			n.wg.Go(func() { n.serve(d.conn, d.peer) })
--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -109,22 +110,35 @@
 	return l.b.String()
 }
 
+// The ports of deployments lie below those that the system gives to clients, so
+// that none is taken between its choice and the start of its process.
+const firstPort, lastPort = 12_000, 30_000
+
+var nextPort atomic.Int32
+
 // ports hands out ports that were free for both TCP and UDP.
 func ports(t *testing.T, n int) []string {
 	t.Helper()
 	var out []string
-	for len(out) < n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer func() { _ = l.Close() }()
-		u, err := net.ListenPacket("udp", l.Addr().String())
+	for range lastPort - firstPort {
+		if len(out) == n {
+			return out
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+int(nextPort.Add(1))%(lastPort-firstPort))
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenPacket("udp", addr)
+		_ = l.Close()
 		if err != nil {
 			continue
 		}
-		defer func() { _ = u.Close() }()
-		out = append(out, l.Addr().String())
+		_ = u.Close()
+		out = append(out, addr)
 	}
-	return out
+	t.Fatal("too few ports are free")
+	return nil
 }
 
 func deploy(t *testing.T, s shape) *deployment {
