--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -112,7 +112,7 @@
 
 // The ports of deployments lie below those that the system gives to clients, so
 // that none is taken between its choice and the start of its process.
-const firstPort, lastPort = 12_000, 30_000
+const firstPort, lastPort = 12_000, 20_000
 
 var nextPort atomic.Int32
 
