keeper, link: readiness copies no configuration; a comment that outlived its code

Ready asked for the whole configuration since version 0 at each probe only to read its age; it now asks for what is newer than any version. A comment on waiting for answers stood above constants that have nothing to do with it. Behaviour is unchanged: TestHealthMeansWhatItSays and TestRequestEndToEnd pass with -race.

--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"cyclamenrelay.example/link"
@@ -106,7 +107,8 @@
 // Ready reports whether a quorum has confirmed this keeper's configuration
 // within the given time.
 func (k *Keeper) Ready(within time.Duration) bool {
-	u, ok := k.update(0)
+	// No configuration is newer than this, so that none is copied.
+	u, ok := k.update(math.MaxUint64)
 	return ok && u.Fresh.Age <= within
 }
 
--- a/link/node.go
+++ b/link/node.go
@@ -26,11 +26,9 @@
 	redialPause = 200 * time.Millisecond
 	// receiveTimeout bounds the time in which a peer's message must arrive.
 	receiveTimeout = 30 * time.Second
-	// A node that ends waits for the answers in progress, and then a while
-	// for what the peers have not acknowledged.
-	maxStreams   = 1 << 14
-	streamWindow = 1 << 20 // bytes
-	connWindow   = 16 << 20
+	maxStreams     = 1 << 14
+	streamWindow   = 1 << 20 // bytes
+	connWindow     = 16 << 20
 
 	// closeWait bounds how long Close waits for answers in progress, and
 	// closeLinger is the time that the last of them gets to arrive.
