--- /dev/null
+++ b/broker/broker.go
@@ -0,0 +1,244 @@
+// Package broker runs jobs at an entry: it admits or refuses them whole, has
+// their tasks run by agents, and says how they ended.
+package broker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/assign"
+	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/kernel"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/meter"
+	"cyclamenrelay.example/policy"
+	"cyclamenrelay.example/wire"
+)
+
+// ServiceName is the name that other services find the broker by.
+const ServiceName = "broker"
+
+const (
+	// watchInterval is the time between looks for agents that fell silent.
+	watchInterval = 100 * time.Millisecond
+	// forgetAfter is how long a silent agent is remembered.
+	forgetAfter = 10 * time.Second
+	// overhead is the time that an answer takes beside the work: the caller's
+	// link and a few hops.
+	overhead = 15 * time.Millisecond
+	// retryAfter is when a refused caller may try again: a queue turns over in
+	// less than a second.
+	retryAfter = time.Second
+	// answerKept is how long an answer is kept for a job that is sent again.
+	answerKept = 5 * time.Second
+	// answersMax bounds the kept answers.
+	answersMax = 1 << 13
+)
+
+// Options configure a Broker.
+type Options struct {
+	DataCentre string
+	Clock      clockwork.Clock
+	Log        *zap.Logger
+}
+
+// Broker is the service.
+type Broker struct {
+	opts Options
+	node *link.Node
+
+	mu      sync.Mutex
+	fleet   *assign.Fleet
+	learner *assign.Learner
+	flights map[string]*flight
+	// answers holds the ends of finished jobs, order their IDs by age.
+	answers map[string]answer
+	order   []string
+	calls   map[uint64]call // to agents, by number
+	lastID  uint64
+}
+
+// flight is a job in progress, with the callers that wait for it.
+type flight struct {
+	waiters int
+	cancel  context.CancelFunc
+	done    chan struct{}
+	outcome Outcome
+	// started is set once a task was sent to an agent.
+	started bool
+	queue   string
+}
+
+type answer struct {
+	outcome Outcome
+	at      time.Time
+}
+
+type call struct {
+	agent  string
+	cancel context.CancelFunc
+}
+
+// New returns a broker that knows no agents.
+func New(opts Options) *Broker {
+	return &Broker{
+		opts: opts, fleet: assign.New(opts.DataCentre), learner: assign.NewLearner(),
+		flights: map[string]*flight{}, answers: map[string]answer{}, calls: map[uint64]call{},
+	}
+}
+
+// Name implements kernel.Service.
+func (b *Broker) Name() string { return ServiceName }
+
+// Start implements kernel.Starter.
+func (b *Broker) Start(k *kernel.Kernel) (err error) {
+	if b.node, err = kernel.Find[*link.Node](k, link.ServiceName); err != nil {
+		return err
+	}
+	link.On(b.node.Mux(), b.report, keys.Agent)
+	return nil
+}
+
+// Run implements kernel.Service: it gives up on agents that fall silent.
+func (b *Broker) Run(ctx context.Context) error {
+	tick := b.opts.Clock.NewTicker(watchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.Chan():
+			b.watch()
+		}
+	}
+}
+
+func (b *Broker) watch() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.opts.Clock.Now()
+	for _, agent := range b.fleet.Silent(now) {
+		for _, c := range b.calls {
+			if c.agent == agent {
+				c.cancel()
+			}
+		}
+	}
+	b.fleet.Forget(now, forgetAfter)
+	kept := 0
+	for _, id := range b.order {
+		if now.Sub(b.answers[id].at) < answerKept && len(b.order)-kept <= answersMax {
+			break
+		}
+		delete(b.answers, id)
+		kept++
+	}
+	b.order = b.order[kept:]
+}
+
+func (b *Broker) report(_ context.Context, p link.Peer, m wire.RoomReport) wire.Message {
+	if m.Agent != p.Name {
+		return wire.Refused{Reason: "the agent's name is not the certificate's"}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.fleet.Reported(m, b.opts.Clock.Now()) {
+		b.opts.Log.Info("agent restarted", zap.String("agent", m.Agent))
+	}
+	return wire.Done{}
+}
+
+// Pending returns the number of a queue's jobs in progress that have not started.
+func (b *Broker) Pending(queue string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, f := range b.flights {
+		if f.queue == queue && !f.started {
+			n++
+		}
+	}
+	return n
+}
+
+// InProgress returns the number of jobs in progress.
+func (b *Broker) InProgress() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.flights)
+}
+
+// Cancel gives up a job in progress, and reports whether there was one.
+func (b *Broker) Cancel(id string) bool {
+	b.mu.Lock()
+	f := b.flights[id]
+	b.mu.Unlock()
+	if f == nil {
+		return false
+	}
+	f.cancel()
+	<-f.done
+	return true
+}
+
+// Submit runs a job of the queue and returns how it ended. It gives the job up
+// when ctx ends or at the limit. A job that is in progress here already is not
+// run again.
+func (b *Broker) Submit(ctx context.Context, q policy.Queue, j batch.Job, limit time.Time) Outcome {
+	begun := b.opts.Clock.Now()
+	b.mu.Lock()
+	if a, ok := b.answers[j.ID]; ok {
+		b.mu.Unlock()
+		return a.outcome
+	}
+	f := b.flights[j.ID]
+	if f == nil {
+		fctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		f = &flight{cancel: cancel, done: make(chan struct{}), queue: q.Name}
+		b.flights[j.ID] = f
+		go b.fly(fctx, f, q, j, begun, limit)
+	}
+	f.waiters++
+	b.mu.Unlock()
+	select {
+	case <-f.done:
+	case <-ctx.Done():
+		b.mu.Lock()
+		f.waiters--
+		if f.waiters == 0 {
+			f.cancel()
+		}
+		b.mu.Unlock()
+		<-f.done
+	}
+	return f.outcome
+}
+
+// fly runs a job and keeps its answer.
+func (b *Broker) fly(ctx context.Context, f *flight, q policy.Queue, j batch.Job, begun, limit time.Time) {
+	defer f.cancel()
+	w := &work{b: b, f: f, queue: q, job: j, begun: begun, limit: limit}
+	o := w.run(ctx)
+	took := b.opts.Clock.Since(begun)
+	name, reason := word(o)
+	meter.Answers(name).Inc()
+	meter.Responded(name, took)
+	b.opts.Log.Info("job ended", zap.String("job", j.ID), zap.String("queue", q.Name), zap.Int("tasks", j.Tasks()),
+		zap.String("outcome", name), zap.String("reason", reason), zap.Duration("took", took),
+		zap.Duration("estimate", w.chain), zap.Duration("wait", w.wait), zap.Duration("objective", w.objective), zap.Int("runs", w.runs))
+	b.mu.Lock()
+	f.outcome = o
+	delete(b.flights, j.ID)
+	switch o.(type) {
+	case Complete, Fail:
+		b.answers[j.ID] = answer{o, b.opts.Clock.Now()}
+		b.order = append(b.order, j.ID)
+	}
+	b.mu.Unlock()
+	close(f.done)
+}
--- /dev/null
+++ b/broker/work.go
@@ -0,0 +1,318 @@
+package broker
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/assign"
+	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/meter"
+	"cyclamenrelay.example/policy"
+	"cyclamenrelay.example/wire"
+)
+
+const (
+	// placementsMax bounds how often one task is placed, failures apart.
+	placementsMax = 6
+	// lateFactor times the objective is when a late job is of no use.
+	lateFactor = 3
+)
+
+// work is one job in progress. Its fields are owned by the goroutine of run,
+// but for those that never change.
+type work struct {
+	b     *Broker
+	f     *flight
+	queue policy.Queue
+	job   batch.Job
+	begun time.Time
+	limit time.Time
+
+	chain, wait, objective time.Duration
+	runs                   int
+	// open counts the runs that have not ended, ran is set once one has run.
+	open       int
+	ran        bool
+	left       []int // tasks that are not done, by step
+	begunSteps []bool
+	results    chan result
+	cancel     context.CancelFunc
+}
+
+// task is one task of the job.
+type task struct {
+	name   string
+	step   int
+	run    uint64
+	agent  string
+	fails  int
+	placed int
+	avoid  []string
+	full   []string
+}
+
+// result is how one run of a task ended.
+type result struct {
+	task  *task
+	ended wire.RunEnded
+}
+
+// run runs the job to its end.
+func (w *work) run(ctx context.Context) Outcome {
+	if o := w.admit(); o != nil {
+		return o
+	}
+	ctx, cancel := context.WithDeadline(ctx, w.limit)
+	defer cancel()
+	w.cancel = cancel
+	w.results = make(chan result, w.job.Tasks())
+	w.left = make([]int, len(w.job.Steps))
+	w.begunSteps = make([]bool, len(w.job.Steps))
+	for i, s := range w.job.Steps {
+		w.left[i] = s.Count
+	}
+	for {
+		if o := w.advance(ctx); o != nil {
+			return o
+		}
+		select {
+		case <-ctx.Done():
+			return w.given("the caller left or its time was up")
+		case r := <-w.results:
+			if o := w.take(ctx, r); o != nil {
+				return o
+			}
+		}
+	}
+}
+
+func (w *work) estimate(s batch.Step) time.Duration {
+	w.b.mu.Lock()
+	defer w.b.mu.Unlock()
+	return w.b.learner.Estimate(w.queue.Name, s.Estimate)
+}
+
+// admit refuses what cannot be done, or not in time.
+func (w *work) admit() Outcome {
+	switch {
+	case w.job.Unsupported != "":
+		return Refuse{Reason: "not supported: " + w.job.Unsupported}
+	case w.queue.Advised:
+		return Refuse{Reason: "not supported: queues that need advice"}
+	}
+	w.chain = w.job.Chain(w.estimate)
+	w.objective = w.queue.Objective(w.chain)
+	if end := w.begun.Add(w.objective * lateFactor); end.Before(w.limit) {
+		w.limit = end
+	}
+	if w.b.opts.Clock.Now().Add(w.chain + overhead).After(w.limit) {
+		return Refuse{Reason: "the deadline is too short for the work", Overload: true, After: retryAfter}
+	}
+	return nil
+}
+
+// slack returns how much later than now the work may start and end in time.
+func (w *work) slack() time.Duration {
+	return w.objective - w.chain - overhead - w.b.opts.Clock.Since(w.begun)
+}
+
+// advance starts the steps whose turn has come, and reports the end when all
+// tasks are done.
+func (w *work) advance(ctx context.Context) Outcome {
+	done := true
+	for i, s := range w.job.Steps {
+		done = done && w.left[i] == 0
+		if w.begunSteps[i] || !w.turn(s) {
+			continue
+		}
+		w.begunSteps[i] = true
+		if o := w.begin(ctx, i); o != nil {
+			return o
+		}
+	}
+	if done {
+		return Complete{}
+	}
+	return nil
+}
+
+func (w *work) turn(s batch.Step) bool {
+	for _, a := range s.After {
+		if w.left[a] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// begin places all tasks of a step and sends them, or refuses the job when they
+// cannot end in time and nothing of it has run.
+func (w *work) begin(ctx context.Context, step int) Outcome {
+	s := w.job.Steps[step]
+	tasks := make([]*task, s.Count)
+	for i := range tasks {
+		tasks[i] = &task{name: batch.TaskName(w.job.ID, step, i), step: step}
+	}
+	var wait time.Duration
+	for i, t := range tasks {
+		c, ok := w.place(t)
+		wait = max(wait, c.Wait)
+		late := wait > w.slack() && !w.mayHaveRun()
+		if ok && !late {
+			continue
+		}
+		for _, x := range tasks[:i+1] {
+			w.release(x)
+		}
+		if !ok {
+			return w.given("no target can take the work")
+		}
+		return Refuse{Reason: "it would end too late", Overload: true, After: max(wait, retryAfter)}
+	}
+	w.wait = max(w.wait, wait)
+	for _, t := range tasks {
+		w.send(ctx, t)
+	}
+	return nil
+}
+
+// mayHaveRun reports whether a part of the job has run or may have.
+func (w *work) mayHaveRun() bool { return w.ran || w.open > 0 }
+
+// given returns the outcome of a job that is given up.
+func (w *work) given(reason string) Outcome {
+	if w.mayHaveRun() {
+		return Broken{Reason: reason}
+	}
+	return Refuse{Reason: reason, Overload: true, After: retryAfter}
+}
+
+func (w *work) place(t *task) (assign.Choice, bool) {
+	s := w.job.Steps[t.step]
+	b := w.b
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c, ok := b.fleet.Place(assign.Task{
+		Pool: w.queue.Pool, Need: s.Need, Label: s.Label, Rack: s.Rack,
+		Estimate: b.learner.Estimate(w.queue.Name, s.Estimate), Avoid: t.avoid, Full: t.full,
+	}, b.opts.Clock.Now())
+	if ok {
+		t.agent = c.Agent
+		t.placed++
+	}
+	return c, ok
+}
+
+// release takes back the placement of a task that was not sent.
+func (w *work) release(t *task) {
+	if t.agent == "" {
+		return
+	}
+	w.b.mu.Lock()
+	defer w.b.mu.Unlock()
+	w.b.fleet.Release(t.agent, w.job.Steps[t.step].Need)
+	t.agent = ""
+}
+
+// send has the task's agent run it, and passes the end to results.
+func (w *work) send(ctx context.Context, t *task) {
+	s := w.job.Steps[t.step]
+	t.run++
+	w.runs++
+	w.open++
+	est := w.estimate(s)
+	m := wire.StartRun{
+		Job: w.job.ID, Task: t.name, Run: t.run, Spec: w.job.Spec, Need: s.Need, Estimate: est, Priority: w.queue.Priority,
+		Slack: w.slack(), Patience: w.limit.Sub(w.b.opts.Clock.Now()) - est - overhead,
+	}
+	agent := t.agent
+	w.b.mu.Lock()
+	w.f.started = true
+	w.b.lastID++
+	id := w.b.lastID
+	cctx, cancel := context.WithCancel(ctx)
+	w.b.calls[id] = call{agent, cancel}
+	w.b.mu.Unlock()
+	meter.Starts().Inc()
+	go func() {
+		defer cancel()
+		a, err := w.b.node.CallPeer(cctx, agent, m)
+		w.b.mu.Lock()
+		delete(w.b.calls, id)
+		w.b.fleet.Release(agent, s.Need)
+		w.b.mu.Unlock()
+		w.results <- result{t, endOf(a, err)}
+	}()
+}
+
+// endOf returns the end that an agent's answer tells.
+func endOf(a wire.Message, err error) wire.RunEnded {
+	switch a := a.(type) {
+	case wire.RunEnded:
+		return a
+	case wire.Refused:
+		return wire.RunEnded{End: batch.NotStarted, Reason: a.Reason}
+	}
+	if link.NotSent(err) {
+		return wire.RunEnded{End: batch.NotStarted, Reason: err.Error()}
+	}
+	return wire.RunEnded{End: batch.Lost, Reason: err.Error()}
+}
+
+// take works in the end of a run, and returns the job's end when it has come.
+func (w *work) take(ctx context.Context, r result) Outcome {
+	t, e := r.task, r.ended
+	now := w.b.opts.Clock.Now()
+	agent := t.agent
+	w.open--
+	w.ran = w.ran || e.End != batch.NotStarted
+	w.b.mu.Lock()
+	w.b.fleet.Ended(agent, e.End, now)
+	if e.End == batch.Done {
+		w.b.learner.Ran(w.queue.Name, e.Ran)
+	}
+	w.b.mu.Unlock()
+	if e.End != batch.Done {
+		w.b.opts.Log.Info("run not done", zap.String("task", t.name), zap.Uint64("run", t.run), zap.String("agent", agent),
+			zap.String("end", string(e.End)), zap.String("reason", e.Reason), zap.Duration("waited", e.Waited), zap.Duration("ran", e.Ran))
+	}
+	switch e.End {
+	case batch.Done:
+		w.left[t.step]--
+		return nil
+	case batch.Failed:
+		t.fails++
+		t.avoid = append(t.avoid, agent)
+		if t.fails >= max(w.queue.Attempts, 1) {
+			return Fail{Reason: "a task failed as often as it may"}
+		}
+	case batch.NotStarted:
+		t.full = append(t.full, agent)
+	case batch.Stopped:
+		t.avoid = append(t.avoid, agent)
+	case batch.Lost:
+		return Broken{Reason: "an agent was lost: " + e.Reason}
+	}
+	return w.again(ctx, t, now)
+}
+
+// again places a task once more, while it can still be done.
+func (w *work) again(ctx context.Context, t *task, now time.Time) Outcome {
+	if ctx.Err() != nil {
+		return w.given("the caller left or its time was up")
+	}
+	if t.placed >= placementsMax+t.fails {
+		return w.given("no target took the work")
+	}
+	if now.Add(w.estimate(w.job.Steps[t.step]) + overhead).After(w.limit) {
+		return w.given("too little time is left for another start")
+	}
+	if _, ok := w.place(t); !ok {
+		return w.given("no other target can take the work")
+	}
+	w.send(ctx, t)
+	return nil
+}
--- a/conf/agent.go
+++ b/conf/agent.go
@@ -21,7 +21,7 @@
 func defaultAgent() Agent { return Agent{TargetLease: seconds(5), Policy: PolicyJoinIdle} }
 
 func (a Agent) check(c *checker, s Settings) {
-	if s.Node.Has(keys.Agent) || a.Targets != "" {
+	if s.Node.Has(keys.Agent) && !s.Platform.Enabled || a.Targets != "" {
 		c.listen("agent.targets", a.Targets)
 	}
 	if a.Platform != "" {
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -29,6 +29,7 @@
 	Log       Log       `json:"log"`
 	Spans     Spans     `json:"spans"`
 	Metrics   Metrics   `json:"metrics"`
+	Platform  Platform  `json:"platform"`
 }
 
 // Default returns the settings that a file's fields replace.
@@ -40,6 +41,7 @@
 		Freshness: defaultFreshness(),
 		Log:       defaultLog(),
 		Spans:     defaultSpans(),
+		Platform:  defaultPlatform(),
 	}
 }
 
@@ -69,6 +71,7 @@
 	c := &checker{}
 	c.decode(b, &s)
 	s.Node = s.Node.withDefaults()
+	s = s.withSeeds()
 	s.check(c)
 	if err := c.err(); err != nil {
 		return Settings{}, err
@@ -88,12 +91,13 @@
 	s.TLS.check(c)
 	s.Join.check(c, s)
 	s.Keeper.check(c, s.Node)
-	s.Entry.check(c, s.Node)
+	s.Entry.check(c, s)
 	s.Agent.check(c, s)
 	s.Freshness.check(c)
 	s.Log.check(c)
 	s.Spans.check(c)
 	s.Metrics.check(c)
+	s.Platform.check(c, s.Node)
 	s.checkPorts(c)
 }
 
@@ -105,6 +109,9 @@
 		{"entry.operators", s.Entry.Operators},
 		{"agent.targets", s.Agent.Targets},
 		{"metrics.listen", s.Metrics.Listen},
+		{"platform.callers", s.Platform.Callers},
+		{"platform.ready", s.Platform.Ready},
+		{"platform.control", s.Platform.Control},
 	} {
 		if l.addr == "" {
 			continue
--- a/conf/entry.go
+++ b/conf/entry.go
@@ -51,11 +51,12 @@
 	}
 }
 
-func (e Entry) check(c *checker, n Node) {
-	if n.Has(keys.Entry) || e.Callers != "" {
+func (e Entry) check(c *checker, s Settings) {
+	own := s.Node.Has(keys.Entry) && !s.Platform.Enabled
+	if own || e.Callers != "" {
 		c.listen("entry.callers", e.Callers)
 	}
-	if n.Has(keys.Entry) || e.Operators != "" {
+	if own || e.Operators != "" {
 		c.listen("entry.operators", e.Operators)
 	}
 	c.number("entry.maxBody", e.MaxBody, 1, model.MaxBody)
--- a/conf/join.go
+++ b/conf/join.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"net/netip"
 	"slices"
 
 	"cyclamenrelay.example/keys"
@@ -10,10 +11,48 @@
 type Join struct {
 	// Addresses are link addresses of any keepers or entries; one live is enough.
 	Addresses []string `json:"addresses,omitempty"`
+	// Seeds are addresses of any services on hosts of keepers, whose links have
+	// the same port as this node's. They are added to Addresses.
+	Seeds []string `json:"seeds,omitempty"`
+}
+
+// withSeeds returns s with the link addresses of its seeds. A keeper that may
+// start the cluster, and is a seed itself, has the seeds as initial members;
+// such nodes are named by their IP addresses.
+func (s Settings) withSeeds() Settings {
+	own, err := netip.ParseAddrPort(s.Node.Advertise)
+	if err != nil {
+		return s
+	}
+	var members []InitialMember
+	isSeed := false
+	for _, seed := range s.Join.Seeds {
+		a, err := netip.ParseAddrPort(seed)
+		if err != nil {
+			return s // check reports it
+		}
+		link := netip.AddrPortFrom(a.Addr(), own.Port()).String()
+		members = append(members, InitialMember{Name: a.Addr().String(), Address: link, DataCentre: s.Node.DataCentre})
+		if a.Addr() == own.Addr() {
+			isSeed = true
+			continue
+		}
+		if !slices.Contains(s.Join.Addresses, link) {
+			s.Join.Addresses = append(slices.Clone(s.Join.Addresses), link)
+		}
+	}
+	if s.Keeper.Bootstrap && isSeed && len(s.Keeper.InitialMembers) == 0 {
+		s.Keeper.InitialMembers = members
+	}
+	return s
 }
 
 func (j Join) check(c *checker, s Settings) {
-	if len(j.Addresses) == 0 && !s.bootstraps() {
+	for i, a := range j.Seeds {
+		c.address(index("join.seeds", i), a)
+	}
+	alone := s.Node.Has(keys.Keeper) && len(j.Seeds) > 0
+	if len(j.Addresses) == 0 && !s.bootstraps() && !alone {
 		c.add("join.addresses", j.Addresses, "the address of at least one keeper or entry, unless this keeper is an initial member")
 	}
 	for i, a := range j.Addresses {
--- a/conf/keeper.go
+++ b/conf/keeper.go
@@ -25,6 +25,11 @@
 	// InitialMembers start an empty cluster and are unused from then on. A
 	// keeper that joins a cluster has none.
 	InitialMembers []InitialMember `json:"initialMembers,omitempty"`
+	// Bootstrap makes the seeds the initial members.
+	Bootstrap bool `json:"bootstrap"`
+	// AutoMembers makes each live keeper a member, and removes members that stay
+	// away while others replace them.
+	AutoMembers bool `json:"autoMembers"`
 	// SnapshotEntries is how many log entries are written between snapshots.
 	SnapshotEntries int `json:"snapshotEntries"`
 	// Retention is how long the ledger keeps the records of jobs and claims.
--- a/conf/node.go
+++ b/conf/node.go
@@ -62,9 +62,15 @@
 	// Cert is the certificate and Key its private key, readable by the owner only.
 	Cert string `json:"cert"`
 	Key  string `json:"key"`
+	// SelfSigned makes a key at each start instead, and trusts all who reach the
+	// node's links. See docs/SECURITY.md.
+	SelfSigned bool `json:"selfSigned"`
 }
 
 func (t TLS) check(c *checker) {
+	if t.SelfSigned {
+		return
+	}
 	c.file("tls.ca", t.CA)
 	c.file("tls.cert", t.Cert)
 	c.file("tls.key", t.Key)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -51,8 +51,11 @@
 	Retention time.Duration
 	// SnapshotEntries is how many entries are written between snapshots.
 	SnapshotEntries int
-	Clock           clockwork.Clock
-	Log             *zap.Logger
+	// AutoMembers makes each live keeper a member, and removes members that stay
+	// away while others replace them.
+	AutoMembers bool
+	Clock       clockwork.Clock
+	Log         *zap.Logger
 }
 
 // Keeper is the service. One goroutine owns the log groups and state machines.
@@ -80,6 +83,8 @@
 	// members is what operators decided up to the version decidedAt.
 	members   map[string]bool
 	decidedAt uint64
+	// away holds when each absent member was last alive, with AutoMembers.
+	away map[string]time.Time
 }
 
 // New returns a keeper whose folder is not open yet.
@@ -88,6 +93,7 @@
 		opts: opts, start: opts.Clock.Now(),
 		inputs: make(chan any, maxInputs), writes: make(chan *group.Write, maxInputs), ended: make(chan struct{}),
 		changed: make(chan struct{}), peers: map[string]chan wire.AgreeBatch{}, groups: map[uint64]*replica{},
+		away: map[string]time.Time{},
 	}
 }
 
@@ -122,8 +128,8 @@
 	serveNodes(mx, k.table, k.finder.Self)
 	link.On(mx, k.batch, keys.Keeper)
 	link.On(mx, k.askKeeper, keys.Keeper, keys.Entry)
-	link.On(mx, k.propose, keys.Entry)
-	link.On(mx, k.query, keys.Entry)
+	link.On(mx, k.propose, keys.Entry, keys.Keeper)
+	link.On(mx, k.query, keys.Entry, keys.Keeper)
 	link.On(mx, k.watch, keys.Entry)
 	return nil
 }
--- a/keys/identity.go
+++ b/keys/identity.go
@@ -17,7 +17,9 @@
 type Identity struct {
 	clock                     clockwork.Clock
 	caFile, certFile, keyFile string
-	current                   atomic.Pointer[material]
+	// ephemeral identities have no files and no CAs.
+	ephemeral bool
+	current   atomic.Pointer[material]
 }
 
 // material is what one reading of the files gave.
@@ -46,6 +48,9 @@
 // Reload reads the files again; connections made from now on use what it read.
 // On an error the identity stays as it was.
 func (id *Identity) Reload() error {
+	if id.ephemeral {
+		return nil
+	}
 	ca, err := readFile(id.caFile)
 	if err != nil {
 		return trace.Wrap(err)
@@ -83,6 +88,9 @@
 // ResetKey returns a secret that is the same at each start of the node, so that
 // a restarted node can tell its peers that their old links are gone.
 func (id *Identity) ResetKey() [32]byte {
+	if id.ephemeral {
+		return ephemeralReset(id.Self().Name)
+	}
 	b, err := x509.MarshalPKCS8PrivateKey(id.current.Load().cert.PrivateKey)
 	if err != nil {
 		panic("keys: a loaded private key cannot be encoded: " + err.Error())
@@ -164,6 +172,9 @@
 	if len(certs) == 0 {
 		return Peer{}, trace.AccessDenied("the peer has no certificate")
 	}
+	if m.cas == nil {
+		return peerOf(certs[0])
+	}
 	_, err := certs[0].Verify(x509.VerifyOptions{
 		Roots:       m.cas,
 		CurrentTime: now,
--- a/member/finder.go
+++ b/member/finder.go
@@ -71,6 +71,20 @@
 	return f.self
 }
 
+// SetJoin replaces the addresses to start from.
+func (f *Finder) SetJoin(join []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.join = join
+}
+
+// joinBy returns the addresses to start from.
+func (f *Finder) joinBy() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.join
+}
+
 // SetReplica announces the random number of this keeper's data folder.
 func (f *Finder) SetReplica(n uint64) {
 	f.mu.Lock()
@@ -130,7 +144,7 @@
 		out = append(out, n.Address)
 	}
 	if len(out) == 0 {
-		return f.join
+		return f.joinBy()
 	}
 	return out
 }
@@ -170,7 +184,7 @@
 	if !f.announces() {
 		addrs = f.one(addrs)
 	} else {
-		for _, a := range f.join {
+		for _, a := range f.joinBy() {
 			if !slices.Contains(addrs, a) {
 				addrs = append(addrs, a)
 			}
--- a/model/config.go
+++ b/model/config.go
@@ -15,6 +15,8 @@
 	SectionDrain   Section = "drain"   // Drain
 	SectionTeam    Section = "team"    // Team
 	SectionMember  Section = "member"  // Member
+	// SectionDocument holds the document that operators publish as a whole.
+	SectionDocument Section = "document"
 )
 
 // ItemKey names an item of the configuration.
--- /dev/null
+++ b/porter/driver.go
@@ -0,0 +1,118 @@
+// Package porter runs tasks on the one target of an agent: it grants them room,
+// orders their starts and stops, keeps their leases, and tells entries how they
+// ended and what room is left.
+package porter
+
+import (
+	"context"
+	"time"
+
+	"cyclamenrelay.example/batch"
+)
+
+// Target is one life of a target as it announces itself.
+type Target struct {
+	// ID names this life.
+	ID string
+	// Born orders the lives on one worker, in milliseconds since the Unix epoch.
+	Born int64
+	// Seq orders the announcements of one life.
+	Seq        int64
+	Pool       string
+	Address    string
+	DataCentre string
+	// Open is false once the target is leaving.
+	Open     bool
+	Capacity batch.Resources
+	Labels   []string
+	// Clock is the target's own steady clock when it announced itself.
+	Clock time.Duration
+}
+
+// Order names a run of a task to a target.
+type Order struct {
+	Task string
+	Run  uint64
+	Spec string
+	// Until is when all that runs on the target is killed, by the target's clock.
+	Until time.Duration
+	// Fence is the number of who gives the order; a target obeys none below the
+	// highest that it has seen.
+	Fence uint64
+}
+
+// Verdict is a target's answer to an order.
+type Verdict int
+
+// The verdicts on an order. All but Accepted did nothing.
+const (
+	Accepted Verdict = iota
+	// Full targets have no room for the task.
+	Full
+	// Outdated orders name a run that ended, or a smaller one.
+	Outdated
+	// Expired orders have an Until that has passed.
+	Expired
+	// Fenced orders have a fence below the highest seen.
+	Fenced
+	// Unhealthy targets take nothing now.
+	Unhealthy
+	// Replaced targets live no more; another life answers at the address.
+	Replaced
+	// Invalid orders are never taken.
+	Invalid
+)
+
+// Reply is a target's answer and its clock, 0 when it did not say.
+type Reply struct {
+	Verdict Verdict
+	Clock   time.Duration
+}
+
+// Hold renews the lease of all that runs on a target, and asks for what ended.
+type Hold struct {
+	Until time.Duration
+	Fence uint64
+	// Seen is the number of the last end that was taken note of.
+	Seen int64
+	// Wait is how long the target may wait for an end before it answers.
+	Wait time.Duration
+}
+
+// Ended is a run that a target lists as ended.
+type Ended struct {
+	// N numbers the ends of one life of the target, from 1.
+	N    int64
+	Task string
+	Run  uint64
+	End  batch.End
+}
+
+// Running is a run that a target lists as running.
+type Running struct {
+	Task string
+	Run  uint64
+}
+
+// Listing answers a Hold.
+type Listing struct {
+	Reply
+	// Born is that of the answering life, 0 when it did not say.
+	Born    int64
+	Running []Running
+	Ended   []Ended
+}
+
+// Driver gives orders to targets. An error that satisfies Gone says that the
+// target does not live; after any other, the order may still be carried out.
+type Driver interface {
+	Start(ctx context.Context, t Target, o Order) (Reply, error)
+	Stop(ctx context.Context, t Target, o Order) (Reply, error)
+	Hold(ctx context.Context, t Target, h Hold) (Listing, error)
+}
+
+// Gone is the error of an order to a target that does not live.
+type Gone struct{ Reason string }
+
+// Error implements error.
+func (g Gone) Error() string { return "the target does not live: " + g.Reason }
--- /dev/null
+++ b/porter/loops.go
@@ -0,0 +1,298 @@
+package porter
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/wire"
+)
+
+const (
+	// holdWait is how long the target may wait for an end before it answers.
+	holdWait = 150 * time.Millisecond
+	// holdPause is the pause after a renewal that failed.
+	holdPause = 30 * time.Millisecond
+	// unreachedAfter is how many renewals in a row may stay unanswered before
+	// the target gets no new work.
+	unreachedAfter = 2
+	// reportPause is the least time between two reports to one entry, for each
+	// entry, so that the reports of an agent do not grow with the entries.
+	reportPause = 10 * time.Millisecond
+	// reportInterval is the most time between two reports to one entry.
+	reportInterval = 120 * time.Millisecond
+	reportTimeout  = 300 * time.Millisecond
+	// entriesInterval is the time between looks for new entries.
+	entriesInterval = 250 * time.Millisecond
+)
+
+// renewal returns an end of the target's lease from now, by the target's
+// clock, and keeps when it will certainly have passed. The caller holds mu.
+func (p *Porter) renewal(h *hosted) time.Duration {
+	now := p.opts.Clock.Now()
+	lease := p.opts.TargetLease
+	if ends := now.Add(lease + lease/clockDrift + stopGrace); ends.After(h.leaseEnds) {
+		h.leaseEnds = ends
+	}
+	return h.Clock + now.Sub(h.heard) + lease
+}
+
+func (p *Porter) clock(h *hosted, c time.Duration) {
+	if c > 0 {
+		h.Clock, h.heard = c, p.opts.Clock.Now()
+	}
+}
+
+func (p *Porter) raiseFence(h *hosted, clock time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.clock(h, clock)
+	h.fence = max(h.fence+1, fenceOf(clock))
+}
+
+// unreachable takes the target for dead until it announces itself again.
+func (p *Porter) unreachable(h *hosted, reason string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.target != h {
+		return
+	}
+	p.opts.Log.Warn("target lost", zap.String("target", h.ID), zap.String("reason", reason))
+	p.abandon(reason)
+	p.target = nil
+	p.resize()
+}
+
+// holdLoop renews the lease of the target of the day, and takes note of ends.
+func (p *Porter) holdLoop(ctx context.Context) {
+	misses := 0
+	for ctx.Err() == nil {
+		p.mu.Lock()
+		h, arrived := p.target, p.arrived
+		p.mu.Unlock()
+		if h == nil {
+			select {
+			case <-ctx.Done():
+			case <-arrived:
+			}
+			continue
+		}
+		err := p.hold(ctx, h)
+		if err == nil {
+			misses = 0
+			continue
+		}
+		var gone Gone
+		if errors.As(err, &gone) {
+			p.unreachable(h, gone.Reason)
+			continue
+		}
+		misses++
+		if misses == unreachedAfter {
+			p.reached(h, false)
+		}
+		select {
+		case <-ctx.Done():
+		case <-p.opts.Clock.After(holdPause):
+		}
+	}
+}
+
+func (p *Porter) reached(h *hosted, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h.reached != ok {
+		p.opts.Log.Info("target reached", zap.String("target", h.ID), zap.Bool("reached", ok))
+		h.reached = ok
+		p.resize()
+	}
+}
+
+// hold asks for one listing and works it in.
+func (p *Porter) hold(ctx context.Context, h *hosted) error {
+	p.mu.Lock()
+	q := Hold{Until: p.renewal(h), Fence: h.fence, Seen: h.seen, Wait: holdWait}
+	t := h.Target
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, holdWait+orderTimeout)
+	defer cancel()
+	l, err := p.opts.Driver.Hold(ctx, t, q)
+	if err != nil {
+		return err
+	}
+	switch {
+	case l.Verdict == Fenced:
+		p.raiseFence(h, l.Clock)
+		return nil
+	case l.Verdict == Replaced || l.Born != 0 && t.Born != 0 && l.Born != t.Born:
+		return Gone{Reason: "another life answers at its address"}
+	case l.Verdict != Accepted:
+		p.opts.Log.Debug("renewal rejected", zap.String("target", t.ID), zap.Stringer("verdict", l.Verdict))
+	}
+	p.reached(h, true)
+	p.listed(h, l)
+	return nil
+}
+
+// listed takes note of ends, and has foreign runs stopped.
+func (p *Porter) listed(h *hosted, l Listing) {
+	p.mu.Lock()
+	p.clock(h, l.Clock)
+	for _, e := range l.Ended {
+		if e.N <= h.seen {
+			continue
+		}
+		h.seen = e.N
+		if r := p.byTask[Running{e.Task, e.Run}]; r != nil && r.target == h {
+			r.end(e.End, "")
+		}
+	}
+	var foreign []Running
+	for _, x := range l.Running {
+		if p.byTask[x] == nil {
+			foreign = append(foreign, x)
+		}
+	}
+	if len(foreign) == 0 && !h.clean {
+		h.clean, p.clean = true, true
+		p.resize()
+	}
+	t, fence := h.Target, h.fence
+	p.mu.Unlock()
+	for _, x := range foreign {
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		_, err := p.opts.Driver.Stop(ctx, t, Order{Task: x.Task, Run: x.Run, Fence: fence})
+		cancel()
+		p.opts.Log.Info("foreign run stopped", zap.String("task", x.Task), zap.Uint64("run", x.Run), zap.Error(err))
+	}
+}
+
+// tendLoop gives up what has waited too long, runs of entries whose lease has
+// ended, and runs whose target's lease has.
+func (p *Porter) tendLoop(ctx context.Context) {
+	tick := p.opts.Clock.NewTicker(tendInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.Chan():
+			p.tend()
+		}
+	}
+}
+
+func (p *Porter) tend() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opts.Clock.Now()
+	for _, t := range p.room.Expired(now) {
+		p.runs[t.ID].giveUp("no room in time")
+	}
+	for _, r := range p.runs {
+		switch {
+		case now.After(p.leases[r.owner]):
+			r.giveUp("the entry's lease has ended")
+		case r.target != nil && now.After(r.target.leaseEnds):
+			r.end(batch.Stopped, "the target's lease has ended")
+		}
+	}
+}
+
+// reportLoop reports to each known entry.
+func (p *Porter) reportLoop(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	stops := map[string]context.CancelFunc{}
+	for ctx.Err() == nil {
+		known := map[string]bool{}
+		entries := p.finder.Nodes(keys.Entry)
+		for _, n := range entries {
+			known[n.Name+" "+n.Address] = true
+			if stops[n.Name+" "+n.Address] != nil {
+				continue
+			}
+			rctx, stop := context.WithCancel(ctx)
+			stops[n.Name+" "+n.Address] = stop
+			wg.Go(func() { p.reportTo(rctx, n) })
+		}
+		for k, stop := range stops {
+			if !known[k] {
+				stop()
+				delete(stops, k)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-p.opts.Clock.After(entriesInterval):
+		}
+	}
+	for _, stop := range stops {
+		stop()
+	}
+}
+
+// reportTo reports to one entry whenever there is news, and at intervals.
+func (p *Porter) reportTo(ctx context.Context, n wire.Node) {
+	for ctx.Err() == nil {
+		p.mu.Lock()
+		changed := p.changed
+		p.mu.Unlock()
+		p.report(ctx, n)
+		pause := reportPause * time.Duration(max(len(p.finder.Nodes(keys.Entry)), 1))
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.opts.Clock.After(pause):
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-p.opts.Clock.After(reportInterval - min(pause, reportInterval)):
+		}
+	}
+}
+
+// report sends one report; its answer renews the entry's lease from when it was sent.
+func (p *Porter) report(ctx context.Context, n wire.Node) {
+	m, ok := p.reportFor(n.Name)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	sent := p.opts.Clock.Now()
+	a, err := p.node.Call(ctx, link.To{Address: n.Address, Role: keys.Entry}, m)
+	if _, done := a.(wire.Done); err != nil || !done {
+		p.opts.Log.Debug("report not answered", zap.String("entry", n.Name), zap.Error(err))
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leases[n.Name] = sent.Add(p.opts.EntryLease)
+}
+
+// reportFor returns the report for an entry, and false while the agent does not
+// know what runs on its target.
+func (p *Porter) reportFor(entry string) (wire.RoomReport, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	self := p.finder.Self()
+	p.seq++
+	m := wire.RoomReport{Agent: self.Name, Incarnation: self.Incarnation, Seq: p.seq, DataCentre: self.DataCentre}
+	h := p.target
+	if h == nil || !h.clean {
+		return m, p.clean
+	}
+	m.Target, m.Pool, m.Capacity, m.Labels = h.ID, h.Pool, h.Capacity, h.Labels
+	m.Open = h.Open && h.reached && !p.leaving
+	m.Used, m.Waiting, m.Yours, m.Turn = p.room.Used(), p.room.Waiting(), p.room.Of(entry), p.room.Turn()
+	return m, true
+}
--- /dev/null
+++ b/porter/porter.go
@@ -0,0 +1,411 @@
+package porter
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/kernel"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/room"
+	"cyclamenrelay.example/wire"
+)
+
+// ServiceName is the name that other services find the porter by.
+const ServiceName = "porter"
+
+const (
+	// orderTimeout bounds an order to the target, which is on the same worker.
+	orderTimeout = 200 * time.Millisecond
+	// tendInterval is the time between looks at leases and at late tickets.
+	tendInterval = 25 * time.Millisecond
+	// stopGrace is how long a stopped run may take to be listed as ended.
+	stopGrace = 150 * time.Millisecond
+	// clockDrift is how much slower than this clock a target's may run: one part
+	// in clockDrift.
+	clockDrift = 50
+)
+
+// Options configure a Porter.
+type Options struct {
+	Driver Driver
+	// TargetLease is how long the target lets runs go on without a renewal.
+	TargetLease time.Duration
+	// EntryLease is how long an entry's runs go on without an answer of the entry.
+	EntryLease time.Duration
+	// DrainTimeout bounds the wait for runs in progress at a shutdown.
+	DrainTimeout time.Duration
+	Clock        clockwork.Clock
+	Log          *zap.Logger
+}
+
+// Porter is the service.
+type Porter struct {
+	opts   Options
+	node   *link.Node
+	finder *member.Finder
+
+	mu      sync.Mutex
+	room    *room.Room
+	target  *hosted
+	runs    map[uint64]*run
+	byTask  map[Running]*run
+	lastID  uint64
+	seq     uint64
+	leases  map[string]time.Time // by entry
+	leaving bool
+	// clean is set once nothing runs that an earlier agent started.
+	clean   bool
+	changed chan struct{} // closed when a report would change
+	arrived chan struct{} // closed when another target is here
+}
+
+// hosted is the target of the agent now.
+type hosted struct {
+	Target
+	heard time.Time // when Clock was true, at the latest
+	fence uint64
+	seen  int64
+	// leaseEnds is when all runs of the target have certainly ended unless
+	// renewed, by this process's clock.
+	leaseEnds time.Time
+	// clean is set once nothing runs that this process did not start.
+	clean bool
+	// reached is false while the target leaves orders unanswered.
+	reached bool
+}
+
+// run is one run of a task, from its arrival to its end.
+type run struct {
+	id      uint64
+	key     Running
+	order   wire.StartRun
+	owner   string
+	target  *hosted
+	granted chan struct{}
+	ended   chan ending   // one element at most
+	quit    chan struct{} // closed to give the run up
+	reason  string        // why it was given up, set before quit is closed
+}
+
+// ending is how a run ended and, unless the target said so, why.
+type ending struct {
+	end    batch.End
+	reason string
+}
+
+// New returns a porter without a target.
+func New(opts Options) *Porter {
+	return &Porter{
+		opts: opts, room: room.New(), runs: map[uint64]*run{}, byTask: map[Running]*run{}, leases: map[string]time.Time{},
+		changed: make(chan struct{}), arrived: make(chan struct{}),
+	}
+}
+
+// Name implements kernel.Service.
+func (p *Porter) Name() string { return ServiceName }
+
+// Start implements kernel.Starter.
+func (p *Porter) Start(k *kernel.Kernel) (err error) {
+	if p.node, err = kernel.Find[*link.Node](k, link.ServiceName); err != nil {
+		return err
+	}
+	if p.finder, err = kernel.Find[*member.Finder](k, member.ServiceName); err != nil {
+		return err
+	}
+	link.On(p.node.Mux(), p.start, keys.Entry)
+	return nil
+}
+
+// Run implements kernel.Service.
+func (p *Porter) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { p.reportLoop(ctx) })
+	wg.Go(func() { p.holdLoop(ctx) })
+	wg.Go(func() { p.tendLoop(ctx) })
+	wg.Wait()
+	return nil
+}
+
+// Drain implements kernel.Drainer: nothing new is taken, and what runs may end.
+func (p *Porter) Drain(ctx context.Context) {
+	p.mu.Lock()
+	p.leaving = true
+	p.room.SetOpen(false)
+	p.touch()
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, p.opts.DrainTimeout)
+	defer cancel()
+	for {
+		p.mu.Lock()
+		left := len(p.runs)
+		p.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.opts.Clock.After(tendInterval):
+		}
+	}
+}
+
+// touch tells the report loops that there is news. The caller holds mu.
+func (p *Porter) touch() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Announced takes a target's announcement of itself, and reports whether it is
+// news: an announcement older than the newest, or of an earlier life, is not.
+func (p *Porter) Announced(t Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opts.Clock.Now()
+	if h := p.target; h != nil {
+		same := h.ID == t.ID && h.Born == t.Born
+		if same && t.Seq <= h.Seq || !same && t.Born < h.Born {
+			return false
+		}
+		if same {
+			opened := h.Open != t.Open
+			h.Target, h.heard = t, now
+			p.resize()
+			if opened {
+				p.opts.Log.Info("target changed", zap.String("target", t.ID), zap.Bool("open", t.Open))
+			}
+			return true
+		}
+		p.abandon("the target was replaced")
+	}
+	p.opts.Log.Info("target arrived", zap.String("target", t.ID), zap.String("pool", t.Pool), zap.String("address", t.Address),
+		zap.Int64("cpu", t.Capacity.CPU), zap.Int64("memory", t.Capacity.Memory), zap.Bool("open", t.Open))
+	p.target = &hosted{Target: t, heard: now, fence: fenceOf(t.Clock), reached: true}
+	p.resize()
+	close(p.arrived)
+	p.arrived = make(chan struct{})
+	return true
+}
+
+// fenceOf returns the fence of who first meets the target at a time of its
+// clock. A target's clock never goes back in its life, so that a restarted
+// agent has a higher fence than before.
+func fenceOf(clock time.Duration) uint64 { return uint64(clock.Milliseconds()) + 1 }
+
+// Left takes a target's word that it ends now.
+func (p *Porter) Left(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.target == nil || p.target.ID != id {
+		return
+	}
+	p.opts.Log.Info("target left", zap.String("target", id))
+	p.abandon("the target left")
+	p.target = nil
+	p.resize()
+}
+
+// resize brings the room to what the target says. The caller holds mu.
+func (p *Porter) resize() {
+	open := p.target != nil && p.target.Open && p.target.clean && p.target.reached && !p.leaving
+	p.room.SetOpen(open)
+	if p.target != nil {
+		p.room.Resize(p.target.Capacity)
+	}
+	p.fill()
+	p.touch()
+}
+
+// abandon ends all runs: the target's life is over. The caller holds mu.
+func (p *Porter) abandon(reason string) {
+	for _, r := range p.runs {
+		r.end(batch.Stopped, reason)
+	}
+}
+
+// end tells the run's handler how it ended; only the first end counts.
+func (r *run) end(e batch.End, reason string) {
+	select {
+	case r.ended <- ending{e, reason}:
+	default:
+	}
+}
+
+// giveUp has the run's handler stop it. The caller holds mu.
+func (r *run) giveUp(reason string) {
+	select {
+	case <-r.quit:
+	default:
+		r.reason = reason
+		close(r.quit)
+	}
+}
+
+// fill grants room to those who wait for it. The caller holds mu.
+func (p *Porter) fill() {
+	for {
+		t, ok := p.room.Next()
+		if !ok {
+			return
+		}
+		r := p.runs[t.ID]
+		r.target = p.target
+		close(r.granted)
+	}
+}
+
+// enter has a task wait for room, and returns why it cannot.
+func (p *Porter) enter(owner string, m wire.StartRun) (*run, string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opts.Clock.Now()
+	key := Running{Task: m.Task, Run: m.Run}
+	switch {
+	case p.target == nil:
+		return nil, "no target"
+	case p.leaving:
+		return nil, "the agent is shutting down"
+	case !p.target.Open:
+		return nil, "the target is leaving"
+	case !p.target.clean || !p.target.reached:
+		return nil, "the target does not answer"
+	case !m.Need.Fits(p.room.Capacity()):
+		return nil, "the target is too small"
+	case now.After(p.leases[owner]):
+		return nil, "the entry's lease has ended"
+	case p.byTask[key] != nil:
+		return nil, "this run is here already"
+	}
+	p.lastID++
+	r := &run{
+		id: p.lastID, key: key, order: m, owner: owner,
+		granted: make(chan struct{}), ended: make(chan ending, 1), quit: make(chan struct{}),
+	}
+	p.runs[r.id], p.byTask[key] = r, r
+	p.room.Enter(room.Ticket{
+		ID: r.id, Owner: owner, Need: m.Need, Estimate: m.Estimate, Priority: m.Priority,
+		Due: now.Add(m.Slack), Until: now.Add(m.Patience),
+	})
+	p.fill()
+	p.touch()
+	return r, ""
+}
+
+func (p *Porter) leave(r *run) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.runs, r.id)
+	delete(p.byTask, r.key)
+	p.room.Leave(r.id)
+	p.fill()
+	p.touch()
+}
+
+// start runs a task to its end, for as long as the entry waits for it.
+func (p *Porter) start(ctx context.Context, peer link.Peer, m wire.StartRun) wire.Message {
+	begun := p.opts.Clock.Now()
+	r, reason := p.enter(peer.Name, m)
+	if r == nil {
+		return wire.RunEnded{End: batch.NotStarted, Reason: reason}
+	}
+	defer p.leave(r)
+	select {
+	case <-r.granted:
+	case <-ctx.Done():
+		return wire.RunEnded{End: batch.NotStarted, Reason: "the entry gave up"}
+	case <-r.quit:
+		return wire.RunEnded{End: batch.NotStarted, Reason: r.reason}
+	case e := <-r.ended:
+		return wire.RunEnded{End: batch.NotStarted, Reason: e.reason}
+	}
+	at := p.opts.Clock.Now()
+	end, reason := p.execute(ctx, r)
+	out := wire.RunEnded{End: end, Reason: reason, Waited: at.Sub(begun), Ran: p.opts.Clock.Since(at)}
+	p.opts.Log.Debug("run ended", zap.String("task", m.Task), zap.Uint64("run", m.Run), zap.String("end", string(end)),
+		zap.String("reason", reason), zap.Duration("waited", out.Waited), zap.Duration("ran", out.Ran))
+	return out
+}
+
+// execute orders a start and waits for the end of the run.
+func (p *Porter) execute(ctx context.Context, r *run) (batch.End, string) {
+	reply, err := p.orderStart(ctx, r)
+	var gone Gone
+	switch {
+	case errors.As(err, &gone):
+		p.unreachable(r.target, gone.Reason)
+		return batch.NotStarted, gone.Reason
+	case err != nil:
+		// The order may be carried out late: a stop that is obeyed rules it out.
+		p.opts.Log.Warn("start unanswered", zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run), zap.Error(err))
+		return p.stop(r, "the target left the start unanswered")
+	case reply.Verdict != Accepted:
+		p.opts.Log.Debug("start rejected", zap.String("task", r.key.Task), zap.Int("verdict", int(reply.Verdict)))
+		if reply.Verdict == Fenced {
+			p.raiseFence(r.target, reply.Clock)
+		}
+		return batch.NotStarted, reply.Verdict.String()
+	}
+	select {
+	case e := <-r.ended:
+		return e.end, e.reason
+	case <-ctx.Done():
+		return p.stop(r, "the entry gave up")
+	case <-r.quit:
+		return p.stop(r, r.reason)
+	}
+}
+
+func (p *Porter) orderStart(ctx context.Context, r *run) (Reply, error) {
+	p.mu.Lock()
+	o := Order{Task: r.key.Task, Run: r.key.Run, Spec: r.order.Spec, Until: p.renewal(r.target), Fence: r.target.fence}
+	t := r.target.Target
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+	defer cancel()
+	return p.opts.Driver.Start(ctx, t, o)
+}
+
+// stop ends a run, and returns once it certainly runs no more: the target says
+// so, or its lease has ended.
+func (p *Porter) stop(r *run, reason string) (batch.End, string) {
+	for {
+		p.mu.Lock()
+		o := Order{Task: r.key.Task, Run: r.key.Run, Fence: r.target.fence}
+		t, left := r.target.Target, r.target.leaseEnds.Sub(p.opts.Clock.Now())
+		p.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		reply, err := p.opts.Driver.Stop(ctx, t, o)
+		cancel()
+		wait := min(orderTimeout, left)
+		if err == nil && reply.Verdict != Fenced {
+			wait = stopGrace
+		}
+		select {
+		case e := <-r.ended:
+			return e.end, reason
+		case <-p.opts.Clock.After(wait):
+		}
+		var gone Gone
+		if err == nil && reply.Verdict != Fenced || errors.As(err, &gone) || left <= 0 {
+			return batch.Stopped, reason
+		}
+	}
+}
+
+// String returns the verdict as a reason in logs and answers.
+func (v Verdict) String() string {
+	names := map[Verdict]string{
+		Accepted: "accepted", Full: "the target is full", Outdated: "a later run was there", Expired: "the order came late",
+		Fenced: "another agent gives the orders", Unhealthy: "the target is unhealthy", Replaced: "the target was replaced",
+		Invalid: "the target does not take the order",
+	}
+	return names[v]
+}
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -75,11 +75,10 @@
 	if s.Node.Has(keys.Keeper) {
 		b.keeper()
 	}
-	if s.Node.Has(keys.Entry) {
-		b.entry()
-	}
-	if s.Node.Has(keys.Agent) {
-		b.agent()
+	if s.Platform.Enabled {
+		b.platformServices()
+	} else {
+		b.ownServices()
 	}
 	b.k.Add(&meter.Server{Listen: s.Metrics.Listen, Profiles: s.Metrics.Profiles, Ready: b.isReady})
 	// The link starts last, when all handlers are registered.
@@ -87,6 +86,16 @@
 	return b.k, nil
 }
 
+// ownServices adds the services that speak the project's own HTTP.
+func (b *builder) ownServices() {
+	if b.s.Node.Has(keys.Entry) {
+		b.entry()
+	}
+	if b.s.Node.Has(keys.Agent) {
+		b.agent()
+	}
+}
+
 func (b *builder) keeper() {
 	var first []keeper.First
 	for _, m := range b.s.Keeper.InitialMembers {
@@ -95,6 +104,7 @@
 	kp := keeper.New(keeper.Options{
 		Folder: b.s.Node.DataFolder, Groups: b.s.Keeper.Groups, First: first,
 		Retention: time.Duration(b.s.Keeper.Retention), SnapshotEntries: b.s.Keeper.SnapshotEntries,
+		AutoMembers: b.s.Keeper.AutoMembers,
 		Clock: b.clock, Log: b.log,
 	})
 	b.k.Add(kp)
@@ -107,10 +117,7 @@
 	if !b.s.Node.Has(keys.Keeper) {
 		b.finder.Answer()
 	}
-	b.k.Add(&spread.Follower{
-		View: b.view, Node: b.node, Clock: b.clock, Log: b.log,
-		Keepers: func() []string { return b.finder.Addresses(keys.Keeper) },
-	})
+	b.k.Add(b.follower())
 	p := place.DefaultSettings()
 	p.Policy = policyOf(b.s.Entry.Policy)
 	p.Near = []string{b.s.Node.DataCentre}
--- a/relayd/main.go
+++ b/relayd/main.go
@@ -12,11 +12,13 @@
 
 	"github.com/gravitational/trace"
 	"github.com/jessevdk/go-flags"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/conf"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/logs"
+	"cyclamenrelay.example/platform"
 	"cyclamenrelay.example/spans"
 )
 
@@ -27,7 +29,7 @@
 )
 
 type options struct {
-	Settings string `long:"settings" short:"s" required:"true" description:"settings file (JSON)"`
+	Settings string `long:"settings" short:"s" description:"settings file (JSON); the platform's by default"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 }
 
@@ -41,6 +43,13 @@
 		}
 		return exitSettings
 	}
+	if o.Settings == "" {
+		o.Settings = platform.SettingsFile()
+	}
+	if o.Settings == "" {
+		fmt.Fprintln(os.Stderr, "no settings file: use --settings FILE")
+		return exitSettings
+	}
 	s, err := conf.Load(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
@@ -58,7 +67,11 @@
 }
 
 func serve(s conf.Settings) error {
-	log, err := logs.New(os.Stderr, s.Log.Level)
+	out := os.Stderr
+	if s.Platform.Enabled {
+		out = os.Stdout
+	}
+	log, err := logs.New(out, s.Log.Level)
 	if err != nil {
 		return err
 	}
@@ -70,7 +83,7 @@
 		return err
 	}
 	defer func() { _ = flush(context.WithoutCancel(ctx)) }()
-	id, err := keys.Load(s.TLS.CA, s.TLS.Cert, s.TLS.Key)
+	id, err := identity(s)
 	if err != nil {
 		return err
 	}
@@ -92,6 +105,18 @@
 	return nil
 }
 
+// identity returns the process's identity, as the settings say.
+func identity(s conf.Settings) (*keys.Identity, error) {
+	if !s.TLS.SelfSigned {
+		return keys.Load(s.TLS.CA, s.TLS.Cert, s.TLS.Key)
+	}
+	var roles []keys.Role
+	for _, r := range s.Node.Roles {
+		roles = append(roles, keys.Role(r))
+	}
+	return keys.Ephemeral(clockwork.NewRealClock(), s.Node.Name, roles)
+}
+
 // reloadKeys reads the certificates again at each SIGHUP.
 func reloadKeys(ctx context.Context, id *keys.Identity, log *zap.Logger) {
 	c := make(chan os.Signal, 1)
--- /dev/null
+++ b/relayd/platform.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"time"
+
+	"cyclamenrelay.example/broker"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/leader"
+	"cyclamenrelay.example/meter"
+	"cyclamenrelay.example/platform"
+	"cyclamenrelay.example/porter"
+	"cyclamenrelay.example/spread"
+)
+
+// leaseShare is the part of the time after which callers send a job again that
+// an entry's lease on its runs takes, and that a target's lease takes. Both end,
+// one after the other, before the job can be there twice.
+const leaseShare = 0.38
+
+// platformServices adds the services that speak the platform's protocol.
+func (b *builder) platformServices() {
+	p := b.s.Platform
+	if b.s.Node.Has(keys.Entry) {
+		b.platformEntry()
+	}
+	if b.s.Node.Has(keys.Agent) {
+		lease := time.Duration(leaseShare * float64(p.ResendAfter))
+		po := porter.New(porter.Options{
+			Driver: platform.NewTarget(), TargetLease: min(lease, time.Duration(p.HoldLimit)), EntryLease: lease,
+			DrainTimeout: time.Duration(p.GracePeriod) / 2, Clock: b.clock, Log: b.log,
+		})
+		b.k.Add(po)
+		b.k.Add(&platform.Control{Listen: p.Control, Log: b.log})
+	}
+	if b.s.Node.Has(keys.Keeper) {
+		b.k.Add(&platform.Control{
+			Listen: p.Control, Log: b.log,
+			Keepers: &leader.Client{Node: b.node, Finder: b.finder, Clock: b.clock, Log: b.log, Groups: b.s.Keeper.Groups},
+		})
+	}
+}
+
+func (b *builder) platformEntry() {
+	p := b.s.Platform
+	b.view.ServeStale()
+	b.watchView()
+	if !b.s.Node.Has(keys.Keeper) {
+		b.finder.Answer()
+	}
+	b.k.Add(b.follower())
+	br := broker.New(broker.Options{DataCentre: b.s.Node.DataCentre, Clock: b.clock, Log: b.log})
+	b.k.Add(br)
+	meter.Gauge("relay_jobs_in_progress", func() float64 { return float64(br.InProgress()) })
+	b.k.Add(&platform.Front{
+		Callers: p.Callers, Ready: p.Ready, GracePeriod: time.Duration(p.GracePeriod), View: b.view, Clock: b.clock, Log: b.log,
+	})
+}
+
+// follower returns the service that keeps the view up to date.
+func (b *builder) follower() *spread.Follower {
+	return &spread.Follower{
+		View: b.view, Node: b.node, Clock: b.clock, Log: b.log,
+		Keepers: func() []string { return b.finder.Addresses(keys.Keeper) },
+	}
+}
+
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -17,7 +17,7 @@
 const ServiceName = "spread"
 
 const (
-	watchTimeout = 2 * time.Second
+	watchTimeout = time.Second
 	retryPause   = 100 * time.Millisecond
 )
 
@@ -51,7 +51,8 @@
 	return nil
 }
 
-// ask reports whether the keeper answered with a proof that leaves the view usable.
+// ask reports whether the keeper answered and left the view fresh. One that is
+// cut off from the others answers, but with proofs that grow old.
 func (f *Follower) ask(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
@@ -66,5 +67,5 @@
 		return false
 	}
 	f.View.Apply(u, sent)
-	return f.View.Usable()
+	return f.View.Fresh()
 }
--- a/spread/view.go
+++ b/spread/view.go
@@ -81,6 +81,13 @@
 	return !v.proven.Before(v.start) && (v.stale || v.clock.Since(v.proven) <= v.lease)
 }
 
+// Fresh reports whether a quorum has confirmed the view within its lease.
+func (v *View) Fresh() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.clock.Since(v.proven) <= v.lease
+}
+
 // Update returns what a peer at the given version lacks, and the freshness.
 func (v *View) Update(version uint64) wire.ConfigUpdate {
 	v.mu.Lock()
--- a/state/command.go
+++ b/state/command.go
@@ -4,7 +4,7 @@
 	"cyclamenrelay.example/model"
 )
 
-// ConfigCommand is a command of the configuration machine: Change.
+// ConfigCommand is a command of the configuration machine: Change or Publish.
 type ConfigCommand interface{ configCommand() }
 
 // Change asks for one change; the answer is Changed.
@@ -26,7 +26,7 @@
 }
 
 // ConfigAnswer is an answer of the configuration machine: Changed, Delta,
-// Events or Unknown.
+// Events, Unknown or Published.
 type ConfigAnswer interface{ configAnswer() }
 
 // Changed answers Change.
@@ -59,9 +59,9 @@
 
 // The codecs of the configuration machine.
 var (
-	ConfigCommands = NewCodec[ConfigCommand](Change{})
+	ConfigCommands = NewCodec[ConfigCommand](Change{}, Publish{})
 	ConfigQueries  = NewCodec[ConfigQuery](Since{}, History{})
-	ConfigAnswers  = NewCodec[ConfigAnswer](Changed{}, Delta{}, Events{}, Unknown{})
+	ConfigAnswers  = NewCodec[ConfigAnswer](Changed{}, Delta{}, Events{}, Unknown{}, Published{})
 )
 
 // Query answers a ConfigQuery.
--- a/state/config.go
+++ b/state/config.go
@@ -109,6 +109,8 @@
 	switch cmd := cmd.(type) {
 	case Change:
 		return ConfigAnswers.MustEncode(Changed{c.change(cmd.Change)})
+	case Publish:
+		return ConfigAnswers.MustEncode(c.publish(cmd))
 	default:
 		panic(fmt.Sprintf("configuration command %T", cmd))
 	}
