--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -98,20 +98,23 @@
 	Agent string
 	// Wait is the expected time before it starts.
 	Wait time.Duration
+	// Run is the expected run time there.
+	Run time.Duration
 }
 
 // Place chooses the agent where the task probably ends first, and counts the
 // task as there. It returns false when no target could ever run it.
 func (f *Fleet) Place(t Task, now time.Time) (Choice, bool) {
 	best, cost := "", time.Duration(0)
-	var wait time.Duration
+	var choice Choice
 	for _, name := range f.names() {
 		h := f.hosts[name]
 		if !h.takes(t, now) {
 			continue
 		}
 		w := h.wait(t.Need)
-		c := w + f.distance(h) + h.load(t.Need) + h.health.cost(now, t.Estimate)
+		ran := h.health.slowed(t.Estimate)
+		c := w + ran + f.distance(h) + h.load(t.Need) + h.health.cost(now, t.Estimate)
 		if t.Rack != "" && !slices.Contains(h.Labels, t.Rack) {
 			c += t.Estimate / 2
 		}
@@ -119,7 +122,7 @@
 			c += time.Hour
 		}
 		if best == "" || c < cost {
-			best, cost, wait = name, c, w
+			best, cost, choice = name, c, Choice{Agent: name, Wait: w, Run: ran}
 		}
 	}
 	if best == "" {
@@ -127,7 +130,7 @@
 	}
 	h := f.hosts[best]
 	h.own = h.own.Plus(t.Need)
-	return Choice{Agent: best, Wait: wait}, true
+	return choice, true
 }
 
 // Release counts a task as gone from the agent.
--- a/assign/health.go
+++ b/assign/health.go
@@ -18,10 +18,34 @@
 	unhealthyCost = 20
 )
 
+const (
+	// speedWeight is the weight of one more run in a target's slowness, 1/speedWeight.
+	speedWeight = 16
+	// slowest and fastest bound the slowness that one run may show.
+	fastest, slowest = 0.5, 4
+)
+
 // health judges a target by the ends of what it ran.
 type health struct {
 	bad   int // bad ends in a row
 	until time.Time
+	// excess is how much longer than estimated the target's runs take, as a part.
+	excess float64
+}
+
+// slowed returns how long a run takes on the target, given the estimate for any.
+func (h health) slowed(estimate time.Duration) time.Duration {
+	return time.Duration(float64(estimate) * (1 + h.excess))
+}
+
+// Ran takes the run time of a task that was done on the agent's target.
+func (f *Fleet) Ran(agent string, took, estimate time.Duration) {
+	h := f.hosts[agent]
+	if h == nil || estimate <= 0 {
+		return
+	}
+	ratio := min(max(float64(took)/float64(estimate), fastest), slowest)
+	h.health.excess += (ratio - 1 - h.health.excess) / speedWeight
 }
 
 // Ended judges the agent's target by the end of a run there. A run that was
@@ -33,7 +57,7 @@
 	}
 	switch e {
 	case batch.Done:
-		h.health = health{}
+		h.health.bad = 0
 	case batch.Failed, batch.Stopped, batch.Lost:
 		h.health.bad++
 		if over := h.health.bad - missesTolerated; over >= 0 {
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -79,6 +79,7 @@
 	at      time.Time
 }
 
+// call is a run that an agent has not answered yet.
 type call struct {
 	agent  string
 	cancel context.CancelFunc
--- a/broker/work.go
+++ b/broker/work.go
@@ -19,6 +19,10 @@
 	placementsMax = 6
 	// lateFactor times the objective is when a late job is of no use.
 	lateFactor = 3
+	// overdueFactor times its estimate and overdueMin more is when a run is
+	// overdue: callers' estimates are often off by half, and run times spread.
+	overdueFactor = 2.5
+	overdueMin    = 150 * time.Millisecond
 )
 
 // work is one job in progress. Its fields are owned by the goroutine of run,
@@ -50,8 +54,11 @@
 	agent  string
 	fails  int
 	placed int
-	avoid  []string
-	full   []string
+	moves  int // runs that were stopped
+	// wait and expect are the expected wait and run time where it was placed.
+	wait, expect time.Duration
+	avoid        []string
+	full         []string
 }
 
 // result is how one run of a task ended.
@@ -159,7 +166,7 @@
 	var wait time.Duration
 	for i, t := range tasks {
 		c, ok := w.place(t)
-		wait = max(wait, c.Wait)
+		wait = max(wait, c.Wait+c.Run-w.estimate(s))
 		late := wait > w.slack() && !w.mayHaveRun()
 		if ok && !late {
 			continue
@@ -200,7 +207,7 @@
 		Estimate: b.learner.Estimate(w.queue.Name, s.Estimate), Avoid: t.avoid, Full: t.full,
 	}, b.opts.Clock.Now())
 	if ok {
-		t.agent = c.Agent
+		t.agent, t.wait, t.expect = c.Agent, c.Wait, c.Run
 		t.placed++
 	}
 	return c, ok
@@ -228,6 +235,7 @@
 		Job: w.job.ID, Task: t.name, Run: t.run, Spec: w.job.Spec, Need: s.Need, Estimate: est, Priority: w.queue.Priority,
 		Slack: w.slack(), Patience: w.limit.Sub(w.b.opts.Clock.Now()) - est - overhead,
 	}
+	m.Overdue = w.overdue(t, est)
 	agent := t.agent
 	w.b.mu.Lock()
 	w.f.started = true
@@ -248,6 +256,16 @@
 	}()
 }
 
+// overdue returns how long a run may take before it is stopped to start its task
+// elsewhere, 0 when there would be no time for that.
+func (w *work) overdue(t *task, estimate time.Duration) time.Duration {
+	limit := (overdueMin + time.Duration(overdueFactor*float64(max(estimate, t.expect)))) << t.moves
+	if w.b.opts.Clock.Now().Add(t.wait + limit + estimate + overhead).After(w.limit) {
+		return 0
+	}
+	return limit
+}
+
 // endOf returns the end that an agent's answer tells.
 func endOf(a wire.Message, err error) wire.RunEnded {
 	switch a := a.(type) {
@@ -272,6 +290,7 @@
 	w.b.mu.Lock()
 	w.b.fleet.Ended(agent, e.End, now)
 	if e.End == batch.Done {
+		w.b.fleet.Ran(agent, e.Ran, w.b.learner.Estimate(w.queue.Name, w.job.Steps[t.step].Estimate))
 		w.b.learner.Ran(w.queue.Name, e.Ran)
 	}
 	w.b.mu.Unlock()
@@ -292,6 +311,7 @@
 	case batch.NotStarted:
 		t.full = append(t.full, agent)
 	case batch.Stopped:
+		t.moves++
 		t.avoid = append(t.avoid, agent)
 	case batch.Lost:
 		return Broken{Reason: "an agent was lost: " + e.Reason}
--- a/porter/loops.go
+++ b/porter/loops.go
@@ -201,6 +201,8 @@
 			r.giveUp("the entry's lease has ended")
 		case r.target != nil && now.After(r.target.leaseEnds):
 			r.end(batch.Stopped, "the target's lease has ended")
+		case !r.overdue.IsZero() && now.After(r.overdue):
+			r.giveUp("the run is overdue")
 		}
 	}
 }
--- a/porter/porter.go
+++ b/porter/porter.go
@@ -84,11 +84,13 @@
 
 // run is one run of a task, from its arrival to its end.
 type run struct {
-	id      uint64
-	key     Running
-	order   wire.StartRun
-	owner   string
-	target  *hosted
+	id     uint64
+	key    Running
+	order  wire.StartRun
+	owner  string
+	target *hosted
+	// overdue is when the run is stopped for taking too long, the zero time for never.
+	overdue time.Time
 	granted chan struct{}
 	ended   chan ending   // one element at most
 	quit    chan struct{} // closed to give the run up
@@ -258,6 +260,9 @@
 		}
 		r := p.runs[t.ID]
 		r.target = p.target
+		if r.order.Overdue > 0 {
+			r.overdue = p.opts.Clock.Now().Add(r.order.Overdue)
+		}
 		close(r.granted)
 	}
 }
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -53,6 +53,9 @@
 	Slack time.Duration `cbor:"8,keyasint"`
 	// Patience is how much later than now it may start at all.
 	Patience time.Duration `cbor:"9,keyasint"`
+	// Overdue is how long the run may take before it is stopped so that the task
+	// can go elsewhere, 0 for as long as it needs.
+	Overdue time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // RunEnded answers a StartRun.
