link: the test of too long messages exceeds the widest window

Cause: what lay beyond the message was 1 MB; QUIC widens a stream's window up to 6 MB, so that on a busy machine all of it was on its way before the receiver gave the stream up, and the sender saw no error. Ruled out: a message that is taken; the receiver reads the limit and one byte, and gives the rest up, in each run. Change: 16 MB beyond the message. The check is stricter: more has to be refused.

--- a/link/hostile_test.go
+++ b/link/hostile_test.go
@@ -86,12 +86,15 @@
 // the streams of the connection.
 func TestTooLongMessagesHoldNoStreams(t *testing.T) {
 	const streams = 3
+	// What lies beyond the message is more than the widest window that QUIC may
+	// grow to, so that it cannot all be on its way before the stream is given up.
+	const beyond = 16 << 20
 	a := newAuthority(t)
 	server := start(t, a.identity("k1", keys.Keeper), serveFind)
 	c, err := quic.DialAddr(t.Context(), server.Address(), a.identity("e1", keys.Entry).ClientConfig(), nil)
 	assert.NilError(t, err)
 	defer func() { _ = c.CloseWithError(0, "") }()
-	long := make([]byte, wire.MaxMessage+1+1<<20)
+	long := make([]byte, wire.MaxMessage+1+beyond)
 	for range streams {
 		s, err := c.OpenUniStreamSync(t.Context())
 		assert.NilError(t, err)
