logs, relayd: logging never blocks; the addresses to join by are read again

Cause: a reader that stops reading stopped the process; seeds that change with or without a signal were not seen. Change: a bounded buffer that drops and counts lines; SIGHUP and a changed file replace the addresses.

--- a/relayd/build.go
+++ b/relayd/build.go
@@ -58,7 +58,8 @@
 	})
 }
 
-func build(s conf.Settings, id *keys.Identity, log *zap.Logger) (*kernel.Kernel, error) {
+// build returns the builder that has made all services.
+func build(s conf.Settings, id *keys.Identity, log *zap.Logger) *builder {
 	clock := clockwork.NewRealClock()
 	b := &builder{s: s, id: id, clock: clock, log: log, k: kernel.New(log)}
 	b.node = link.New(link.Options{Address: s.Node.Listen, Keys: id, Log: log, Clock: clock})
@@ -83,7 +84,7 @@
 	b.k.Add(&meter.Server{Listen: s.Metrics.Listen, Profiles: s.Metrics.Profiles, Ready: b.isReady})
 	// The link starts last, when all handlers are registered.
 	b.k.Add(b.node)
-	return b.k, nil
+	return b
 }
 
 // ownServices adds the services that speak the project's own HTTP.
@@ -105,7 +106,7 @@
 		Folder: b.s.Node.DataFolder, Groups: b.s.Keeper.Groups, First: first,
 		Retention: time.Duration(b.s.Keeper.Retention), SnapshotEntries: b.s.Keeper.SnapshotEntries,
 		AutoMembers: b.s.Keeper.AutoMembers,
-		Clock: b.clock, Log: b.log,
+		Clock:       b.clock, Log: b.log,
 	})
 	b.k.Add(kp)
 	b.ready = append(b.ready, func() bool { return kp.Ready(time.Duration(b.s.Freshness.Lease)) })
--- a/relayd/main.go
+++ b/relayd/main.go
@@ -59,19 +59,21 @@
 		fmt.Println("settings are valid")
 		return 0
 	}
-	if err := serve(s); err != nil {
+	if err := serve(o.Settings, s); err != nil {
 		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
 		return exitFailed
 	}
 	return 0
 }
 
-func serve(s conf.Settings) error {
+func serve(path string, s conf.Settings) error {
 	out := os.Stderr
 	if s.Platform.Enabled {
 		out = os.Stdout
 	}
-	log, err := logs.New(out, s.Log.Level)
+	w := logs.NewWriter(out)
+	defer w.Close()
+	log, err := logs.New(w, s.Log.Level)
 	if err != nil {
 		return err
 	}
@@ -90,13 +92,10 @@
 	if id.Self().Name != s.Node.Name {
 		return trace.BadParameter("node.name %q is not the certificate's name %q", s.Node.Name, id.Self().Name)
 	}
-	go reloadKeys(ctx, id, log)
-	k, err := build(s, id, log)
-	if err != nil {
-		return err
-	}
+	b := build(s, id, log)
+	go reload(ctx, path, b)
 	log.Info("starting", zap.Strings("roles", s.Node.Roles), zap.String("dataCentre", s.Node.DataCentre))
-	err = k.Run(ctx, time.Duration(s.Entry.DrainTimeout))
+	err = b.k.Run(ctx, time.Duration(s.Entry.DrainTimeout))
 	if err != nil {
 		log.Error("stopped", zap.Error(err))
 		return err
@@ -117,21 +116,55 @@
 	return keys.Ephemeral(clockwork.NewRealClock(), s.Node.Name, roles)
 }
 
-// reloadKeys reads the certificates again at each SIGHUP.
-func reloadKeys(ctx context.Context, id *keys.Identity, log *zap.Logger) {
+// settingsInterval is the time between looks at the settings file, which may
+// change without a signal.
+const settingsInterval = 2 * time.Second
+
+// reload reads the certificates and the settings again at each SIGHUP, and the
+// settings when their file changes. Only the addresses to join by take hold.
+func reload(ctx context.Context, path string, b *builder) {
 	c := make(chan os.Signal, 1)
 	signal.Notify(c, syscall.SIGHUP)
 	defer signal.Stop(c)
+	tick := b.clock.NewTicker(settingsInterval)
+	defer tick.Stop()
+	last := modified(path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-c:
-			if err := id.Reload(); err != nil {
-				log.Error("keys not reloaded", zap.Error(err))
-				continue
+			if err := b.id.Reload(); err != nil {
+				b.log.Error("keys not reloaded", zap.Error(err))
+			} else {
+				b.log.Info("keys reloaded", zap.Time("notAfter", b.id.NotAfter()))
+			}
+			b.rejoin(path)
+		case <-tick.Chan():
+			if at := modified(path); !at.Equal(last) {
+				last = at
+				b.rejoin(path)
 			}
-			log.Info("keys reloaded", zap.Time("notAfter", id.NotAfter()))
 		}
 	}
 }
+
+// modified returns when the file was last written, the zero time while it is not there.
+func modified(path string) time.Time {
+	i, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return i.ModTime()
+}
+
+// rejoin takes the addresses to join by from the settings file.
+func (b *builder) rejoin(path string) {
+	s, err := conf.Load(path)
+	if err != nil {
+		b.log.Error("settings not reloaded, the old ones stay", zap.Error(err))
+		return
+	}
+	b.finder.SetJoin(s.Join.Addresses)
+	b.log.Info("settings reloaded", zap.Strings("join", s.Join.Addresses))
+}
