assign, broker: whole jobs are admitted by a part of their slack

Change: an expected wait may take 0.8 of the slack of urgent queues and 0.3 of others'. An entry that has just started serves by a configuration that no quorum has confirmed yet, until one has.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -133,6 +133,58 @@
 	return choice, true
 }
 
+// Settings are the limits of admission: the parts of a job's slack that its
+// expected wait may take. What is expected is often exceeded, and room that is
+// left now is there for urgent work that comes next.
+type Settings struct {
+	// Urgent is the part for queues of priority 0, Other for all others.
+	Urgent, Other float64
+}
+
+// DefaultSettings returns the settings that did best in the floods of the
+// package's tests.
+func DefaultSettings() Settings { return Settings{Urgent: 0.8, Other: 0.3} }
+
+func (s Settings) limit(priority int, slack time.Duration) time.Duration {
+	if priority == 0 {
+		return time.Duration(s.Urgent * float64(slack))
+	}
+	return time.Duration(s.Other * float64(slack))
+}
+
+// Admission is the decision on a job's tasks.
+type Admission struct {
+	// Choices are where the tasks go, in their order; nil when refused.
+	Choices []Choice
+	// Wait is the longest expected delay of a task's end, beyond its estimate.
+	Wait time.Duration
+	// Impossible is set when no target could ever take one of the tasks.
+	Impossible bool
+}
+
+// Admit places all tasks, or none when the last of them would probably end
+// later than the slack allows. Tasks of a job that has begun are placed however
+// late.
+func (f *Fleet) Admit(s Settings, tasks []Task, priority int, slack time.Duration, begun bool, now time.Time) Admission {
+	limit := s.limit(priority, slack)
+	var a Admission
+	for _, t := range tasks {
+		c, ok := f.Place(t, now)
+		if ok {
+			a.Choices = append(a.Choices, c)
+			a.Wait = max(a.Wait, c.Wait+c.Run-t.Estimate)
+		}
+		if ok && (begun || a.Wait <= limit || c.Wait == 0 && a.Wait <= slack) {
+			continue
+		}
+		for j, c := range a.Choices {
+			f.Release(c.Agent, tasks[j].Need)
+		}
+		return Admission{Wait: a.Wait, Impossible: !ok}
+	}
+	return a
+}
+
 // Release counts a task as gone from the agent.
 func (f *Fleet) Release(agent string, need batch.Resources) {
 	if h := f.hosts[agent]; h != nil {
--- /dev/null
+++ b/assign/flood_test.go
@@ -0,0 +1,391 @@
+package assign_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/assign"
+	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/room"
+	"cyclamenrelay.example/wire"
+)
+
+// A kind of job, as both firms send them.
+type kind struct {
+	name     string
+	width    float64 // tasks of a job, on average
+	widest   int
+	work     time.Duration // of a task, on average
+	perS     float64
+	worth    float64 // of a job of average size
+	priority int
+}
+
+// The kinds at about 70 % of the capacity.
+func kinds() []kind {
+	return []kind{
+		{"match", 8, 32, 60 * time.Millisecond, 34.4, 0.0291, 0},
+		{"claim", 4, 16, 900 * time.Millisecond, 6.25, 0.16, 2},
+		{"tag", 2, 8, 200 * time.Millisecond, 100, 0.01, 1},
+	}
+}
+
+const (
+	entries  = 3
+	agents   = 11
+	hop      = 1500 * time.Microsecond
+	interval = 30 * time.Millisecond // between reports
+	stretch  = 1.6
+	aim      = 60 * time.Millisecond
+	overhead = 15 * time.Millisecond
+	warmUp   = 2 * time.Second
+	length   = 22 * time.Second
+)
+
+// A pattern of load: factors on the rate of each kind at a time.
+type pattern struct {
+	name   string
+	factor func(k string, at time.Duration) float64
+	gone   int // agents without a target from 6 s to 12 s
+}
+
+func between(at, from, to time.Duration) bool { return at >= from && at < to }
+
+func burst(k string, x float64) func(string, time.Duration) float64 {
+	return func(name string, at time.Duration) float64 {
+		if (k == "" || k == name) && between(at, 6*time.Second, 11*time.Second) {
+			return x
+		}
+		return 1
+	}
+}
+
+func patterns() []pattern {
+	return []pattern{
+		{"steady", burst("none", 1), 0},
+		{"burst of match", burst("match", 2), 0},
+		{"burst of claim", burst("claim", 2), 0},
+		{"burst of tag", burst("tag", 2), 0},
+		{"burst of all", burst("", 1.7), 0},
+		{"half the targets gone", burst("none", 1), 5},
+		{"a quarter gone, more load", func(string, time.Duration) float64 { return 1.15 }, 3},
+	}
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	o := *q
+	x := o[len(o)-1]
+	*q = o[:len(o)-1]
+	return x
+}
+
+// world is entries and agents joined by delays, with simulated time.
+type world struct {
+	rng      *rand.Rand
+	settings assign.Settings
+	start    time.Time
+	now      time.Duration
+	seq      int
+	events   queue
+	fleets   []*assign.Fleet
+	learners []*assign.Learner
+	hosts    []*host
+	lastID   uint64
+	score    map[string]*tally
+	windows  map[int]*tally
+}
+
+type host struct {
+	name  string
+	room  *room.Room
+	speed float64
+	open  bool
+	seq   uint64
+	tasks map[uint64]*simTask
+}
+
+type simTask struct {
+	job   *simJob
+	work  time.Duration
+	agent int
+	need  batch.Resources
+}
+
+type simJob struct {
+	kind     kind
+	entry    int
+	begun    time.Duration
+	longest  time.Duration
+	left     int
+	worth    float64
+	estimate time.Duration
+}
+
+type tally struct {
+	owed, earned                 float64
+	asked, inTime, late, refused int
+}
+
+func (t *tally) share() float64 {
+	if t.owed == 0 {
+		return 1
+	}
+	return t.earned / t.owed
+}
+
+func (w *world) at(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.events, event{w.now + d, w.seq, f})
+}
+
+func (w *world) time() time.Time { return w.start.Add(w.now) }
+
+func play(p pattern, s assign.Settings, seed uint64) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 9)), settings: s, start: time.Unix(1_700_000_000, 0),
+		score: map[string]*tally{}, windows: map[int]*tally{},
+	}
+	for e := range entries {
+		w.fleets = append(w.fleets, assign.New(fmt.Sprint("dc", e)))
+		w.learners = append(w.learners, assign.NewLearner())
+	}
+	for a := range agents {
+		h := &host{name: fmt.Sprintf("a%02d", a), room: room.New(), speed: 1, open: true, tasks: map[uint64]*simTask{}}
+		c := batch.Resources{CPU: 64_000, Memory: 262_144}
+		if a%3 == 2 {
+			h.speed, c.CPU = 1.3, 96_000
+		}
+		h.room.Resize(c)
+		w.hosts = append(w.hosts, h)
+		w.at(time.Duration(a)*time.Millisecond, func() { w.report(a) })
+	}
+	for e := range entries {
+		for _, k := range kinds() {
+			w.arrivals(p, k, e)
+		}
+	}
+	if p.gone > 0 {
+		set := func(open bool) func() {
+			return func() {
+				for _, h := range w.hosts[:p.gone] {
+					h.open = open
+					h.room.SetOpen(open)
+				}
+			}
+		}
+		w.at(6*time.Second, set(false))
+		w.at(12*time.Second, set(true))
+	}
+	for len(w.events) > 0 {
+		e := heap.Pop(&w.events).(event)
+		if w.now = e.at; w.now > length+8*time.Second {
+			break
+		}
+		e.do()
+	}
+	return w
+}
+
+func (w *world) arrivals(p pattern, k kind, e int) {
+	rate := k.perS / entries * p.factor(k.name, w.now)
+	d := time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
+	w.at(d, func() {
+		if w.now > length {
+			return
+		}
+		w.submit(k, e)
+		w.arrivals(p, k, e)
+	})
+}
+
+func (w *world) report(a int) {
+	h := w.hosts[a]
+	h.seq++
+	for e, f := range w.fleets {
+		r := wire.RoomReport{
+			Agent: h.name, Incarnation: 1, Seq: h.seq, Pool: "p", DataCentre: fmt.Sprint("dc", a%entries), Open: h.open,
+			Capacity: h.room.Capacity(), Used: h.room.Used(), Waiting: h.room.Waiting(), Yours: h.room.Of(fmt.Sprint(e)), Turn: h.room.Turn(),
+		}
+		w.at(hop, func() { f.Reported(r, w.time()) })
+	}
+	w.at(interval, func() { w.report(a) })
+}
+
+func lognormal(rng *rand.Rand, mean, spread float64) float64 {
+	return mean * math.Exp(rng.NormFloat64()*spread-spread*spread/2)
+}
+
+func (w *world) submit(k kind, e int) {
+	n := min(max(int(math.Round(lognormal(w.rng, k.width, 0.4))), 1), k.widest)
+	base := lognormal(w.rng, float64(k.work), 0.4)
+	j := &simJob{kind: k, entry: e, begun: w.now, left: n}
+	j.estimate = w.learners[e].Estimate(k.name, time.Duration(base*(0.6+0.8*w.rng.Float64())))
+	need := batch.Resources{CPU: int64(6200 * (0.8 + 0.4*w.rng.Float64())), Memory: 64}
+	tasks := make([]assign.Task, n)
+	works := make([]time.Duration, n)
+	var work float64
+	for i := range tasks {
+		tasks[i] = assign.Task{Pool: "p", Need: need, Estimate: j.estimate}
+		works[i] = time.Duration(base * (1 + 0.15*(2*w.rng.Float64()-1)))
+		j.longest = max(j.longest, works[i])
+		work += float64(works[i])
+	}
+	j.worth = k.worth * min(4, 0.3+0.7*work/(k.width*float64(k.work)))
+	if w.now > warmUp {
+		for _, t := range w.tallies(j) {
+			t.asked++
+			t.owed += j.worth
+		}
+	}
+	slack := time.Duration((stretch-1)*float64(j.estimate)) + aim - overhead
+	a := w.fleets[e].Admit(w.settings, tasks, k.priority, slack, false, w.time())
+	if a.Choices == nil {
+		if w.now > warmUp {
+			for _, t := range w.tallies(j) {
+				t.refused++
+			}
+		}
+		return
+	}
+	for i, c := range a.Choices {
+		h := slices.IndexFunc(w.hosts, func(h *host) bool { return h.name == c.Agent })
+		t := &simTask{job: j, work: works[i], agent: h, need: need}
+		w.at(hop, func() { w.enter(t, slack) })
+	}
+}
+
+func (w *world) tallies(j *simJob) []*tally {
+	win := int(j.begun / (2 * time.Second))
+	for _, k := range []string{j.kind.name, "all"} {
+		if w.score[k] == nil {
+			w.score[k] = &tally{}
+		}
+	}
+	if w.windows[win] == nil {
+		w.windows[win] = &tally{}
+	}
+	return []*tally{w.score[j.kind.name], w.score["all"], w.windows[win]}
+}
+
+func (w *world) enter(t *simTask, slack time.Duration) {
+	h := w.hosts[t.agent]
+	w.lastID++
+	h.tasks[w.lastID] = t
+	h.room.Enter(room.Ticket{
+		ID: w.lastID, Owner: fmt.Sprint(t.job.entry), Need: t.need, Estimate: t.job.estimate, Priority: t.job.kind.priority,
+		Due: w.time().Add(slack), Until: w.time().Add(time.Hour),
+	})
+	w.fill(h)
+}
+
+func (w *world) fill(h *host) {
+	for {
+		x, ok := h.room.Next()
+		if !ok {
+			return
+		}
+		t := h.tasks[x.ID]
+		ran := time.Duration(float64(t.work) * h.speed)
+		w.at(ran, func() {
+			h.room.Leave(x.ID)
+			delete(h.tasks, x.ID)
+			w.fill(h)
+			w.at(hop, func() { w.done(t, ran) })
+		})
+	}
+}
+
+func (w *world) done(t *simTask, ran time.Duration) {
+	j := t.job
+	f, l := w.fleets[j.entry], w.learners[j.entry]
+	f.Release(w.hosts[t.agent].name, t.need)
+	f.Ended(w.hosts[t.agent].name, batch.Done, w.time())
+	f.Ran(w.hosts[t.agent].name, ran, j.estimate)
+	l.Ran(j.kind.name, ran)
+	if j.left--; j.left > 0 || j.begun <= warmUp {
+		return
+	}
+	objective := time.Duration(stretch*float64(j.longest)) + aim - 8*time.Millisecond
+	took := w.now - j.begun
+	for _, x := range w.tallies(j) {
+		switch {
+		case took <= objective:
+			x.inTime++
+			x.earned += j.worth
+		case took <= 3*objective:
+			x.late++
+			x.earned += j.worth / 5
+		}
+	}
+}
+
+// worst returns the mean share of the two worst windows.
+func (w *world) worst() float64 {
+	var s []float64
+	for _, t := range w.windows {
+		if t.asked > 20 {
+			s = append(s, t.share())
+		}
+	}
+	slices.Sort(s)
+	return (s[0] + s[1]) / 2
+}
+
+func (w *world) least() float64 {
+	return min(w.score["match"].share(), w.score["claim"].share(), w.score["tag"].share())
+}
+
+// value is what the callers got, weighed as they weigh it: the whole, the worst
+// seconds and the worst-served kind.
+func (w *world) value() float64 { return 0.35*w.score["all"].share() + 0.5*w.worst() + 0.15*w.least() }
+
+// floods are the patterns in which admission decides: a kind comes twice as
+// often for five seconds, all kinds do, or targets are gone.
+func floods(s assign.Settings, t *testing.T) (mean, least float64) {
+	line := fmt.Sprintf("%+v", s)
+	least = 1
+	for _, p := range patterns() {
+		w := play(p, s, 7)
+		mean += w.value() / float64(len(patterns()))
+		least = min(least, w.least())
+		all := w.score["all"]
+		line += fmt.Sprintf("\n%-26s value %.3f all %.3f worst %.3f match %.2f claim %.2f tag %.2f refused %d late %d", p.name, w.value(),
+			all.share(), w.worst(), w.score["match"].share(), w.score["claim"].share(), w.score["tag"].share(), all.refused, all.late)
+	}
+	t.Logf("%s\nmean %.4f, least served kind %.2f", line, mean, least)
+	return mean, least
+}
+
+// TestAdmissionInFloods: the default limits serve callers better than filling
+// all slack, than a tight limit for all, and than holding back all but the most
+// urgent work; and no kind of work starves, whichever floods in.
+func TestAdmissionInFloods(t *testing.T) {
+	best, least := floods(assign.DefaultSettings(), t)
+	for _, s := range []assign.Settings{{Urgent: 1, Other: 1}, {Urgent: 0.25, Other: 0.25}, {Urgent: 1, Other: 0.05}} {
+		mean, _ := floods(s, t)
+		assert.Assert(t, best > mean, "%+v does better", s)
+	}
+	const starved = 0.5 // the floor that the users set for the kinds of a day
+	assert.Assert(t, least > starved, "the least served kind earns %.2f", least)
+}
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -43,6 +43,7 @@
 // Options configure a Broker.
 type Options struct {
 	DataCentre string
+	Admission  assign.Settings
 	Clock      clockwork.Clock
 	Log        *zap.Logger
 }
--- a/broker/work.go
+++ b/broker/work.go
@@ -159,33 +159,44 @@
 // cannot end in time and nothing of it has run.
 func (w *work) begin(ctx context.Context, step int) Outcome {
 	s := w.job.Steps[step]
+	est, slack := w.estimate(s), w.slack()
 	tasks := make([]*task, s.Count)
+	demands := make([]assign.Task, s.Count)
 	for i := range tasks {
 		tasks[i] = &task{name: batch.TaskName(w.job.ID, step, i), step: step}
+		demands[i] = w.demand(tasks[i], est)
 	}
-	var wait time.Duration
-	for i, t := range tasks {
-		c, ok := w.place(t)
-		wait = max(wait, c.Wait+c.Run-w.estimate(s))
-		late := wait > w.slack() && !w.mayHaveRun()
-		if ok && !late {
-			continue
-		}
-		for _, x := range tasks[:i+1] {
-			w.release(x)
-		}
-		if !ok {
-			return w.given("no target can take the work")
-		}
-		return Refuse{Reason: "it would end too late", Overload: true, After: max(wait, retryAfter)}
+	b := w.b
+	b.mu.Lock()
+	a := b.fleet.Admit(b.opts.Admission, demands, w.queue.Priority, slack, w.mayHaveRun(), b.opts.Clock.Now())
+	b.mu.Unlock()
+	w.wait = max(w.wait, a.Wait)
+	if a.Impossible {
+		return w.given("no target can take the work")
 	}
-	w.wait = max(w.wait, wait)
-	for _, t := range tasks {
+	if a.Choices == nil {
+		return Refuse{Reason: "it would end too late", Overload: true, After: max(a.Wait, retryAfter)}
+	}
+	for i, t := range tasks {
+		t.placedAt(a.Choices[i])
 		w.send(ctx, t)
 	}
 	return nil
 }
 
+func (t *task) placedAt(c assign.Choice) {
+	t.agent, t.wait, t.expect = c.Agent, c.Wait, c.Run
+	t.placed++
+}
+
+// demand returns what placing the task needs to know.
+func (w *work) demand(t *task, est time.Duration) assign.Task {
+	s := w.job.Steps[t.step]
+	return assign.Task{
+		Pool: w.queue.Pool, Need: s.Need, Label: s.Label, Rack: s.Rack, Estimate: est, Avoid: t.avoid, Full: t.full,
+	}
+}
+
 // mayHaveRun reports whether a part of the job has run or may have.
 func (w *work) mayHaveRun() bool { return w.ran || w.open > 0 }
 
@@ -197,31 +208,16 @@
 	return Refuse{Reason: reason, Overload: true, After: retryAfter}
 }
 
-func (w *work) place(t *task) (assign.Choice, bool) {
-	s := w.job.Steps[t.step]
-	b := w.b
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c, ok := b.fleet.Place(assign.Task{
-		Pool: w.queue.Pool, Need: s.Need, Label: s.Label, Rack: s.Rack,
-		Estimate: b.learner.Estimate(w.queue.Name, s.Estimate), Avoid: t.avoid, Full: t.full,
-	}, b.opts.Clock.Now())
-	if ok {
-		t.agent, t.wait, t.expect = c.Agent, c.Wait, c.Run
-		t.placed++
-	}
-	return c, ok
-}
-
-// release takes back the placement of a task that was not sent.
-func (w *work) release(t *task) {
-	if t.agent == "" {
-		return
-	}
+// place chooses another agent for a task.
+func (w *work) place(t *task) bool {
+	est := w.estimate(w.job.Steps[t.step])
 	w.b.mu.Lock()
 	defer w.b.mu.Unlock()
-	w.b.fleet.Release(t.agent, w.job.Steps[t.step].Need)
-	t.agent = ""
+	c, ok := w.b.fleet.Place(w.demand(t, est), w.b.opts.Clock.Now())
+	if ok {
+		t.placedAt(c)
+	}
+	return ok
 }
 
 // send has the task's agent run it, and passes the end to results.
@@ -330,7 +326,7 @@
 	if now.Add(w.estimate(w.job.Steps[t.step]) + overhead).After(w.limit) {
 		return w.given("too little time is left for another start")
 	}
-	if _, ok := w.place(t); !ok {
+	if !w.place(t) {
 		return w.given("no other target can take the work")
 	}
 	w.send(ctx, t)
--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -80,21 +80,21 @@
 		}
 		u, ok = k.update(m.Version)
 	}
-	if !ok {
+	if !ok && !(m.Unproven && u.Delta.To > 0) {
 		return wire.Refused{Reason: "this keeper cannot tell how fresh its configuration is"}
 	}
 	return u
 }
 
-// update returns what is newer than a version, and false when no quorum has
-// confirmed it to this keeper yet.
+// update returns what is newer than a version, and false and a negative age when
+// no quorum has confirmed it to this keeper yet.
 func (k *Keeper) update(version uint64) (u wire.ConfigUpdate, ok bool) {
 	k.look(func() {
 		r := k.groups[0]
 		c := r.machine.(*state.Config)
 		var age time.Duration
 		if _, age, ok = r.node.Fresh(k.now()); !ok {
-			return
+			age = -1
 		}
 		u.Fresh = model.Fresh{Version: c.Version(), Age: age}
 		if c.Version() > version {
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/broker"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/leader"
@@ -48,7 +49,9 @@
 		b.finder.Answer()
 	}
 	b.k.Add(b.follower())
-	br := broker.New(broker.Options{DataCentre: b.s.Node.DataCentre, Clock: b.clock, Log: b.log})
+	br := broker.New(broker.Options{
+		DataCentre: b.s.Node.DataCentre, Admission: assign.DefaultSettings(), Clock: b.clock, Log: b.log,
+	})
 	b.k.Add(br)
 	meter.Gauge("relay_jobs_in_progress", func() float64 { return float64(br.InProgress()) })
 	b.k.Add(&platform.Front{
@@ -63,4 +66,3 @@
 		Keepers: func() []string { return b.finder.Addresses(keys.Keeper) },
 	}
 }
-
--- a/spread/follow.go
+++ b/spread/follow.go
@@ -57,7 +57,9 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	sent := f.Clock.Now()
-	a, err := f.Node.Call(ctx, link.To{Address: addr, Role: keys.Keeper}, wire.WatchConfig{Version: f.View.Config().Version()})
+	a, err := f.Node.Call(ctx, link.To{Address: addr, Role: keys.Keeper}, wire.WatchConfig{
+		Version: f.View.Config().Version(), Unproven: !f.View.Usable(),
+	})
 	if err != nil {
 		f.Log.Debug("keeper not reached", zap.String("address", addr), zap.Error(err))
 		return false
--- a/spread/view.go
+++ b/spread/view.go
@@ -81,6 +81,14 @@
 	return !v.proven.Before(v.start) && (v.stale || v.clock.Since(v.proven) <= v.lease)
 }
 
+// Provisional reports whether there is a configuration that no quorum has
+// confirmed since the process started. Nothing was decided by a newer one here.
+func (v *View) Provisional() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.proven.Before(v.start) && v.cfg.Version() > 0
+}
+
 // Fresh reports whether a quorum has confirmed the view within its lease.
 func (v *View) Fresh() bool {
 	v.mu.Lock()
--- a/wire/common.go
+++ b/wire/common.go
@@ -30,6 +30,9 @@
 // ConfigUpdate, after a short wait when there is nothing newer.
 type WatchConfig struct {
 	Version uint64 `cbor:"1,keyasint"`
+	// Unproven asks for what the keeper has even if no quorum has confirmed it;
+	// its freshness has a negative age then.
+	Unproven bool `cbor:"2,keyasint,omitempty"`
 }
 
 // ConfigUpdate carries a change of configuration and its freshness.
