--- a/conf/join.go
+++ b/conf/join.go
@@ -33,10 +33,8 @@
 		}
 		link := netip.AddrPortFrom(a.Addr(), own.Port()).String()
 		members = append(members, InitialMember{Name: a.Addr().String(), Address: link, DataCentre: s.Node.DataCentre})
-		if a.Addr() == own.Addr() {
-			isSeed = true
-			continue
-		}
+		// A keeper that is alone finds itself by its own address.
+		isSeed = isSeed || a.Addr() == own.Addr()
 		if !slices.Contains(s.Join.Addresses, link) {
 			s.Join.Addresses = append(slices.Clone(s.Join.Addresses), link)
 		}
--- /dev/null
+++ b/porter/porter_test.go
@@ -0,0 +1,414 @@
+package porter_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/kernel"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/porter"
+	"cyclamenrelay.example/wire"
+)
+
+// fakeTarget is a target as its platform describes it: leases by its own clock,
+// fences, and ends that are listed until they are taken note of.
+type fakeTarget struct {
+	mu      sync.Mutex
+	start   time.Time
+	fence   uint64
+	until   time.Duration
+	running map[porter.Running]bool
+	past    map[string]uint64 // the highest run that ended, by task
+	ended   []porter.Ended
+	n       int64
+	// deaf leaves starts unanswered, and late carries them out after a time.
+	deaf  bool
+	late  time.Duration
+	gone  bool
+	most  int // runs at the same time of one task, ever
+	stops int
+}
+
+func newTarget() *fakeTarget {
+	return &fakeTarget{start: time.Now(), running: map[porter.Running]bool{}, past: map[string]uint64{}}
+}
+
+func (x *fakeTarget) clock() time.Duration { return time.Since(x.start) + time.Second }
+
+func (x *fakeTarget) reply(v porter.Verdict) porter.Reply {
+	return porter.Reply{Verdict: v, Clock: x.clock()}
+}
+
+// lapse kills everything when the lease has ended. The caller holds mu.
+func (x *fakeTarget) lapse() {
+	if x.clock() > x.until {
+		for r := range x.running {
+			x.end(r, batch.Stopped)
+		}
+	}
+}
+
+func (x *fakeTarget) end(r porter.Running, e batch.End) {
+	delete(x.running, r)
+	x.past[r.Task] = max(x.past[r.Task], r.Run)
+	x.n++
+	x.ended = append(x.ended, porter.Ended{N: x.n, Task: r.Task, Run: r.Run, End: e})
+}
+
+func (x *fakeTarget) begin(o porter.Order) porter.Reply {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.lapse()
+	r := porter.Running{Task: o.Task, Run: o.Run}
+	switch {
+	case o.Fence < x.fence:
+		return x.reply(porter.Fenced)
+	case o.Until < x.clock():
+		return x.reply(porter.Expired)
+	case o.Run <= x.past[o.Task]:
+		return x.reply(porter.Outdated)
+	}
+	x.fence, x.until = o.Fence, max(x.until, o.Until)
+	x.running[r] = true
+	same := 0
+	for other := range x.running {
+		if other.Task == o.Task {
+			same++
+		}
+	}
+	x.most = max(x.most, same)
+	return x.reply(porter.Accepted)
+}
+
+func (x *fakeTarget) Start(ctx context.Context, _ porter.Target, o porter.Order) (porter.Reply, error) {
+	x.mu.Lock()
+	deaf, gone, late := x.deaf, x.gone, x.late
+	x.mu.Unlock()
+	if gone {
+		return porter.Reply{}, porter.Gone{Reason: "test"}
+	}
+	if deaf {
+		time.AfterFunc(late, func() { x.begin(o) })
+		<-ctx.Done()
+		return porter.Reply{}, ctx.Err()
+	}
+	return x.begin(o), nil
+}
+
+func (x *fakeTarget) Stop(_ context.Context, _ porter.Target, o porter.Order) (porter.Reply, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.stops++
+	if x.gone {
+		return porter.Reply{}, porter.Gone{Reason: "test"}
+	}
+	if o.Fence < x.fence {
+		return x.reply(porter.Fenced), nil
+	}
+	x.fence = o.Fence
+	x.past[o.Task] = max(x.past[o.Task], o.Run)
+	if r := (porter.Running{Task: o.Task, Run: o.Run}); x.running[r] {
+		x.end(r, batch.Stopped)
+	}
+	return x.reply(porter.Accepted), nil
+}
+
+func (x *fakeTarget) Hold(_ context.Context, _ porter.Target, h porter.Hold) (porter.Listing, error) {
+	time.Sleep(5 * time.Millisecond)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.gone {
+		return porter.Listing{}, porter.Gone{Reason: "test"}
+	}
+	if h.Fence < x.fence {
+		return porter.Listing{Reply: x.reply(porter.Fenced)}, nil
+	}
+	x.lapse()
+	x.fence, x.until = h.Fence, max(x.until, h.Until)
+	l := porter.Listing{Reply: x.reply(porter.Accepted)}
+	for r := range x.running {
+		l.Running = append(l.Running, r)
+	}
+	for _, e := range x.ended {
+		if e.N > h.Seen {
+			l.Ended = append(l.Ended, e)
+		}
+	}
+	return l, nil
+}
+
+func (x *fakeTarget) announcement(seq int64, open bool) porter.Target {
+	return porter.Target{
+		ID: "i-1", Born: 7, Seq: seq, Pool: "p", Address: "x", DataCentre: "dc", Open: open, Clock: x.clock(),
+		Capacity: batch.Resources{CPU: 1000, Memory: 1000},
+	}
+}
+
+func (x *fakeTarget) finish(task string, run uint64, e batch.End) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.end(porter.Running{Task: task, Run: run}, e)
+}
+
+// bed is an agent and an entry, joined by a link.
+type bed struct {
+	t      *testing.T
+	target *fakeTarget
+	porter *porter.Porter
+	entry  *link.Node
+
+	mu      sync.Mutex
+	reports []wire.RoomReport
+	mute    bool // the entry answers no reports
+}
+
+func newBed(t *testing.T, x *fakeTarget) *bed {
+	b := &bed{t: t, target: x}
+	clock := clockwork.NewRealClock()
+	b.entry = b.node("entry-1", keys.Entry)
+	link.On(b.entry.Mux(), func(context.Context, link.Peer, wire.FindNodes) wire.Message {
+		return wire.Nodes{Digest: 1, Nodes: []wire.Node{
+			{Name: "entry-1", Address: b.entry.Address(), DataCentre: "dc", Roles: []string{"entry"}, Incarnation: 1},
+		}}
+	}, keys.Agent)
+	link.On(b.entry.Mux(), func(_ context.Context, _ link.Peer, m wire.RoomReport) wire.Message {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.reports = append(b.reports, m)
+		if b.mute {
+			return wire.Refused{Reason: "test"}
+		}
+		return wire.Done{}
+	}, keys.Agent)
+	assert.NilError(t, b.entry.Start(nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = b.entry.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	agent := b.node("agent-1", keys.Agent)
+	finder := member.NewFinder(agent, clock, zap.NewNop(),
+		wire.Node{Name: "agent-1", DataCentre: "dc", Roles: []string{"agent"}, Incarnation: 3}, []string{b.entry.Address()})
+	b.porter = porter.New(porter.Options{
+		Driver: x, TargetLease: 400 * time.Millisecond, EntryLease: 400 * time.Millisecond, DrainTimeout: time.Second,
+		Clock: clock, Log: zap.NewNop(),
+	})
+	run(t, finder, b.porter, agent)
+	return b
+}
+
+func (b *bed) node(name string, role keys.Role) *link.Node {
+	clock := clockwork.NewRealClock()
+	id, err := keys.Ephemeral(clock, name, []keys.Role{role})
+	assert.NilError(b.t, err)
+	return link.New(link.Options{Address: "127.0.0.1:0", Keys: id, Log: zap.NewNop(), Clock: clock})
+}
+
+// run runs services until the test ends.
+func run(t *testing.T, services ...kernel.Service) {
+	k := kernel.New(zap.NewNop())
+	for _, s := range services {
+		k.Add(s)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- k.Run(ctx, 0) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
+
+func (b *bed) await(what string, f func() bool) {
+	poll.WaitOn(b.t, func(poll.LogT) poll.Result {
+		if f() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
+func (b *bed) last() wire.RoomReport {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.reports) == 0 {
+		return wire.RoomReport{}
+	}
+	return b.reports[len(b.reports)-1]
+}
+
+func (b *bed) runs() int {
+	b.target.mu.Lock()
+	defer b.target.mu.Unlock()
+	return len(b.target.running)
+}
+
+// start sends a task and returns where its end arrives.
+func (b *bed) start(task string, cpu int64) <-chan wire.RunEnded {
+	out := make(chan wire.RunEnded, 1)
+	m := wire.StartRun{
+		Job: "j", Task: task, Run: 1, Need: batch.Resources{CPU: cpu}, Estimate: time.Second, Slack: time.Second, Patience: 10 * time.Second,
+	}
+	go func() {
+		a, err := b.entry.CallPeer(b.t.Context(), "agent-1", m)
+		e, ok := a.(wire.RunEnded)
+		if err != nil || !ok {
+			e = wire.RunEnded{End: batch.Lost}
+		}
+		out <- e
+	}()
+	return out
+}
+
+func (b *bed) ready() {
+	b.porter.Announced(b.target.announcement(1, true))
+	b.await("open report", func() bool { return b.last().Open })
+}
+
+func TestRunToItsEnd(t *testing.T) {
+	x := newTarget()
+	b := newBed(t, x)
+	b.ready()
+	first, second := b.start("t1", 600), b.start("t2", 600)
+	b.await("one run", func() bool { return b.runs() == 1 })
+	b.await("report of what is taken", func() bool {
+		r := b.last()
+		return r.Used.CPU == 600 && r.Waiting.CPU == 600 && r.Yours.CPU == 1200
+	})
+	x.mu.Lock()
+	t1 := x.running[porter.Running{Task: "t1", Run: 1}]
+	x.mu.Unlock()
+	order := []string{"t1", "t2"}
+	ends := map[string]<-chan wire.RunEnded{"t1": first, "t2": second}
+	if !t1 {
+		order = []string{"t2", "t1"}
+	}
+	x.finish(order[0], 1, batch.Done)
+	assert.Equal(t, (<-ends[order[0]]).End, batch.Done)
+	b.await("the other run", func() bool { return b.runs() == 1 })
+	x.finish(order[1], 1, batch.Failed)
+	assert.Equal(t, (<-ends[order[1]]).End, batch.Failed)
+	b.await("an empty room", func() bool { return b.last().Used.CPU == 0 && b.last().Yours.CPU == 0 })
+	e := <-b.start("t3", 2000)
+	assert.Equal(t, e.End, batch.NotStarted)
+}
+
+// A start that stays unanswered may be carried out seconds later. By then the
+// task may run elsewhere, so it must have been ruled out.
+func TestUnansweredStartNeverRuns(t *testing.T) {
+	x := newTarget()
+	x.deaf, x.late = true, 600*time.Millisecond
+	b := newBed(t, x)
+	b.ready()
+	e := <-b.start("t1", 100)
+	assert.Equal(t, e.End, batch.Stopped)
+	time.Sleep(700 * time.Millisecond) // until the order has been carried out
+	assert.Equal(t, b.runs(), 0)
+	assert.Equal(t, x.most, 0, "a run began after its end had been reported")
+}
+
+func TestRunEndsWithItsEntrysLease(t *testing.T) {
+	x := newTarget()
+	b := newBed(t, x)
+	b.ready()
+	end := b.start("t1", 100)
+	b.await("a run", func() bool { return b.runs() == 1 })
+	b.mu.Lock()
+	b.mute = true
+	b.mu.Unlock()
+	e := <-end
+	assert.Equal(t, e.End, batch.Stopped)
+	assert.Equal(t, b.runs(), 0)
+	assert.Equal(t, (<-b.start("t2", 100)).End, batch.NotStarted, "an entry without a lease started a task")
+}
+
+func TestRunEndsWhenTheEntryGivesItUp(t *testing.T) {
+	x := newTarget()
+	b := newBed(t, x)
+	b.ready()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		_, _ = b.entry.CallPeer(ctx, "agent-1", wire.StartRun{Job: "j", Task: "t1", Run: 1, Patience: time.Second})
+	}()
+	b.await("a run", func() bool { return b.runs() == 1 })
+	cancel()
+	b.await("no run", func() bool { return b.runs() == 0 })
+}
+
+// Runs of an earlier agent are stopped before entries hear of any room: they
+// would start the tasks again.
+func TestRunsOfAnEarlierAgentAreStoppedFirst(t *testing.T) {
+	x := newTarget()
+	x.fence, x.until = 500, time.Hour
+	x.running[porter.Running{Task: "old", Run: 4}] = true
+	b := newBed(t, x)
+	b.ready()
+	assert.Equal(t, b.runs(), 0)
+	assert.Equal(t, x.past["old"], uint64(4))
+}
+
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	x := newTarget()
+	b := newBed(t, x)
+	b.ready()
+	end := b.start("t1", 100)
+	b.await("a run", func() bool { return b.runs() == 1 })
+	assert.Assert(t, b.porter.Announced(x.announcement(2, false)))
+	assert.Equal(t, (<-b.start("t2", 100)).End, batch.NotStarted)
+	b.await("a closed report", func() bool { return !b.last().Open })
+	assert.Equal(t, b.runs(), 1, "what ran was stopped")
+	x.finish("t1", 1, batch.Done)
+	assert.Equal(t, (<-end).End, batch.Done)
+}
+
+func TestOldAnnouncementsArePassedOver(t *testing.T) {
+	x := newTarget()
+	b := newBed(t, x)
+	b.porter.Announced(x.announcement(5, true))
+	b.await("open report", func() bool { return b.last().Open })
+	assert.Assert(t, !b.porter.Announced(x.announcement(4, false)))
+	earlier := x.announcement(9, false)
+	earlier.ID, earlier.Born = "i-0", 3
+	assert.Assert(t, !b.porter.Announced(earlier), "an earlier life replaced a later one")
+	assert.Assert(t, b.last().Open)
+}
+
+func TestRunsEndWithTheirTarget(t *testing.T) {
+	x := newTarget()
+	b := newBed(t, x)
+	b.ready()
+	end := b.start("t1", 100)
+	b.await("a run", func() bool { return b.runs() == 1 })
+	x.mu.Lock()
+	x.gone = true
+	x.mu.Unlock()
+	assert.Equal(t, (<-end).End, batch.Stopped)
+	b.await("a closed report", func() bool { return !b.last().Open })
+}
+
+func TestOverdueRunIsStopped(t *testing.T) {
+	x := newTarget()
+	b := newBed(t, x)
+	b.ready()
+	a, err := b.entry.CallPeer(t.Context(), "agent-1", wire.StartRun{
+		Job: "j", Task: "t1", Run: 1, Patience: time.Second, Overdue: 50 * time.Millisecond,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, a.(wire.RunEnded).End, batch.Stopped)
+	assert.Equal(t, b.runs(), 0)
+}
--- /dev/null
+++ b/repair/automatic_test.go
@@ -0,0 +1,73 @@
+package repair_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/repair"
+	"cyclamenrelay.example/rlog"
+)
+
+// settle applies automatic changes until there is none.
+func settle(t *testing.T, m rlog.Membership, live map[string]rlog.ID, absent map[string]bool) rlog.Membership {
+	for range 30 {
+		st := rlog.Status{Members: m, Commit: 7, Match: map[rlog.ID]uint64{}}
+		for _, i := range live {
+			st.Match[i] = 7
+		}
+		c, ok := repair.Next(st, repair.Automatic(st, live, absent), live)
+		if !ok {
+			return m
+		}
+		if c.Remove {
+			m = m.Without(c.Member.ID)
+		} else {
+			m = m.With(c.Member)
+		}
+		votes := 0
+		for _, i := range live {
+			if m.IsVoter(i) {
+				votes++
+			}
+		}
+		assert.Assert(t, 2*votes > m.Voters() || len(live) < 3, "the live keepers no longer decide: %v", m)
+	}
+	t.Fatal("no end")
+	return nil
+}
+
+func gone(names ...string) map[string]bool {
+	out := map[string]bool{}
+	for _, n := range names {
+		out[n] = true
+	}
+	return out
+}
+
+func TestAutomaticMembership(t *testing.T) {
+	e := id("e", 1)
+	for name, x := range map[string]struct {
+		members rlog.Membership
+		live    map[string]rlog.ID
+		absent  map[string]bool
+		want    rlog.Membership
+	}{
+		"a new keeper joins":                     {voters(a, b, c), alive(a, b, c, d), nil, voters(a, b, c, d)},
+		"one of three stays though it is absent": {voters(a, b, c), alive(a, b), gone("c"), voters(a, b, c)},
+		"a new keeper replaces an absent one":    {voters(a, b, c), alive(a, b, d), gone("c"), voters(a, b, d)},
+		"one that just fell silent stays":        {voters(a, b, c), alive(a, b, d), nil, voters(a, b, c, d)},
+		"an emptied keeper takes its own place":  {voters(a, b, c), alive(a, b, c2), nil, voters(a, b, c2)},
+		"one of four is replaced":                {voters(a, b, c, d), alive(a, c, d, e), gone("b"), voters(a, c, d, e)},
+	} {
+		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, settle(t, x.members, x.live, x.absent), x.want) })
+	}
+}
+
+func TestAutomaticMembershipIsBounded(t *testing.T) {
+	var live []rlog.ID
+	for _, n := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+		live = append(live, id(n, 1))
+	}
+	assert.Equal(t, settle(t, voters(a, b, c), alive(live...), nil).Voters(), 7)
+}
--- /dev/null
+++ b/room/room_test.go
@@ -0,0 +1,110 @@
+package room_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/room"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func ticket(id uint64, cpu int64, due time.Duration, priority int) room.Ticket {
+	return room.Ticket{
+		ID: id, Owner: "e1", Need: batch.Resources{CPU: cpu}, Estimate: 100 * time.Millisecond, Priority: priority,
+		Due: start.Add(due), Until: start.Add(2 * due),
+	}
+}
+
+func next(r *room.Room) uint64 {
+	t, ok := r.Next()
+	if !ok {
+		return 0
+	}
+	return t.ID
+}
+
+func TestTheOneDueFirstStartsFirst(t *testing.T) {
+	r := room.New()
+	r.Resize(batch.Resources{CPU: 1000})
+	r.Enter(ticket(1, 1000, 300*time.Millisecond, 0))
+	r.Enter(ticket(2, 1000, 100*time.Millisecond, 0))
+	r.Enter(ticket(3, 1000, 90*time.Millisecond, 2))
+	r.Enter(ticket(4, 1000, 100*time.Millisecond, 0))
+	for _, want := range []uint64{2, 4, 3, 1} {
+		id := next(r)
+		assert.Equal(t, id, want)
+		assert.Equal(t, next(r), uint64(0), "there is room for one")
+		r.Leave(id)
+	}
+}
+
+func TestLargeTaskIsNotPassedOverForEver(t *testing.T) {
+	r := room.New()
+	r.Resize(batch.Resources{CPU: 1000})
+	r.Enter(ticket(1, 600, 100*time.Millisecond, 0))
+	assert.Equal(t, next(r), uint64(1))
+	r.Enter(ticket(2, 1000, 100*time.Millisecond, 0))
+	r.Enter(ticket(3, 100, 200*time.Millisecond, 0))
+	assert.Equal(t, next(r), uint64(0), "a small task went past a large one that was due before")
+	r.Enter(ticket(4, 5000, 50*time.Millisecond, 0))
+	assert.Equal(t, next(r), uint64(0))
+	r.Leave(1)
+	assert.Equal(t, next(r), uint64(2), "a task that can never fit holds up the others")
+}
+
+func TestClosedRoomStartsNothing(t *testing.T) {
+	r := room.New()
+	r.Resize(batch.Resources{CPU: 1000})
+	r.SetOpen(false)
+	r.Enter(ticket(1, 1, 100*time.Millisecond, 0))
+	assert.Equal(t, next(r), uint64(0))
+	assert.Equal(t, len(r.Expired(start.Add(200*time.Millisecond))), 0)
+	late := r.Expired(start.Add(201 * time.Millisecond))
+	assert.Equal(t, len(late), 1)
+	r.SetOpen(true)
+	assert.Equal(t, next(r), uint64(0))
+}
+
+// The room that is taken never exceeds the capacity, and all of it is given back.
+func TestRoomIsNeverOversold(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	r := room.New()
+	capacity := batch.Resources{CPU: 8000, Memory: 4096, Accelerators: 2}
+	r.Resize(capacity)
+	var running []uint64
+	for id := uint64(1); id <= 5000; id++ {
+		x := ticket(id, rng.Int64N(4000), time.Duration(rng.IntN(500))*time.Millisecond, rng.IntN(3))
+		x.Need.Memory, x.Need.Accelerators = rng.Int64N(2048), rng.Int64N(3)
+		r.Enter(x)
+		if rng.IntN(4) == 0 {
+			r.Leave(id)
+		}
+		for n := next(r); n != 0; n = next(r) {
+			running = append(running, n)
+		}
+		assert.Assert(t, r.Used().Fits(capacity), "%+v is taken", r.Used())
+		for len(running) > 0 && rng.IntN(3) > 0 {
+			i := rng.IntN(len(running))
+			r.Leave(running[i])
+			running = append(running[:i], running[i+1:]...)
+		}
+	}
+	for len(running) > 0 || next(r) != 0 {
+		for _, id := range running {
+			r.Leave(id)
+		}
+		running = nil
+		for n := next(r); n != 0; n = next(r) {
+			running = append(running, n)
+		}
+	}
+	assert.Equal(t, r.Used(), batch.Resources{})
+	assert.Equal(t, r.Waiting(), batch.Resources{})
+	assert.Equal(t, r.Of("e1"), batch.Resources{})
+	assert.Equal(t, r.Turn(), time.Duration(0))
+}
