broker, keys, spread, system: tests; health waits for what an agent offers

TestHealthMeansWhatItSays read once what the agent offers, right after it was ready: an agent is ready with its configuration, also before its target has announced itself. The test waits for it, as for the other states.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -57,8 +57,6 @@
 	Label string
 	// Rack is the label of the rack where the data is, empty for anywhere.
 	Rack string
-	// PerTarget is the most tasks of the step on one target, 0 for no bound.
-	PerTarget int
 }
 
 // Job is a submission of steps.
--- /dev/null
+++ b/broker/broker_test.go
@@ -0,0 +1,278 @@
+package broker_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"cyclamenrelay.example/assign"
+	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/broker"
+	"cyclamenrelay.example/kernel"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/policy"
+	"cyclamenrelay.example/wire"
+)
+
+// bed is a broker with fake agents.
+type bed struct {
+	t      *testing.T
+	broker *broker.Broker
+	entry  *link.Node
+
+	mu     sync.Mutex
+	starts []wire.StartRun
+	agents []string // that got the starts
+}
+
+func newBed(t *testing.T) *bed {
+	b := &bed{t: t}
+	clock := clockwork.NewRealClock()
+	b.entry = b.node("entry-1", keys.Entry)
+	b.broker = broker.New(broker.Options{DataCentre: "dc", Admission: assign.DefaultSettings(), Clock: clock, Log: zap.NewNop()})
+	k := kernel.New(zap.NewNop())
+	k.Add(b.broker)
+	k.Add(b.entry)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	started := make(chan struct{})
+	k.Add(service(func(ctx context.Context) error {
+		close(started)
+		<-ctx.Done()
+		return nil
+	}))
+	go func() { done <- k.Run(ctx, 0) }()
+	<-started
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return b
+}
+
+// service is a kernel.Service of one function.
+type service func(context.Context) error
+
+func (s service) Name() string                  { return "started" }
+func (s service) Run(ctx context.Context) error { return s(ctx) }
+
+func (b *bed) node(name string, role keys.Role) *link.Node {
+	clock := clockwork.NewRealClock()
+	id, err := keys.Ephemeral(clock, name, []keys.Role{role})
+	assert.NilError(b.t, err)
+	return link.New(link.Options{Address: "127.0.0.1:0", Keys: id, Log: zap.NewNop(), Clock: clock})
+}
+
+// agent adds an agent that answers each start as f says, and returns what ends it.
+func (b *bed) agent(name string, cpu int64, f func(context.Context, wire.StartRun) wire.RunEnded) (stop func()) {
+	n := b.node(name, keys.Agent)
+	link.On(n.Mux(), func(ctx context.Context, _ link.Peer, m wire.StartRun) wire.Message {
+		b.mu.Lock()
+		b.starts = append(b.starts, m)
+		b.agents = append(b.agents, name)
+		b.mu.Unlock()
+		return f(ctx, m)
+	}, keys.Entry)
+	assert.NilError(b.t, n.Start(nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = n.Run(ctx) })
+	reported := make(chan struct{})
+	wg.Go(func() {
+		for seq := uint64(1); ctx.Err() == nil; seq++ {
+			_, _ = n.Call(ctx, link.To{Address: b.entry.Address()}, wire.RoomReport{
+				Agent: name, Incarnation: 1, Seq: seq, Target: "t", Pool: "p", DataCentre: "dc", Open: true,
+				Capacity: batch.Resources{CPU: cpu}, Turn: 50 * time.Millisecond,
+			})
+			if seq == 1 {
+				close(reported)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	stop = sync.OnceFunc(func() {
+		cancel()
+		wg.Wait()
+	})
+	b.t.Cleanup(stop)
+	<-reported
+	return stop
+}
+
+func queue() policy.Queue {
+	return policy.Queue{Name: "q", Pool: "p", Timeout: 10 * time.Second, Stretch: 1.6, Slack: 60 * time.Millisecond, Attempts: 2}
+}
+
+func job(id string, steps ...batch.Step) batch.Job {
+	for i := range steps {
+		steps[i].Need, steps[i].Estimate = batch.Resources{CPU: 100}, time.Second
+	}
+	return batch.Job{ID: id, Steps: steps, Transient: true}
+}
+
+func (b *bed) submit(j batch.Job) broker.Outcome {
+	return b.broker.Submit(b.t.Context(), queue(), j, time.Now().Add(10*time.Second))
+}
+
+func (b *bed) names() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, s := range b.starts {
+		out = append(out, s.Task)
+	}
+	return out
+}
+
+func done(context.Context, wire.StartRun) wire.RunEnded {
+	return wire.RunEnded{End: batch.Done, Ran: time.Millisecond}
+}
+
+func TestStepsInTheirOrder(t *testing.T) {
+	b := newBed(t)
+	b.agent("a1", 1000, done)
+	o := b.submit(job("j", batch.Step{Count: 1}, batch.Step{Count: 1, After: []int{0}}, batch.Step{Count: 1, After: []int{1}}))
+	assert.Equal(t, o, broker.Outcome(broker.Complete{}))
+	assert.DeepEqual(t, b.names(), []string{"j.0.0.0", "j.0.1.0", "j.0.2.0"})
+	assert.Equal(t, b.submit(job("j", batch.Step{Count: 1})), broker.Outcome(broker.Complete{}))
+	assert.Equal(t, len(b.names()), 3, "a job that was done ran again")
+}
+
+// Work is said not to have run only where that is certain.
+func TestOutcomes(t *testing.T) {
+	end := func(e batch.End) func(context.Context, wire.StartRun) wire.RunEnded {
+		return func(context.Context, wire.StartRun) wire.RunEnded { return wire.RunEnded{End: e} }
+	}
+	for name, x := range map[string]struct {
+		agent  func(context.Context, wire.StartRun) wire.RunEnded
+		want   broker.Outcome
+		starts int
+	}{
+		"done":                  {done, broker.Complete{}, 1},
+		"fails as often as may": {end(batch.Failed), broker.Fail{}, 2},
+		"never started":         {end(batch.NotStarted), broker.Refuse{}, 1},
+		"lost":                  {end(batch.Lost), broker.Broken{}, 1},
+		"stopped each time":     {end(batch.Stopped), broker.Broken{}, 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.agent("a1", 1000, x.agent)
+			o := b.submit(job("j", batch.Step{Count: 1}))
+			assert.Equal(t, kindOf(o), kindOf(x.want), "%+v", o)
+			assert.Equal(t, len(b.names()), x.starts)
+		})
+	}
+}
+
+func kindOf(o broker.Outcome) string {
+	switch o.(type) {
+	case broker.Complete:
+		return "complete"
+	case broker.Fail:
+		return "fail"
+	case broker.Refuse:
+		return "refuse"
+	}
+	return "broken"
+}
+
+func TestFailedTaskGoesElsewhere(t *testing.T) {
+	b := newBed(t)
+	b.agent("a1", 1000, func(_ context.Context, m wire.StartRun) wire.RunEnded {
+		if m.Run == 1 {
+			return wire.RunEnded{End: batch.Failed}
+		}
+		return done(t.Context(), m)
+	})
+	b.agent("a2", 1000, func(_ context.Context, m wire.StartRun) wire.RunEnded {
+		if m.Run == 1 {
+			return wire.RunEnded{End: batch.Failed}
+		}
+		return done(t.Context(), m)
+	})
+	assert.Equal(t, kindOf(b.submit(job("j", batch.Step{Count: 1}))), "complete")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	assert.Assert(t, b.agents[0] != b.agents[1], "both runs were at %s", b.agents[0])
+	assert.Equal(t, b.starts[1].Run, uint64(2))
+}
+
+// What cannot be done in time is refused at once, with nothing sent.
+func TestRefusedAtOnce(t *testing.T) {
+	b := newBed(t)
+	b.agent("a1", 100, done)
+	for name, j := range map[string]batch.Job{
+		"nobody is large enough":  job("j1", batch.Step{Count: 1}, batch.Step{Count: 1}),
+		"not supported":           {ID: "j2", Unsupported: "test", Steps: []batch.Step{{Count: 1}}},
+		"too wide to end in time": job("j3", batch.Step{Count: 100}),
+	} {
+		if name == "nobody is large enough" {
+			j.Steps[0].Need.CPU = 101
+		}
+		assert.Equal(t, kindOf(b.submit(j)), "refuse", name)
+	}
+	late := b.broker.Submit(t.Context(), queue(), job("j4", batch.Step{Count: 1}), time.Now().Add(900*time.Millisecond))
+	assert.Equal(t, kindOf(late), "refuse", "a second of work does not fit into 900 ms")
+	assert.Equal(t, len(b.names()), 0)
+}
+
+// A job is in progress once, however many callers wait for it, and ends when
+// the last of them leaves.
+func TestCallersOfOneJob(t *testing.T) {
+	b := newBed(t)
+	running := make(chan struct{}, 9)
+	b.agent("a1", 1000, func(ctx context.Context, _ wire.StartRun) wire.RunEnded {
+		running <- struct{}{}
+		<-ctx.Done()
+		running <- struct{}{}
+		return wire.RunEnded{End: batch.Stopped}
+	})
+	outcomes := make(chan broker.Outcome, 2)
+	var leave []context.CancelFunc
+	for range 2 {
+		ctx, cancel := context.WithCancel(t.Context())
+		leave = append(leave, cancel)
+		go func() {
+			outcomes <- b.broker.Submit(ctx, queue(), job("j", batch.Step{Count: 1}), time.Now().Add(time.Minute))
+		}()
+	}
+	<-running
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.broker.InProgress() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("not in progress")
+	})
+	leave[0]()
+	leave[1]()
+	assert.Equal(t, kindOf(<-outcomes), "broken")
+	assert.Equal(t, kindOf(<-outcomes), "broken")
+	<-running
+	assert.Equal(t, len(b.names()), 1)
+	assert.Equal(t, b.broker.Pending("q"), 0)
+	assert.Assert(t, !b.broker.Cancel("j"))
+}
+
+// An agent that falls silent is given up soon: its runs' leases end, and the
+// caller may send the job again.
+func TestSilentAgentIsGivenUp(t *testing.T) {
+	b := newBed(t)
+	begun := make(chan struct{})
+	stop := b.agent("a1", 1000, func(ctx context.Context, _ wire.StartRun) wire.RunEnded {
+		close(begun)
+		<-ctx.Done()
+		return wire.RunEnded{}
+	})
+	out := make(chan broker.Outcome, 1)
+	go func() { out <- b.submit(job("j", batch.Step{Count: 1})) }()
+	<-begun
+	go stop()
+	assert.Equal(t, kindOf(<-out), "broken")
+}
--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -80,7 +80,8 @@
 		}
 		u, ok = k.update(m.Version)
 	}
-	if !ok && !(m.Unproven && u.Delta.To > 0) {
+	known := m.Unproven && u.Delta.To > 0
+	if !ok && !known {
 		return wire.Refused{Reason: "this keeper cannot tell how fresh its configuration is"}
 	}
 	return u
--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -193,3 +193,29 @@
 		assert.Assert(t, err != nil, "name %q", name)
 	}
 }
+
+// Ephemeral identities trust whatever name and role a peer states, and no others
+// than ephemeral ones do.
+func TestEphemeralIdentities(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	server, err := keys.Ephemeral(clock, "10.0.0.1", []keys.Role{keys.Keeper})
+	assert.NilError(t, err)
+	client, err := keys.Ephemeral(clock, "10.0.0.2", []keys.Role{keys.Agent})
+	assert.NilError(t, err)
+	srv, cli, serr, cerr := handshake(t, server.ServerConfig(), client.ClientConfig(keys.Keeper))
+	assert.NilError(t, serr)
+	assert.NilError(t, cerr)
+	assert.Equal(t, cli.Name, "10.0.0.1")
+	assert.DeepEqual(t, srv, keys.Peer{Name: "10.0.0.2", Roles: []keys.Role{keys.Agent}})
+	_, _, _, cerr = handshake(t, server.ServerConfig(), client.ClientConfig(keys.Entry))
+	assert.ErrorContains(t, cerr, "roles")
+	signed := deploy(t).node("e1", keys.Entry)
+	_, _, serr, _ = handshake(t, signed.ServerConfig(), client.ClientConfig())
+	assert.ErrorContains(t, serr, "certificate")
+	again, err := keys.Ephemeral(clock, "10.0.0.1", []keys.Role{keys.Keeper})
+	assert.NilError(t, err)
+	assert.Equal(t, server.ResetKey(), again.ResetKey(), "peers would not learn of a restart")
+	assert.NilError(t, again.Reload())
+	_, err = keys.Ephemeral(clock, "no name!", []keys.Role{keys.Keeper})
+	assert.ErrorContains(t, err, "")
+}
--- a/spread/view_test.go
+++ b/spread/view_test.go
@@ -84,3 +84,19 @@
 	c.Advance(time.Second + 1)
 	assert.Assert(t, !agent.Usable())
 }
+
+// A process that has just started may act on what a keeper has on its disk,
+// until a quorum has confirmed something: it has acted on nothing newer.
+func TestProvisionalUntilProven(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	v := spread.NewView(c, lease)
+	c.Advance(time.Minute)
+	assert.Assert(t, !v.Provisional())
+	v.Apply(update(0, 3, -1), c.Now())
+	assert.Assert(t, v.Provisional() && !v.Usable())
+	assert.Equal(t, v.Config().Version(), uint64(3))
+	v.Apply(update(3, 4, 0), c.Now())
+	assert.Assert(t, !v.Provisional() && v.Usable() && v.Fresh())
+	c.Advance(lease + 1)
+	assert.Assert(t, !v.Provisional() && !v.Usable() && !v.Fresh())
+}
--- a/system/health_test.go
+++ b/system/health_test.go
@@ -36,8 +36,12 @@
 	for r, name := range map[string]string{
 		"keeper-1": "relay_groups_led", "entry-1": "relay_tasks_queued", "agent-1": "relay_slots_offered 8",
 	} {
-		m := d.get(r, "/metrics").body
-		assert.Assert(t, strings.Contains(m, name), "%s has no %s", r, name)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if !strings.Contains(d.get(r, "/metrics").body, name) {
+				return poll.Continue("%s has no %s", r, name)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(startLimit), poll.WithDelay(100*time.Millisecond))
 	}
 	d.kill("keeper-2")
 	d.kill("keeper-3")
