leader: a keeper asks its own replica who leads, each time

A keeper's client remembered the frozen leader, and one try took 2 s of the operator's 900 ms. Ruled out: the election (0.9 s), the conflict answer of a resent number. Change: the client of a keeper asks the replica beside it first, and a try takes 400 ms at most.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -36,6 +36,11 @@
 	Log    *zap.Logger
 	// Groups is the number of ledger groups.
 	Groups int
+	// Beside is the address of the keeper in this process, empty at an entry. It
+	// learns of a new leader first, so that it is asked each time.
+	Beside string
+	// TryTimeout bounds one call to a keeper, 2 s when 0.
+	TryTimeout time.Duration
 
 	mu      sync.Mutex
 	leaders map[uint32]string // addresses
@@ -92,7 +97,11 @@
 		}
 		switch a := a.(type) {
 		case wire.Proposed, wire.Queried:
-			c.remember(group, addr)
+			if c.Beside == "" {
+				c.remember(group, addr)
+			} else {
+				c.forget(group, addr)
+			}
 			return a, nil
 		case wire.Refused:
 			reason = a.Reason
@@ -109,12 +118,17 @@
 }
 
 func (c *Client) try(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	limit := c.TryTimeout
+	if limit == 0 {
+		limit = tryTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return c.Node.Call(ctx, link.To{Address: addr, Role: keys.Keeper}, m)
 }
 
-// pick returns the address of the group's leader, else of each keeper in turn.
+// pick returns the address of the group's leader, else of the keeper beside or
+// of each keeper in turn.
 func (c *Client) pick(group uint32, try int) string {
 	c.mu.Lock()
 	addr := c.leaders[group]
@@ -122,6 +136,9 @@
 	if addr != "" {
 		return addr
 	}
+	if c.Beside != "" {
+		return c.Beside
+	}
 	addrs := c.Finder.Addresses(keys.Keeper)
 	if len(addrs) == 0 {
 		return ""
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -81,6 +81,34 @@
 	assert.Equal(t, string(a), "ok")
 }
 
+// A remembered leader that stands still takes one try, not the whole call: the
+// keeper beside is asked each time, and knows the new leader.
+func TestKeeperBesideKnowsTheNewLeader(t *testing.T) {
+	d := newDeployment(t)
+	hold := make(chan struct{})
+	defer close(hold)
+	frozen := d.keeper("k1", func() wire.Message {
+		<-hold
+		return refuse()
+	})
+	var asked atomic.Int32
+	beside := d.keeper("k2", func() wire.Message {
+		if asked.Add(1) == 1 {
+			return wire.Refused{Reason: "not the leader", Leader: "k1"}
+		}
+		return accept()
+	})
+	c := d.client(frozen, beside)
+	c.Beside, c.TryTimeout = beside, 100*time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for range 2 {
+		_, err := c.Propose(ctx, 1, []byte("x"))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, asked.Load() >= 3, "the keeper beside was asked %d times", asked.Load())
+}
+
 func limited(t *testing.T) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 	t.Cleanup(cancel)
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -18,6 +18,10 @@
 // one after the other, before the job can be there twice.
 const leaseShare = 0.38
 
+// operatorTry bounds one call for an operator, who turns to another node after a
+// second: it leaves time for a second try.
+const operatorTry = 400 * time.Millisecond
+
 // platformServices adds the services that speak the platform's protocol.
 func (b *builder) platformServices() {
 	p := b.s.Platform
@@ -36,7 +40,10 @@
 	if b.s.Node.Has(keys.Keeper) {
 		b.k.Add(&platform.Control{
 			Listen: p.Control, Log: b.log,
-			Keepers: &leader.Client{Node: b.node, Finder: b.finder, Clock: b.clock, Log: b.log, Groups: b.s.Keeper.Groups},
+			Keepers: &leader.Client{
+				Node: b.node, Finder: b.finder, Clock: b.clock, Log: b.log, Groups: b.s.Keeper.Groups,
+				Beside: b.s.Node.Advertise, TryTimeout: operatorTry,
+			},
 		})
 	}
 }
