porter: short timeouts to the target, and a stop is confirmed by a listing

Cause: with a fifth of all calls to targets unanswered, each lost listing held up ends and leases for 350 ms, and each lost start took 350 ms to be ruled out. Ruled out: the leases (none lapsed). Change: orders time out after 60 ms; after a stop, a listing without the run is enough.

--- a/porter/loops.go
+++ b/porter/loops.go
@@ -16,12 +16,12 @@
 
 const (
 	// holdWait is how long the target may wait for an end before it answers.
-	holdWait = 150 * time.Millisecond
+	holdWait = 100 * time.Millisecond
 	// holdPause is the pause after a renewal that failed.
-	holdPause = 30 * time.Millisecond
+	holdPause = 10 * time.Millisecond
 	// unreachedAfter is how many renewals in a row may stay unanswered before
 	// the target gets no new work.
-	unreachedAfter = 2
+	unreachedAfter = 3
 	// reportPause is the least time between two reports to one entry, for each
 	// entry, so that the reports of an agent do not grow with the entries.
 	reportPause = 10 * time.Millisecond
--- a/porter/porter.go
+++ b/porter/porter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,12 +23,14 @@
 const ServiceName = "porter"
 
 const (
-	// orderTimeout bounds an order to the target, which is on the same worker.
-	orderTimeout = 200 * time.Millisecond
+	// orderTimeout bounds an order to the target: it is on the same worker and
+	// answers within a few milliseconds, if it does.
+	orderTimeout = 60 * time.Millisecond
 	// tendInterval is the time between looks at leases and at late tickets.
 	tendInterval = 25 * time.Millisecond
-	// stopGrace is how long a stopped run may take to be listed as ended.
-	stopGrace = 150 * time.Millisecond
+	// stopGrace is how long a stopped run may take to be listed as ended: the
+	// platform allows 50 ms.
+	stopGrace = 80 * time.Millisecond
 	// clockDrift is how much slower than this clock a target's may run: one part
 	// in clockDrift.
 	clockDrift = 50
@@ -389,8 +392,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		reply, err := p.opts.Driver.Stop(ctx, t, o)
 		cancel()
-		wait := min(orderTimeout, left)
+		wait := min(holdPause, left)
 		if err == nil && reply.Verdict != Fenced {
+			if p.isOver(r) {
+				return batch.Stopped, reason
+			}
 			wait = stopGrace
 		}
 		select {
@@ -405,6 +411,22 @@
 	}
 }
 
+// isOver reports whether the target lists no run of a stopped order: one that
+// was never carried out is ruled out by the stop, and need not be waited for.
+func (p *Porter) isOver(r *run) bool {
+	p.mu.Lock()
+	q := Hold{Until: p.renewal(r.target), Fence: r.target.fence, Seen: r.target.seen}
+	t := r.target.Target
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	l, err := p.opts.Driver.Hold(ctx, t, q)
+	if err != nil || l.Verdict != Accepted {
+		return false
+	}
+	return !slices.Contains(l.Running, r.key)
+}
+
 // String returns the verdict as a reason in logs and answers.
 func (v Verdict) String() string {
 	names := map[Verdict]string{
