--- a/assign/health.go
+++ b/assign/health.go
@@ -63,7 +63,7 @@
 		if over := h.health.bad - missesTolerated; over >= 0 {
 			h.health.until = now.Add(min(probationMin<<min(over, 10), probationMax))
 		}
-	case batch.NotStarted:
+	case batch.NotStarted, batch.Unanswered:
 		// The next report says whether the target takes work.
 	}
 }
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -113,6 +113,9 @@
 	Stopped End = "stopped"
 	// NotStarted certainly never ran.
 	NotStarted End = "notStarted"
+	// Unanswered is a start that its target left unanswered. It may have run, and
+	// certainly runs no more; other work of the target may be well.
+	Unanswered End = "unanswered"
 	// Lost is a run of which nothing is known until all leases have ended.
 	Lost End = "lost"
 )
--- a/broker/work.go
+++ b/broker/work.go
@@ -306,6 +306,8 @@
 		}
 	case batch.NotStarted:
 		t.full = append(t.full, agent)
+	case batch.Unanswered:
+		t.avoid = append(t.avoid, agent)
 	case batch.Stopped:
 		t.moves++
 		t.avoid = append(t.avoid, agent)
--- a/porter/porter.go
+++ b/porter/porter.go
@@ -353,7 +353,11 @@
 	case err != nil:
 		// The order may be carried out late: a stop that is obeyed rules it out.
 		p.opts.Log.Warn("start unanswered", zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run), zap.Error(err))
-		return p.stop(r, "the target left the start unanswered")
+		end, reason := p.stop(r, "the target left the start unanswered")
+		if end == batch.Stopped {
+			end = batch.Unanswered
+		}
+		return end, reason
 	case reply.Verdict != Accepted:
 		p.opts.Log.Debug("start rejected", zap.String("task", r.key.Task), zap.Int("verdict", int(reply.Verdict)))
 		if reply.Verdict == Fenced {
--- a/porter/porter_test.go
+++ b/porter/porter_test.go
@@ -343,7 +343,7 @@
 	b := newBed(t, x)
 	b.ready()
 	e := <-b.start("t1", 100)
-	assert.Equal(t, e.End, batch.Stopped, e.Reason)
+	assert.Equal(t, e.End, batch.Unanswered, e.Reason)
 	time.Sleep(700 * time.Millisecond) // until the order has been carried out
 	assert.Equal(t, b.runs(), 0)
 	assert.Equal(t, x.most, 0, "a run began after its end had been reported")
