--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -21,6 +21,7 @@
 	"cyclamenrelay.example/ledger"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/repair"
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/state"
 	"cyclamenrelay.example/synced"
@@ -51,8 +52,7 @@
 	Retention time.Duration
 	// SnapshotEntries is how many entries are written between snapshots.
 	SnapshotEntries int
-	// AutoMembers makes each live keeper a member, and removes members that stay
-	// away while others replace them.
+	// AutoMembers keeps the membership as repair.Automatic decides.
 	AutoMembers bool
 	Clock       clockwork.Clock
 	Log         *zap.Logger
@@ -83,8 +83,7 @@
 	// members is what operators decided up to the version decidedAt.
 	members   map[string]bool
 	decidedAt uint64
-	// away holds when each absent member was last alive, with AutoMembers.
-	away map[string]time.Time
+	away      repair.Away
 }
 
 // New returns a keeper whose folder is not open yet.
@@ -93,7 +92,7 @@
 		opts: opts, start: opts.Clock.Now(),
 		inputs: make(chan any, maxInputs), writes: make(chan *group.Write, maxInputs), ended: make(chan struct{}),
 		changed: make(chan struct{}), peers: map[string]chan wire.AgreeBatch{}, groups: map[uint64]*replica{},
-		away: map[string]time.Time{},
+		away: repair.Away{},
 	}
 }
 
--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -80,8 +80,7 @@
 		}
 		u, ok = k.update(m.Version)
 	}
-	known := m.Unproven && u.Delta.To > 0
-	if !ok && !known {
+	if known := m.Unproven && u.Delta.To > 0; !ok && !known {
 		return wire.Refused{Reason: "this keeper cannot tell how fresh its configuration is"}
 	}
 	return u
--- a/keeper/tend.go
+++ b/keeper/tend.go
@@ -19,9 +19,6 @@
 const (
 	tendInterval   = 250 * time.Millisecond
 	expireInterval = 30 * time.Second
-	// replaceAfter is how long a member that is no longer listed as alive keeps
-	// its place when others could take it. The listing itself lags by a lease.
-	replaceAfter = 500 * time.Millisecond
 )
 
 // tend starts an empty cluster, and as a leader brings the membership to what
@@ -42,7 +39,7 @@
 				}
 				decided := decided
 				if k.opts.AutoMembers {
-					decided = repair.Automatic(st, live, k.absent(st, live))
+					decided = repair.Automatic(st, live, k.away.Absent(st.Members, live, k.opts.Clock.Now()))
 				}
 				if c, ok := repair.Next(st, decided, live); ok {
 					k.opts.Log.Info("membership changes", zap.Uint64("group", g), zap.String("keeper", c.Member.ID.Name),
@@ -75,24 +72,6 @@
 	return live
 }
 
-// absent returns the members that have been away for a time.
-func (k *Keeper) absent(st rlog.Status, live map[string]rlog.ID) map[string]bool {
-	now := k.opts.Clock.Now()
-	out := map[string]bool{}
-	for _, m := range st.Members {
-		name := m.ID.Name
-		if _, ok := live[name]; ok {
-			delete(k.away, name)
-			continue
-		}
-		if _, ok := k.away[name]; !ok {
-			k.away[name] = now
-		}
-		out[name] = now.Sub(k.away[name]) >= replaceAfter
-	}
-	return out
-}
-
 // decided returns for each keeper that operators have decided on whether it
 // shall be a member. The others stay what they are.
 func (k *Keeper) decided() map[string]bool {
--- a/porter/driver.go
+++ b/porter/driver.go
@@ -63,6 +63,16 @@
 	Invalid
 )
 
+// String returns the verdict as a reason in logs and answers.
+func (v Verdict) String() string {
+	names := map[Verdict]string{
+		Accepted: "accepted", Full: "the target is full", Outdated: "a later run was there", Expired: "the order came late",
+		Fenced: "another agent gives the orders", Unhealthy: "the target is unhealthy", Replaced: "the target was replaced",
+		Invalid: "the target does not take the order",
+	}
+	return names[v]
+}
+
 // Reply is a target's answer and its clock, 0 when it did not say.
 type Reply struct {
 	Verdict Verdict
--- a/repair/automatic_test.go
+++ b/repair/automatic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -64,6 +65,15 @@
 	}
 }
 
+func TestAbsenceLasts(t *testing.T) {
+	now, away := time.Unix(1_700_000_000, 0), repair.Away{}
+	ms := voters(a, b, c)
+	assert.DeepEqual(t, away.Absent(ms, alive(a, b), now), map[string]bool{"c": false})
+	assert.DeepEqual(t, away.Absent(ms, alive(a, b), now.Add(time.Second)), map[string]bool{"c": true})
+	assert.DeepEqual(t, away.Absent(ms, alive(a, b, c), now.Add(2*time.Second)), map[string]bool{})
+	assert.DeepEqual(t, away.Absent(ms, alive(a, b), now.Add(3*time.Second)), map[string]bool{"c": false})
+}
+
 func TestAutomaticMembershipIsBounded(t *testing.T) {
 	var live []rlog.ID
 	for _, n := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
--- a/repair/repair.go
+++ b/repair/repair.go
@@ -31,37 +31,6 @@
 	return rlog.ChangeMember{}, false
 }
 
-// minVoters is the fewest voters that Automatic leaves: with one of three lost,
-// the others still decide.
-const minVoters = 3
-
-// maxVoters bounds the voters that Automatic makes: each adds a copy to every write.
-const maxVoters = 7
-
-// Automatic decides the membership without an operator: each live keeper is a
-// member, up to a bound, and members that are absent go while enough others vote.
-func Automatic(st rlog.Status, live map[string]rlog.ID, absent map[string]bool) map[string]bool {
-	decided := map[string]bool{}
-	members := names(st.Members)
-	size := len(members)
-	for _, name := range slices.Sorted(maps.Keys(live)) {
-		if !members[name] && size < maxVoters {
-			decided[name] = true
-			size++
-		}
-	}
-	voting := st.Members.Voters()
-	for _, name := range slices.Sorted(maps.Keys(members)) {
-		if _, votes := voterOf(st.Members, name); absent[name] && (!votes || voting > minVoters) {
-			decided[name] = false
-			if votes {
-				voting--
-			}
-		}
-	}
-	return decided
-}
-
 func names(ms rlog.Membership) map[string]bool {
 	out := map[string]bool{}
 	for _, m := range ms {
