--- a/assign/health.go
+++ b/assign/health.go
@@ -7,21 +7,23 @@
 )
 
 const (
-	// missesTolerated is how many bad ends in a row a target may have before it
-	// counts as unhealthy: tasks fail of their own fault too.
+	// missesTolerated is how many bad ends in a row make a target unhealthy: one
+	// may be the task's own fault, as for 0.2 % of the users' tasks.
 	missesTolerated = 2
 	// probationMin and probationMax bound how long an unhealthy target is
 	// avoided; the time doubles with each further bad end.
 	probationMin = 250 * time.Millisecond
 	probationMax = 4 * time.Second
-	// unhealthyCost is the cost of an unhealthy target in runs of the task.
+	// unhealthyCost is the cost of an unhealthy target in runs of the task: more
+	// than any wait that admission allows.
 	unhealthyCost = 20
 )
 
 const (
 	// speedWeight is the weight of one more run in a target's slowness, 1/speedWeight.
 	speedWeight = 16
-	// slowest and fastest bound the slowness that one run may show.
+	// fastest and slowest bound the ratio to the estimate that one run may show,
+	// so that one straggler does not condemn its target.
 	fastest, slowest = 0.5, 4
 )
 
--- a/assign/learn.go
+++ b/assign/learn.go
@@ -7,9 +7,10 @@
 const (
 	// learnWeight is the weight of one more run in a queue's mean, 1/learnWeight.
 	learnWeight = 32
-	// learnFirst is how many runs of a queue make its mean worth using.
+	// learnFirst is how many runs of a queue make its mean worth using: one job's.
 	learnFirst = 8
-	// callerWeight is the part of the caller's own estimate in the estimate used.
+	// callerWeight is the part of the caller's own estimate in the estimate used:
+	// both it and the mean are off by about 0.4.
 	callerWeight = 0.5
 )
 
--- a/broker/work.go
+++ b/broker/work.go
@@ -15,9 +15,11 @@
 )
 
 const (
-	// placementsMax bounds how often one task is placed, failures apart.
+	// placementsMax bounds how often one task is placed, failures apart: beyond
+	// that, its objective has passed in any case.
 	placementsMax = 6
-	// lateFactor times the objective is when a late job is of no use.
+	// lateFactor times the objective is when a late job is of no use to its caller,
+	// as the users count it.
 	lateFactor = 3
 	// overdueFactor times its estimate and overdueMin more is when a run is
 	// overdue: callers' estimates are often off by half, and run times spread.
@@ -43,7 +45,6 @@
 	left       []int // tasks that are not done, by step
 	begunSteps []bool
 	results    chan result
-	cancel     context.CancelFunc
 }
 
 // task is one task of the job.
@@ -74,7 +75,6 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, w.limit)
 	defer cancel()
-	w.cancel = cancel
 	w.results = make(chan result, w.job.Tasks())
 	w.left = make([]int, len(w.job.Steps))
 	w.begunSteps = make([]bool, len(w.job.Steps))
--- a/state/publish.go
+++ b/state/publish.go
@@ -8,7 +8,8 @@
 	"cyclamenrelay.example/model"
 )
 
-// MaxDocument bounds a published document, in bytes.
+// MaxDocument bounds a published document, in bytes: with its envelope it is
+// within what a keeper takes as one command.
 const MaxDocument = 900 << 10
 
 // documentKey is the item that holds the published document.
