--- a/porter/loops.go
+++ b/porter/loops.go
@@ -69,7 +69,7 @@
 	p.resize()
 }
 
-// holdLoop renews the lease of the target of the day, and takes note of ends.
+// holdLoop renews the present target's lease, and takes note of ends.
 func (p *Porter) holdLoop(ctx context.Context) {
 	misses := 0
 	for ctx.Err() == nil {
