link: a closing node waits until its answers have arrived

Cause: Close lingered a fixed 100 ms after the last answer was written. Answers that were lost on the way, or whose receiver is slow, are sent again later than that. Ruled out: a longer fixed linger, which only moves the bound. Change: a closing node asks each peer how many calls of it have no answer yet, until there are none or 2 s have passed, and refuses new exchanges meanwhile.

--- a/link/call.go
+++ b/link/call.go
@@ -41,6 +41,7 @@
 	if err != nil {
 		return nil, notSentError{err}
 	}
+	defer n.await(c)()
 	return call(ctx, c, m)
 }
 
@@ -52,6 +53,7 @@
 	if c == nil {
 		return nil, notSentError{trace.NotFound("peer %s is not connected", name)}
 	}
+	defer n.await(c)()
 	return call(ctx, c, m)
 }
 
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"cyclamenrelay.example/fault"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/wire"
@@ -102,6 +103,36 @@
 	}
 }
 
+// TestCloseWaitsForLostAnswers closes a node whose answers are lost on their way
+// for longer than any fixed linger: they are sent again until they have arrived.
+func TestCloseWaitsForLostAnswers(t *testing.T) {
+	a := newAuthority(t)
+	arrived, answer := make(chan struct{}), make(chan struct{})
+	server := start(t, a.identity("keeper-1", keys.Keeper), func(mx *link.Mux) {
+		link.On(mx, func(context.Context, link.Peer, wire.FindNodes) wire.Message {
+			arrived <- struct{}{}
+			<-answer
+			return wire.Nodes{Nodes: make([]wire.Node, 100)}
+		}, keys.Entry)
+	})
+	relay, err := fault.New([]fault.Link{{Name: "k1", Network: "udp", Listen: "127.0.0.1:0", To: server.Address()}},
+		clockwork.NewRealClock(), 1)
+	assert.NilError(t, err)
+	defer relay.Close()
+	client := start(t, a.identity("entry-1", keys.Entry), nil)
+	errs := make(chan error, 1)
+	go func() {
+		_, err := client.Call(context.Background(), link.To{Address: relay.Addr("k1").String()}, wire.FindNodes{})
+		errs <- err
+	}()
+	<-arrived
+	assert.NilError(t, relay.Set("k1", fault.Rules{Back: fault.Rule{Cut: true}}))
+	time.AfterFunc(400*time.Millisecond, func() { _ = relay.Set("k1", fault.Rules{}) })
+	close(answer)
+	_ = server.Close()
+	assert.NilError(t, <-errs)
+}
+
 func TestCall(t *testing.T) {
 	a := newAuthority(t)
 	server := start(t, a.identity("k1", keys.Keeper), serveFind)
--- a/link/node.go
+++ b/link/node.go
@@ -30,10 +30,15 @@
 	streamWindow   = 1 << 20 // bytes
 	connWindow     = 16 << 20
 
-	// closeWait bounds how long Close waits for answers in progress, and
-	// closeLinger is the time that the last of them gets to arrive.
-	closeWait   = time.Second
+	// closeWait bounds how long Close waits for answers in progress and for their
+	// arrival: a third of the shortest time that a platform gives to a process
+	// that shall end, 6 s.
+	closeWait = 2 * time.Second
+	// closeLinger is what the last packets get to arrive, a few round trips.
 	closeLinger = 100 * time.Millisecond
+	// awaitedPause is the time between two questions to a peer whether it still
+	// awaits answers, about a round trip within a region.
+	awaitedPause = 5 * time.Millisecond
 
 	closeNormal quic.ApplicationErrorCode = 0
 	closeDenied quic.ApplicationErrorCode = 1
@@ -64,6 +69,8 @@
 	mu     sync.Mutex
 	byAddr map[string]*dialled
 	byName map[string]*quic.Conn
+	// awaiting counts, by connection, the calls of this node that have no answer.
+	awaiting map[*quic.Conn]int
 	// answering counts the exchanges whose answers are not written.
 	answering int
 	closing   bool
@@ -80,7 +87,10 @@
 
 // New returns a node that does not listen yet.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, mux: NewMux(), byAddr: map[string]*dialled{}, byName: map[string]*quic.Conn{}, answered: make(chan struct{})}
+	n := &Node{
+		opts: opts, mux: NewMux(), byAddr: map[string]*dialled{}, byName: map[string]*quic.Conn{},
+		awaiting: map[*quic.Conn]int{}, answered: make(chan struct{}),
+	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	return n
 }
@@ -134,43 +144,6 @@
 // Address returns the address that the node listens on.
 func (n *Node) Address() string { return n.tr.Conn.LocalAddr().String() }
 
-// Close ends all links and waits for the handlers. Answers in progress are sent
-// before, within bounds: a shutdown must not cut off what has been done.
-func (n *Node) Close() error {
-	n.stop()
-	n.finish()
-	_ = n.ln.Close()
-	n.mu.Lock()
-	for _, d := range n.byAddr {
-		if d.conn != nil {
-			_ = d.conn.CloseWithError(closeNormal, "closing")
-		}
-	}
-	for _, c := range n.byName {
-		_ = c.CloseWithError(closeNormal, "closing")
-	}
-	n.mu.Unlock()
-	err := n.tr.Close()
-	_ = n.tr.Conn.Close()
-	n.wg.Wait()
-	return trace.Wrap(err)
-}
-
-// finish waits a bounded time for the answers in progress.
-func (n *Node) finish() {
-	n.mu.Lock()
-	if !n.closing && n.answering == 0 {
-		close(n.answered)
-	}
-	n.closing = true
-	n.mu.Unlock()
-	select {
-	case <-n.answered:
-	case <-n.opts.Clock.After(closeWait):
-	}
-	<-n.opts.Clock.After(closeLinger)
-}
-
 // begin counts an exchange, and reports false when the node is closing.
 func (n *Node) begin() bool {
 	n.mu.Lock()
@@ -226,7 +199,7 @@
 			n.forget(c, p)
 			return
 		}
-		n.wg.Go(func() { n.exchange(s, p) })
+		n.wg.Go(func() { n.exchange(c, s, p) })
 	}
 }
 
@@ -263,16 +236,22 @@
 	return readMessage(s)
 }
 
-func (n *Node) exchange(s *quic.Stream, p Peer) {
-	if n.begin() {
-		defer n.end()
-	}
+func (n *Node) exchange(c *quic.Conn, s *quic.Stream, p Peer) {
 	m, err := n.receive(s)
 	if err != nil {
 		n.opts.Log.Debug("bad message", zap.String("peer", p.Name), zap.Error(err))
 		n.answer(s, wire.Refused{Reason: err.Error()})
 		return
 	}
+	if _, ok := m.(wire.AskAwaited); ok {
+		n.answer(s, wire.Awaited{Calls: n.awaited(c)})
+		return
+	}
+	if !n.begin() {
+		n.answer(s, wire.Refused{Reason: "the node is closing"})
+		return
+	}
+	defer n.end()
 	n.answer(s, n.mux.Serve(s.Context(), p, m))
 }
 
--- a/wire/common.go
+++ b/wire/common.go
@@ -12,6 +12,8 @@
 	_ = register(8, Nodes{})
 	_ = register(9, Announce{})
 	_ = register(10, Announced{})
+	_ = register(11, AskAwaited{})
+	_ = register(12, Awaited{})
 )
 
 // Refused answers a message that the receiver cannot serve.
@@ -93,4 +95,15 @@
 func (FindNodes) message()    {}
 func (Nodes) message()        {}
 func (Announce) message()     {}
+func (AskAwaited) message()   {}
+func (Awaited) message()      {}
 func (Announced) message()    {}
+
+// AskAwaited asks a peer how many of its calls on this connection have no
+// answer yet. The answer is an Awaited.
+type AskAwaited struct{}
+
+// Awaited says how many calls a peer has made on a connection without an answer.
+type Awaited struct {
+	Calls int `cbor:"1,keyasint"`
+}
