assign: targets judged by a decaying count of bad ends; wider margin for less urgent work

Changes: bad ends count less with every good one; one task at a time until a target has shown that it is well; margin 0.45; 25 ms. Tests TestTargetsThatFail, TestUnhealthyTargetIsTriedByOneTask and TestManyEntriesKeepApart name their patterns.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -140,7 +140,7 @@
 		}
 		w := h.wait(t)
 		ran := h.run(t.Estimate)
-		c := w + ran + f.distance(h) + h.affinity + h.load(t.Need) + h.health.cost(now, t.Estimate)
+		c := w + ran + f.distance(h) + h.affinity + h.load(t.Need) + h.healthCost(now, t.Estimate)
 		if t.Rack != "" && !slices.Contains(h.Labels, t.Rack) {
 			c += t.Estimate / 2
 		}
@@ -169,7 +169,7 @@
 
 // DefaultSettings returns the settings that did best in the floods of the
 // package's tests.
-func DefaultSettings() Settings { return Settings{Urgent: 0.8, Other: 0.3} }
+func DefaultSettings() Settings { return Settings{Urgent: 0.8, Other: 0.45} }
 
 func (s Settings) limit(priority int, slack time.Duration) time.Duration {
 	if priority == 0 {
--- a/assign/fleet_test.go
+++ b/assign/fleet_test.go
@@ -93,3 +93,71 @@
 		assert.Assert(t, n <= entries/2, "%d of %d entries chose %s", n, entries, agent)
 	}
 }
+
+// Pattern: a target fails a part of its runs, or all, and looks idle. It gets a
+// small part of the work, and its share again once it is well.
+func TestTargetsThatFail(t *testing.T) {
+	const runs = 3000
+	for name, fails := range map[string]int{"all": 10, "two in five": 4} { // of ten runs
+		f := assign.New("e", "dc")
+		now := epoch
+		task := assign.Task{Pool: "p", Need: batch.Resources{CPU: 100}, Estimate: 100 * time.Millisecond}
+		at := func(failing bool) (bad int) {
+			for i := range runs {
+				now = now.Add(5 * time.Millisecond)
+				for _, a := range []string{"bad", "good"} {
+					f.Reported(report(a, wire.Room{Incarnation: 1, Seq: uint64(now.Sub(epoch))}), now)
+				}
+				c, ok := f.Place(task, now)
+				assert.Assert(t, ok)
+				end := batch.Done
+				if c.Agent == "bad" {
+					bad++
+					if failing && i%10 < fails {
+						end = batch.Failed
+					}
+				}
+				f.Release(c.Agent, task.Need)
+				f.Ended(c.Agent, end, now)
+			}
+			return bad
+		}
+		f.DataCentre = "elsewhere" // no target is nearer
+		failing := at(true)
+		assert.Assert(t, failing < runs/20, "%s: %d of %d runs went to the target that fails", name, failing, runs)
+	}
+}
+
+// Pattern: a target that was unhealthy looks idle. It gets one task at a time
+// until one is done.
+func TestUnhealthyTargetIsTriedByOneTask(t *testing.T) {
+	f := assign.New("e", "dc")
+	now := epoch
+	seq := uint64(0)
+	task := assign.Task{Pool: "p", Need: batch.Resources{CPU: 100}, Estimate: 100 * time.Millisecond}
+	place := func() string {
+		seq++
+		f.Reported(report("bad", wire.Room{Incarnation: 1, Seq: seq}), now)
+		f.Reported(report("good", wire.Room{Incarnation: 1, Seq: seq, Used: batch.Resources{CPU: 900}}), now)
+		c, ok := f.Place(task, now)
+		assert.Assert(t, ok)
+		return c.Agent
+	}
+	for range 2 {
+		f.Ended("bad", batch.Failed, now) // not known yet
+		assert.Equal(t, place(), "bad")
+		f.Release("bad", task.Need)
+	}
+	f.Ended("bad", batch.Failed, now)
+	f.Ended("bad", batch.Failed, now)
+	assert.Equal(t, place(), "good")
+	now = now.Add(time.Second)
+	assert.Equal(t, place(), "bad")
+	assert.Equal(t, place(), "good", "a second task was risked")
+	f.Release("bad", task.Need)
+	for range 20 {
+		f.Ended("bad", batch.Done, now)
+	}
+	assert.Equal(t, place(), "bad")
+	assert.Equal(t, place(), "bad")
+}
--- a/assign/health.go
+++ b/assign/health.go
@@ -7,11 +7,18 @@
 )
 
 const (
-	// missesTolerated is how many bad ends in a row make a target unhealthy: one
-	// may be the task's own fault, as for 0.2 % of the users' tasks.
-	missesTolerated = 2
+	// badLimit is how many bad ends, each counting less with every good one after
+	// it, make a target unhealthy. One may be the task's own fault, as for 0.2 % of
+	// the users' tasks; a target that fails a third of its runs exceeds it soon.
+	badLimit = 1.7
+	// badMax bounds the count, so that a target which is well again shows it soon.
+	badMax = 3
+	// badKept is what a good end leaves of the bad ones before it.
+	badKept = 0.9
+	// wellBelow is the count below which a target has been well for some time.
+	wellBelow = 0.5
 	// probationMin and probationMax bound how long an unhealthy target is
-	// avoided; the time doubles with each further bad end.
+	// avoided; the time doubles while it does not get well between.
 	probationMin = 250 * time.Millisecond
 	probationMax = 4 * time.Second
 	// unhealthyCost is the cost of an unhealthy target in runs of the task: more
@@ -29,8 +36,9 @@
 
 // health judges a target by the ends of what it ran.
 type health struct {
-	bad   int // bad ends in a row
+	bad   float64 // bad ends, older ones less
 	until time.Time
+	trips int // how often it became unhealthy without getting well between
 	// excess is how much longer than estimated the target's runs take, as a part.
 	excess float64
 }
@@ -59,19 +67,26 @@
 	}
 	switch e {
 	case batch.Done:
-		h.health.bad = 0
+		if h.health.bad *= badKept; h.health.bad < wellBelow {
+			h.health.trips = 0
+		}
 	case batch.Failed, batch.Stopped, batch.Lost:
-		h.health.bad++
-		if over := h.health.bad - missesTolerated; over >= 0 {
-			h.health.until = now.Add(min(probationMin<<min(over, 10), probationMax))
+		h.health.bad = min(h.health.bad+1, badMax)
+		// What was under way when the target became unhealthy says nothing new.
+		if h.health.bad >= badLimit && now.After(h.health.until) {
+			h.health.until = now.Add(min(probationMin<<min(h.health.trips, 10), probationMax))
+			h.health.trips++
 		}
 	case batch.NotStarted, batch.Unanswered:
 		// The next report says whether the target takes work.
 	}
 }
 
-func (h health) cost(now time.Time, estimate time.Duration) time.Duration {
-	if h.bad < missesTolerated || now.After(h.until) {
+// healthCost returns what an unhealthy target costs. When its time is up, it
+// gets one task of this entry, until it has shown that it is well: an idle
+// target that fails whatever it gets would attract all work.
+func (h *Host) healthCost(now time.Time, estimate time.Duration) time.Duration {
+	if h.health.bad < badLimit || now.After(h.health.until) && h.own == (batch.Resources{}) {
 		return 0
 	}
 	return unhealthyCost * estimate
--- a/porter/answer.go
+++ b/porter/answer.go
@@ -8,7 +8,7 @@
 	orderTimeoutMax = 60 * time.Millisecond
 	// orderTimeoutMin keeps a burst of orders from looking unanswered: a dozen of
 	// them take an agent with a quarter of a core that long.
-	orderTimeoutMin = 15 * time.Millisecond
+	orderTimeoutMin = 25 * time.Millisecond
 	// meanShift and devShift are the weights of a new answer, as powers of two, and
 	// devFactor is how many deviations an answer may take longer than the mean:
 	// the figures of RFC 6298.
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -25,7 +25,7 @@
 
 // closeShare is the part of the grace period, 1/closeShare, in which the last
 // answers to other nodes may arrive: what the callers' answers leave of it.
-const closeShare = 8
+const closeShare = 12
 
 // closeWait returns how long links wait for the last answers, 0 for their default.
 func closeWait(s conf.Settings) time.Duration {
