--- /dev/null
+++ b/events/events_test.go
@@ -0,0 +1,88 @@
+package events_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/events"
+)
+
+const entryLog = `
+  0.1 frontend-1 time=2026-01-31T12:10:40.500Z level=info event="job ended" node=10.1.0.1 job=aa11 queue=q outcome=broken reason="the caller left" took=0.4
+time=2026-01-31T12:10:40.300Z level=info event="run not done" node=10.1.0.1 task=aa11.0.0.1 run=1 agent=10.2.0.9 end=stopped
+time=2026-01-31T12:10:40.310Z level=info event="run not done" node=10.1.0.1 task=aa112.0.0.1 run=1 agent=10.2.0.8 end=stopped
+time=2026-01-31T12:10:39.900Z level=info event="configuration in force" node=10.1.0.1 number=7
+time=2026-01-31T12:09:00.000Z level=info event=starting node=10.1.0.1
+panic: not a line of ours
+time=yesterday node=10.1.0.1 job=aa11
+`
+
+const agentLog = `
+time=2026-01-31T12:10:40.290Z level=warn event="target lost" node=10.2.0.9 target=i-7
+time=2026-01-31T12:10:40.295Z level=warn event="start unanswered" node=10.2.0.9 task=bb22.0.0.1
+time=2026-01-31T12:10:40.295Z level=warn event="target lost" node=10.2.0.8 target=i-8
+`
+
+func read(t *testing.T, logs ...string) (all []events.Event, unread int) {
+	for _, l := range logs {
+		list, n, err := events.Read(strings.NewReader(l))
+		assert.NilError(t, err)
+		all, unread = append(all, list...), unread+n
+	}
+	return all, unread
+}
+
+func names(list []events.Event) string {
+	var out []string
+	for _, e := range list {
+		out = append(out, e.Node+" "+e.Fields["event"])
+	}
+	return strings.Join(out, ", ")
+}
+
+func TestStoryOfARequest(t *testing.T) {
+	all, unread := read(t, entryLog, agentLog)
+	assert.Equal(t, unread, 2)
+	s := events.Of("aa11", all, 2*time.Second)
+	assert.Equal(t, names(s.Lines), "10.1.0.1 run not done, 10.1.0.1 job ended")
+	assert.Equal(t, names(s.Around), "10.1.0.1 configuration in force, 10.2.0.9 target lost")
+	assert.Assert(t, strings.HasPrefix(s.Lines[1].Text, "time="), "a collector's words are kept: %s", s.Lines[1].Text)
+	assert.Equal(t, len(events.Of("cc33", all, time.Second).Lines), 0)
+}
+
+func TestTooLongLineEndsTheReading(t *testing.T) {
+	_, _, err := events.Read(strings.NewReader("time=" + strings.Repeat("x", 2<<20)))
+	assert.Assert(t, err != nil)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(entryLog)
+	f.Add("time=\"")
+	f.Fuzz(func(t *testing.T, text string) {
+		list, _, err := events.Read(strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		for _, e := range list {
+			assert.Assert(t, !e.At.IsZero() || e.Fields["time"] != "", "%q", e.Text)
+		}
+	})
+}
+
+func ExampleOf() {
+	list, _, err := events.Read(strings.NewReader(entryLog))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	for _, e := range events.Of("aa11", list, time.Second).Lines {
+		fmt.Printf("%s: %s\n", e.Fields["event"], e.Fields["end"]+e.Fields["outcome"])
+	}
+	// Output:
+	// run not done: stopped
+	// job ended: broken
+}
