member: a young agent asks for entries again within its first second

Each agent asked one keeper that had just started and knew one entry, and asked again after 2 to 4 s; until then the other entries knew few targets. Ruled out: the keepers (a leader after 0.56 s), the configuration (in force after 0.7 s), the targets (announced after 0.1 s).

--- a/member/finder.go
+++ b/member/finder.go
@@ -21,8 +21,11 @@
 const (
 	// findInterval is the time between an entry's or a keeper's announcements.
 	findInterval = time.Second
-	// agentInterval is the least time between an agent's questions.
+	// agentInterval is the least time between an agent's questions. The first ones
+	// follow each other sooner, from agentFirst on and each pause twice as long:
+	// keepers that have just started, too, know few entries in their first second.
 	agentInterval = 2 * time.Second
+	agentFirst    = 200 * time.Millisecond
 	findTimeout   = time.Second
 	// roundsKept is how many times on average an agent asks one keeper.
 	roundsKept = 500
@@ -152,10 +155,16 @@
 // Run implements kernel.Service.
 func (f *Finder) Run(ctx context.Context) error {
 	left := f.left
+	first := agentFirst
 	for ctx.Err() == nil {
 		known := f.round(ctx)
 		pause := findInterval
-		if known && !f.announces() {
+		switch {
+		case f.announces():
+		case first < agentInterval:
+			pause = min(first, findInterval)
+			first *= 2
+		case known:
 			pause = agentInterval + rand.N(agentInterval)
 		}
 		select {
--- a/member/finder_test.go
+++ b/member/finder_test.go
@@ -100,3 +100,36 @@
 	f.Leave()
 	assert.Assert(t, (<-heard).Leaving) // the clock stands still
 }
+
+// TestYoungAgentAsksSoon: pattern "everything has restarted". The keeper that an
+// agent asks first has heard of one entry only; the agent learns of the other
+// one within its first second and a half.
+func TestYoungAgentAsksSoon(t *testing.T) {
+	dir := t.TempDir()
+	ca, err := keys.NewCA("test", time.Now(), time.Hour)
+	assert.NilError(t, err)
+	assert.NilError(t, ca.Write(filepath.Join(dir, "ca.pem"), filepath.Join(dir, "ca.key")))
+	const rounds = 4
+	asked := make(chan struct{}, rounds)
+	k := node(t, ca, dir, "k1", keys.Keeper, func(mx *link.Mux) {
+		link.On(mx, func(context.Context, link.Peer, wire.FindNodes) wire.Message {
+			asked <- struct{}{}
+			return wire.Nodes{Digest: 1, Nodes: []wire.Node{{Name: "e1", Roles: []string{"entry"}, Incarnation: 1}}}
+		}, keys.Agent)
+	})
+	clock := clockwork.NewFakeClock()
+	agent := node(t, ca, dir, "a1", keys.Agent, func(*link.Mux) {})
+	f := member.NewFinder(agent, clock, zap.NewNop(), wire.Node{Name: "a1", Roles: []string{"agent"}}, []string{k.Address()})
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	go func() { _ = f.Run(ctx) }()
+	for _, pause := range []time.Duration{0, 200, 400, 800} {
+		assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+		clock.Advance(pause * time.Millisecond)
+		select {
+		case <-asked:
+		case <-ctx.Done():
+			t.Fatalf("no question %d ms after the one before", pause)
+		}
+	}
+}
