--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -19,10 +19,10 @@
 	// a round trip of a few milliseconds.
 	farCost = 4 * time.Millisecond
 	// busyCost is how much later work counts as started on a full target than on
-	// an empty one, so that it spreads.
-	busyCost = 50 * time.Millisecond
-	// affinityMax is the most that a target costs one entry more than another, as
-	// much as a full target costs more than an empty one.
+	// an empty one, and affinityMax the most that a target costs one entry more
+	// than another: about a report's age and a third of it. With less, entries
+	// choose the same targets between two reports (TestManyEntriesKeepApart).
+	busyCost    = 50 * time.Millisecond
 	affinityMax = 30 * time.Millisecond
 	// reportMax is the age of a report after which a target gets no new work:
 	// its agent reports several times as often.
