pace: progress, slowness and order timeouts as a core of their own; events: reads files

What a target's runs and answers tell of its speed stands in package pace now, without I/O and with tests of its own; nothing of what it decides has changed. relctl explain keeps the command alone.

--- a/events/events.go
+++ b/events/events.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -51,6 +52,27 @@
 	return list, unread, trace.Wrap(s.Err())
 }
 
+// ReadFiles reads the logs of the files, and tells of each with lines that were
+// passed over. The error is of the first file that cannot be read.
+func ReadFiles(names []string, passedOver func(name string, lines int)) (all []Event, err error) {
+	for _, name := range names {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, trace.ConvertSystemError(err)
+		}
+		list, unread, err := Read(f)
+		_ = f.Close() // was only read
+		if err != nil {
+			return nil, trace.Wrap(err, "reading %s", name)
+		}
+		if unread > 0 {
+			passedOver(name, unread)
+		}
+		all = append(all, list...)
+	}
+	return all, nil
+}
+
 func parse(line string) (Event, bool) {
 	i := strings.Index(line, "time=")
 	if i < 0 || i > 0 && line[i-1] != ' ' {
@@ -133,3 +155,19 @@
 func sorted(list []Event) {
 	slices.SortStableFunc(list, func(a, b Event) int { return a.At.Compare(b.At) })
 }
+
+// Write writes the story as text, the request's own lines first.
+func (s Story) Write(w io.Writer) error {
+	lines := func(title string, list []Event) string {
+		for _, e := range list {
+			title += "\n  " + e.Text
+		}
+		return title + "\n"
+	}
+	text := lines("the request", s.Lines)
+	if len(s.Around) > 0 {
+		text += lines("\nmeanwhile on its nodes", s.Around)
+	}
+	_, err := io.WriteString(w, text)
+	return trace.ConvertSystemError(err)
+}
--- a/events/events_test.go
+++ b/events/events_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/fs"
 
 	"cyclamenrelay.example/events"
 )
@@ -59,6 +61,19 @@
 	assert.Assert(t, err != nil)
 }
 
+func TestFilesOfLogs(t *testing.T) {
+	dir := fs.NewDir(t, "logs", fs.WithFile("entry.log", entryLog), fs.WithFile("agent.log", agentLog))
+	passed := map[string]int{}
+	all, err := events.ReadFiles([]string{dir.Join("agent.log"), dir.Join("entry.log")}, func(name string, n int) { passed[name] = n })
+	assert.NilError(t, err)
+	assert.DeepEqual(t, passed, map[string]int{dir.Join("entry.log"): 2})
+	var b strings.Builder
+	assert.NilError(t, events.Of("aa11", all, 2*time.Second).Write(&b))
+	assert.Assert(t, strings.Index(b.String(), "job ended") < strings.Index(b.String(), "target lost"), b.String())
+	_, err = events.ReadFiles([]string{dir.Join("none.log")}, nil)
+	assert.Assert(t, trace.IsNotFound(err), "%v", err)
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add(entryLog)
 	f.Add("time=\"")
--- a/porter/answer.go
+++ b/pace/answer.go
@@ -1,4 +1,4 @@
-package porter
+package pace
 
 import "time"
 
@@ -16,15 +16,15 @@
 	devFactor           = 4
 )
 
-// AnswerTime estimates how long a target takes to answer, as RFC 6298 does for
-// the round trips of TCP. An unanswered order holds up its task until it is
+// Answers estimates how long a target takes to answer orders, as RFC 6298 does
+// for the round trips of TCP. An unanswered order holds up its task until it is
 // given up, so the timeout follows the target. The zero value knows nothing.
-type AnswerTime struct{ mean, dev time.Duration }
+type Answers struct{ mean, dev time.Duration }
 
 // With returns the estimate after one more answer.
-func (a AnswerTime) With(took time.Duration) AnswerTime {
+func (a Answers) With(took time.Duration) Answers {
 	if a.mean == 0 {
-		return AnswerTime{mean: took, dev: took / 2}
+		return Answers{mean: took, dev: took / 2}
 	}
 	a.dev += ((took - a.mean).Abs() - a.dev) >> devShift
 	a.mean += (took - a.mean) >> meanShift
@@ -32,7 +32,7 @@
 }
 
 // Timeout returns when an order counts as unanswered.
-func (a AnswerTime) Timeout() time.Duration {
+func (a Answers) Timeout() time.Duration {
 	if a.mean == 0 {
 		return orderTimeoutMax
 	}
--- a/porter/answer_test.go
+++ b/pace/answer_test.go
@@ -1,4 +1,4 @@
-package porter_test
+package pace_test
 
 import (
 	"testing"
@@ -6,15 +6,15 @@
 
 	"gotest.tools/v3/assert"
 
-	"cyclamenrelay.example/porter"
+	"cyclamenrelay.example/pace"
 )
 
 // A target that loses a part of its orders answers the others as quickly as
 // ever: an unanswered start must not take a short job's whole slack.
 func TestOrderTimeoutFollowsTheAnswers(t *testing.T) {
 	const longest, shortest = 60 * time.Millisecond, 25 * time.Millisecond
-	answers := func(times ...time.Duration) porter.AnswerTime {
-		var a porter.AnswerTime
+	answers := func(times ...time.Duration) pace.Answers {
+		var a pace.Answers
 		for range 30 {
 			for _, took := range times {
 				a = a.With(took)
@@ -23,10 +23,10 @@
 		return a
 	}
 	for name, x := range map[string]struct {
-		a        porter.AnswerTime
+		a        pace.Answers
 		min, max time.Duration
 	}{
-		"none yet":       {porter.AnswerTime{}, longest, longest},
+		"none yet":       {pace.Answers{}, longest, longest},
 		"quick":          {answers(time.Millisecond, 2*time.Millisecond), shortest, shortest},
 		"steady, slow":   {answers(30 * time.Millisecond), 30 * time.Millisecond, 35 * time.Millisecond},
 		"now and then":   {answers(time.Millisecond, 12*time.Millisecond), 20 * time.Millisecond, 40 * time.Millisecond},
--- /dev/null
+++ b/pace/progress_test.go
@@ -0,0 +1,83 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/pace"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// at returns the progress of a run that is looked at each 10 ms and grows by
+// step hundredths between.
+func at(step float64, looks int) pace.Progress {
+	g := pace.Begun(start)
+	for i := range looks {
+		g = g.With(int(step*float64(i+1)), start.Add(time.Duration(i+1)*10*time.Millisecond))
+	}
+	return g
+}
+
+func TestWholeOfARun(t *testing.T) {
+	_, ok := at(5, 1).Whole()
+	assert.Assert(t, !ok, "known after 10 ms")
+	for looks := 2; looks < 19; looks++ {
+		whole, ok := at(5, looks).Whole()
+		assert.Assert(t, ok)
+		assert.Equal(t, whole, 200*time.Millisecond, "after %d looks", looks)
+	}
+	_, ok = at(0, 5).Whole()
+	assert.Assert(t, !ok)
+}
+
+// A target that turns slow shows it within a tenth of a second.
+func TestRateIsThePresentOne(t *testing.T) {
+	g := at(5, 10)
+	for i := range 10 {
+		g = g.With(50+(i+1)/2, start.Add(time.Duration(110+10*i)*time.Millisecond))
+	}
+	whole, ok := g.Whole()
+	assert.Assert(t, ok && whole > 1500*time.Millisecond, "%v", whole)
+}
+
+func TestStuckRun(t *testing.T) {
+	assert.Assert(t, !at(0, 9).Stuck())
+	assert.Assert(t, at(0, 10).Stuck())
+	assert.Assert(t, !at(1, 50).Stuck())
+	assert.Equal(t, at(0, 10).Leave(pace.Slowness{}), "the run stands still")
+}
+
+// looks returns the slowness after a number of looks at four runs.
+func looks(s pace.Slowness, n int, ratio float64, from time.Time) pace.Slowness {
+	for i := range n {
+		s = s.With([]float64{ratio, ratio, ratio, ratio}, from.Add(time.Duration(i)*10*time.Millisecond))
+	}
+	return s
+}
+
+func TestSlowness(t *testing.T) {
+	usual := looks(pace.Slowness{}, 500, 1.4, start)
+	now := start.Add(5 * time.Second)
+	assert.Equal(t, usual.Reported(now), 0.0, "a kind of worker that is slower than others is not slow")
+	slow := looks(usual, 20, 5, now)
+	then := now.Add(200 * time.Millisecond)
+	assert.Assert(t, slow.Reported(then) > 3, "%v", slow.Reported(then))
+	assert.Equal(t, slow.Reported(then.Add(5*time.Second)), 0.0, "a slowness that nothing shows any more is kept")
+	assert.Equal(t, looks(slow, 30, 1.4, then).Reported(then.Add(300*time.Millisecond)), 0.0, "the target is well again")
+	few := pace.Slowness{}
+	for range 100 {
+		few = few.With([]float64{6, 6}, start)
+	}
+	assert.Equal(t, few.Reported(start), 0.0, "two long tasks make no slow target")
+}
+
+// A run on a slow target leaves while a start elsewhere ends sooner.
+func TestLeave(t *testing.T) {
+	slow := looks(pace.Slowness{}, 50, 6, start)
+	assert.Equal(t, at(2, 5).Leave(slow), "the target is slow")
+	assert.Equal(t, at(2, 45).Leave(slow), "", "a tenth is left")
+	assert.Equal(t, at(2, 5).Leave(pace.Slowness{}), "")
+}
--- a/porter/loops.go
+++ b/porter/loops.go
@@ -179,19 +179,23 @@
 func (p *Porter) follow(h *hosted, standings []Standing) (foreign []Running) {
 	now := p.opts.Clock.Now()
 	var own []*run
+	var ratios []float64
 	for _, x := range standings {
 		r := p.byTask[x.Running]
 		switch {
 		case r == nil:
 			foreign = append(foreign, x.Running)
 		case r.accepted:
-			r.progress = r.progress.with(x.Percent, now)
+			r.progress = r.progress.With(x.Percent, now)
 			own = append(own, r)
+			if whole, ok := r.progress.Whole(); ok && r.order.Estimate > 0 {
+				ratios = append(ratios, float64(whole)/float64(r.order.Estimate))
+			}
 		}
 	}
-	h.slow = h.slow.with(own, now)
+	h.slow = h.slow.With(ratios, now)
 	for _, r := range own {
-		if reason := r.hopeless(h.slow); reason != "" {
+		if reason := r.progress.Leave(h.slow); reason != "" && r.order.Movable {
 			r.giveUp(reason)
 		}
 	}
@@ -329,7 +333,7 @@
 	if h := p.target; h != nil && h.clean {
 		m.Used, m.Yours, m.Turn = p.room.Used(), p.room.Of(entry), p.room.Turn()
 		now := p.opts.Clock.Now()
-		m.Backlog, m.Slow = p.room.Backlog(now), h.slow.reported(now)
+		m.Backlog, m.Slow = p.room.Backlog(now), h.slow.Reported(now)
 	}
 	return m
 }
--- a/porter/porter.go
+++ b/porter/porter.go
@@ -13,6 +13,7 @@
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/pace"
 	"cyclamenrelay.example/room"
 	"cyclamenrelay.example/wire"
 )
@@ -79,8 +80,8 @@
 	// reached is false while the target leaves orders unanswered.
 	reached bool
 	// answers is how long the target takes to answer orders.
-	answers AnswerTime
-	slow    slowness
+	answers pace.Answers
+	slow    pace.Slowness
 }
 
 // run is one run of a task, from its arrival to its end.
@@ -94,7 +95,7 @@
 	overdue time.Time
 	// accepted is set once the target has taken the start; progress counts from then.
 	accepted bool
-	progress progress
+	progress pace.Progress
 	granted  chan struct{}
 	ended    chan ending   // one element at most
 	quit     chan struct{} // closed to give the run up
--- a/porter/runs.go
+++ b/porter/runs.go
@@ -9,6 +9,7 @@
 
 	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/pace"
 	"cyclamenrelay.example/wire"
 )
 
@@ -67,7 +68,7 @@
 		return batch.NotStarted, reply.Verdict.String()
 	}
 	p.mu.Lock()
-	r.accepted, r.progress = true, begun(p.opts.Clock.Now())
+	r.accepted, r.progress = true, pace.Begun(p.opts.Clock.Now())
 	p.mu.Unlock()
 	select {
 	case e := <-r.ended:
