broker, platform: job ended says that the caller had gone before the start

The log could not tell whether the connection was dead before the start already, or broke just after it.

The entry now looks at the connection when the first tasks of a job are sent, by a peek that neither blocks nor consumes, and job ended says callerGone. Nothing acts on it yet.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,9 +66,18 @@
 	lastID  uint64
 }
 
+// Caller is who waits for a job's outcome.
+type Caller interface {
+	// Here reports whether the caller still waits, as far as can be told without
+	// blocking.
+	Here() bool
+}
+
 // flight is a job in progress, with the callers that wait for it.
 type flight struct {
 	waiters int
+	// here tells, for each caller that ever waited, whether it still does.
+	here    []func() bool
 	cancel  context.CancelFunc
 	done    chan struct{}
 	outcome Outcome
@@ -192,7 +202,7 @@
 // Submit runs a job of the queue and returns how it ended. It gives the job up
 // when ctx ends or at the limit. A job that is in progress here already is not
 // run again.
-func (b *Broker) Submit(ctx context.Context, q policy.Queue, j batch.Job, limit time.Time) Outcome {
+func (b *Broker) Submit(ctx context.Context, c Caller, q policy.Queue, j batch.Job, limit time.Time) Outcome {
 	begun := b.opts.Clock.Now()
 	b.mu.Lock()
 	if a, ok := b.answers[j.ID]; ok {
@@ -207,6 +217,7 @@
 		go b.fly(fctx, f, q, j, begun, limit)
 	}
 	f.waiters++
+	f.here = append(f.here, func() bool { return ctx.Err() == nil && c.Here() })
 	b.mu.Unlock()
 	select {
 	case <-f.done:
@@ -222,6 +233,14 @@
 	return f.outcome
 }
 
+// attended reports whether a caller of the job is still here.
+func (b *Broker) attended(f *flight) bool {
+	b.mu.Lock()
+	here := f.here
+	b.mu.Unlock()
+	return slices.ContainsFunc(here, func(isHere func() bool) bool { return isHere() })
+}
+
 // fly runs a job and keeps its answer.
 func (b *Broker) fly(ctx context.Context, f *flight, q policy.Queue, j batch.Job, begun, limit time.Time) {
 	defer f.cancel()
@@ -233,7 +252,7 @@
 	meter.Responded(name, took)
 	b.opts.Log.Info("job ended", zap.String("job", j.ID), zap.String("queue", q.Name), zap.Int("tasks", j.Tasks()),
 		zap.String("outcome", name), zap.String("reason", reason), zap.Duration("took", took),
-		zap.Duration("estimate", w.chain), zap.Duration("wait", w.wait), zap.Duration("objective", w.objective), zap.Int("runs", w.runs))
+		zap.Duration("estimate", w.chain), zap.Duration("wait", w.wait), zap.Duration("objective", w.objective), zap.Int("runs", w.runs), zap.Bool("callerGone", w.callerGone))
 	b.mu.Lock()
 	f.outcome = o
 	delete(b.flights, j.ID)
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -118,8 +118,13 @@
 	return batch.Job{ID: id, Steps: steps, Transient: true}
 }
 
+// here is a caller that is always here, or never.
+type here bool
+
+func (h here) Here() bool { return bool(h) }
+
 func (b *bed) submit(j batch.Job) broker.Outcome {
-	return b.broker.Submit(b.t.Context(), queue(), j, time.Now().Add(10*time.Second))
+	return b.broker.Submit(b.t.Context(), here(true), queue(), j, time.Now().Add(10*time.Second))
 }
 
 func (b *bed) names() []string {
@@ -219,7 +224,7 @@
 		}
 		assert.Equal(t, kindOf(b.submit(j)), "refuse", name)
 	}
-	late := b.broker.Submit(t.Context(), queue(), job("j4", batch.Step{Count: 1}), time.Now().Add(900*time.Millisecond))
+	late := b.broker.Submit(t.Context(), here(true), queue(), job("j4", batch.Step{Count: 1}), time.Now().Add(900*time.Millisecond))
 	assert.Equal(t, kindOf(late), "refuse", "a second of work does not fit into 900 ms")
 	assert.Equal(t, len(b.names()), 0)
 }
@@ -241,7 +246,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		leave = append(leave, cancel)
 		go func() {
-			outcomes <- b.broker.Submit(ctx, queue(), job("j", batch.Step{Count: 1}), time.Now().Add(time.Minute))
+			outcomes <- b.broker.Submit(ctx, here(true), queue(), job("j", batch.Step{Count: 1}), time.Now().Add(time.Minute))
 		}()
 	}
 	<-running
--- a/broker/work.go
+++ b/broker/work.go
@@ -49,6 +49,8 @@
 	left       []int // tasks that are not done, by step
 	begunSteps []bool
 	results    chan result
+	// callerGone is set when no caller was left as the first tasks were sent.
+	callerGone bool
 }
 
 // task is one task of the job.
@@ -189,6 +191,7 @@
 	if a.Choices == nil {
 		return Refuse{Reason: "it would end too late", Overload: true, After: max(a.Wait, retryAfter)}
 	}
+	w.callerGone = w.callerGone || !w.mayHaveRun() && !b.attended(w.f)
 	for i, t := range tasks {
 		t.placedAt(a.Choices[i])
 		w.send(ctx, t)
