broker: nothing is started once the caller has left

The broker now asks the caller whether it is still here before it sends a step or another run. With no caller left it gives the job up: refused, with nothing run, or broken where a part had run. The look comes after admission, as late as possible, and only for what is admitted: one system call a step. It is repeated for later starts because an entry that stood still may take the end of a run before net/http has seen that the caller left meanwhile. A job with several callers goes on while one is here. The end of the stream counts as leaving, as it does for net/http.

Ruled out: a look on arrival alone, as requests wait between arrival and start; the context alone, as it ends too late. A caller that leaves just after the look, or whose leaving has not reached the host, is not seen.

TestOneOfTwoCallersGone passed before too: it guards the change.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -200,7 +200,8 @@
 }
 
 // Submit runs a job of the queue and returns how it ended. It gives the job up
-// when ctx ends or at the limit. A job that is in progress here already is not
+// when ctx ends or at the limit, and starts nothing of it for callers that are not
+// here. A job that is in progress here already is not
 // run again.
 func (b *Broker) Submit(ctx context.Context, c Caller, q policy.Queue, j batch.Job, limit time.Time) Outcome {
 	begun := b.opts.Clock.Now()
@@ -252,7 +253,7 @@
 	meter.Responded(name, took)
 	b.opts.Log.Info("job ended", zap.String("job", j.ID), zap.String("queue", q.Name), zap.Int("tasks", j.Tasks()),
 		zap.String("outcome", name), zap.String("reason", reason), zap.Duration("took", took),
-		zap.Duration("estimate", w.chain), zap.Duration("wait", w.wait), zap.Duration("objective", w.objective), zap.Int("runs", w.runs), zap.Bool("callerGone", w.callerGone))
+		zap.Duration("estimate", w.chain), zap.Duration("wait", w.wait), zap.Duration("objective", w.objective), zap.Int("runs", w.runs))
 	b.mu.Lock()
 	f.outcome = o
 	delete(b.flights, j.ID)
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -118,13 +119,13 @@
 	return batch.Job{ID: id, Steps: steps, Transient: true}
 }
 
-// here is a caller that is always here, or never.
-type here bool
+// caller is a broker.Caller that is here until it is gone.
+type caller struct{ gone atomic.Bool }
 
-func (h here) Here() bool { return bool(h) }
+func (c *caller) Here() bool { return !c.gone.Load() }
 
 func (b *bed) submit(j batch.Job) broker.Outcome {
-	return b.broker.Submit(b.t.Context(), here(true), queue(), j, time.Now().Add(10*time.Second))
+	return b.broker.Submit(b.t.Context(), new(caller), queue(), j, time.Now().Add(10*time.Second))
 }
 
 func (b *bed) names() []string {
@@ -224,7 +225,7 @@
 		}
 		assert.Equal(t, kindOf(b.submit(j)), "refuse", name)
 	}
-	late := b.broker.Submit(t.Context(), here(true), queue(), job("j4", batch.Step{Count: 1}), time.Now().Add(900*time.Millisecond))
+	late := b.broker.Submit(t.Context(), new(caller), queue(), job("j4", batch.Step{Count: 1}), time.Now().Add(900*time.Millisecond))
 	assert.Equal(t, kindOf(late), "refuse", "a second of work does not fit into 900 ms")
 	assert.Equal(t, len(b.names()), 0)
 }
@@ -246,7 +247,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		leave = append(leave, cancel)
 		go func() {
-			outcomes <- b.broker.Submit(ctx, here(true), queue(), job("j", batch.Step{Count: 1}), time.Now().Add(time.Minute))
+			outcomes <- b.broker.Submit(ctx, new(caller), queue(), job("j", batch.Step{Count: 1}), time.Now().Add(time.Minute))
 		}()
 	}
 	<-running
--- /dev/null
+++ b/broker/caller_test.go
@@ -0,0 +1,80 @@
+package broker_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/broker"
+	"cyclamenrelay.example/wire"
+)
+
+// Guards against a second run of what a caller that left has already sent to another entry.
+func TestCallerGoneBeforeTheStart(t *testing.T) {
+	b := newBed(t)
+	b.agent("a1", 100, done)
+	gone := &caller{}
+	gone.gone.Store(true)
+	o := b.broker.Submit(t.Context(), gone, queue(), job("j", batch.Step{Count: 1}), time.Now().Add(time.Minute))
+	assert.Equal(t, kindOf(o), "refuse", "%+v", o)
+	assert.Equal(t, len(b.names()), 0)
+	assert.Equal(t, kindOf(b.submit(job("j", batch.Step{Count: 1}))), "complete", "the job or its room was kept back")
+}
+
+// Guards against a later step, or another run, that starts after an entry stood still and its caller left meanwhile.
+func TestCallerGoneBeforeALaterStart(t *testing.T) {
+	for name, end := range map[string]batch.End{"next step": batch.Done, "next run": batch.Failed} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			var c caller
+			b.agent("a1", 1000, func(context.Context, wire.StartRun) wire.RunEnded {
+				c.gone.Store(true)
+				return wire.RunEnded{End: end}
+			})
+			o := b.broker.Submit(t.Context(), &c, queue(), job("j", batch.Step{Count: 1}, batch.Step{Count: 1, After: []int{0}}), time.Now().Add(time.Minute))
+			assert.Equal(t, kindOf(o), "broken", "%+v", o)
+			assert.DeepEqual(t, b.names(), []string{"j.0.0.0"})
+		})
+	}
+}
+
+// waits is a context that tells when a call waits for its end.
+type waits struct {
+	context.Context
+	waiting chan struct{}
+}
+
+func (w waits) Done() <-chan struct{} {
+	close(w.waiting)
+	return w.Context.Done()
+}
+
+// Guards against a job that is given up though another caller of it is still here.
+func TestOneOfTwoCallersGone(t *testing.T) {
+	b := newBed(t)
+	running, goOn := make(chan struct{}, 2), make(chan struct{})
+	b.agent("a1", 1000, func(context.Context, wire.StartRun) wire.RunEnded {
+		running <- struct{}{}
+		<-goOn
+		return wire.RunEnded{End: batch.Done}
+	})
+	j := job("j", batch.Step{Count: 1}, batch.Step{Count: 1, After: []int{0}})
+	outcomes := make(chan broker.Outcome, 2)
+	submit := func(ctx context.Context, c broker.Caller) {
+		outcomes <- b.broker.Submit(ctx, c, queue(), j, time.Now().Add(time.Minute))
+	}
+	var first caller
+	go submit(t.Context(), &first)
+	<-running
+	second := waits{t.Context(), make(chan struct{})}
+	go submit(second, new(caller))
+	<-second.waiting
+	first.gone.Store(true)
+	close(goOn)
+	assert.Equal(t, kindOf(<-outcomes), "complete")
+	assert.Equal(t, kindOf(<-outcomes), "complete")
+	assert.Equal(t, len(b.names()), 2)
+}
--- a/broker/work.go
+++ b/broker/work.go
@@ -49,8 +49,6 @@
 	left       []int // tasks that are not done, by step
 	begunSteps []bool
 	results    chan result
-	// callerGone is set when no caller was left as the first tasks were sent.
-	callerGone bool
 }
 
 // task is one task of the job.
@@ -191,7 +189,14 @@
 	if a.Choices == nil {
 		return Refuse{Reason: "it would end too late", Overload: true, After: max(a.Wait, retryAfter)}
 	}
-	w.callerGone = w.callerGone || !w.mayHaveRun() && !b.attended(w.f)
+	if !b.attended(w.f) {
+		b.mu.Lock()
+		for _, c := range a.Choices {
+			b.fleet.Release(c.Agent, s.Need)
+		}
+		b.mu.Unlock()
+		return w.deserted()
+	}
 	for i, t := range tasks {
 		t.placedAt(a.Choices[i])
 		w.send(ctx, t)
@@ -224,6 +229,13 @@
 	return Refuse{Reason: reason, Overload: true, After: retryAfter}
 }
 
+// deserted ends a job before a start that no caller waits for. The callers may
+// have sent it to another entry already.
+func (w *work) deserted() Outcome {
+	meter.Deserted().Inc()
+	return w.given("the caller had left before the start")
+}
+
 // place chooses another agent for a task.
 func (w *work) place(t *task) bool {
 	est := w.estimate(w.job.Steps[t.step])
@@ -349,6 +361,9 @@
 	if now.Add(w.estimate(w.job.Steps[t.step]) + overhead).After(w.limit) {
 		return w.given("too little time is left for another start")
 	}
+	if !w.b.attended(w.f) {
+		return w.deserted()
+	}
 	if !w.place(t) {
 		return w.given("no other target can take the work")
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -34,6 +34,9 @@
 // Starts counts the starts sent to agents.
 func Starts() *metrics.Counter { return metrics.GetOrCreateCounter("relay_starts_total") }
 
+// Deserted counts the jobs that were given up before a start, as no caller was left.
+func Deserted() *metrics.Counter { return metrics.GetOrCreateCounter("relay_jobs_deserted_total") }
+
 // Gauge reports f under the name. The name is registered once a process.
 func Gauge(name string, f func() float64) { metrics.GetOrCreateGauge(name, f) }
 
