porter, broker: log what the end of a run was concluded from

An entry starts a task again once an agent says that its run is over, but no line said what the agent had concluded that from: a listing, an answered stop, a refused connection or a lease. Agents logged ends at debug only, which deployments do not write, so a false conclusion and a run that outlived its lease looked the same.

RunEnded carries what shows the end, 'run not done' at entries and 'run ended' at agents tell it, and stops that the target rejects are logged. Ends that the target lists itself stay at debug: they are most of the runs.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -102,23 +102,3 @@
 func TaskName(job string, step, index int) string {
 	return job + ".0." + strconv.Itoa(step) + "." + strconv.Itoa(index)
 }
-
-// End says how a run ended.
-type End string
-
-// The ends of a run.
-const (
-	// Done is a success.
-	Done End = "done"
-	// Failed is an error of the task or its target.
-	Failed End = "failed"
-	// Stopped is a run that was ended before it was done, and certainly runs no more.
-	Stopped End = "stopped"
-	// NotStarted certainly never ran.
-	NotStarted End = "notStarted"
-	// Unanswered is a start that its target left unanswered. It may have run, and
-	// certainly runs no more; other work of the target may be well.
-	Unanswered End = "unanswered"
-	// Lost is a run of which nothing is known until all leases have ended.
-	Lost End = "lost"
-)
--- a/broker/work.go
+++ b/broker/work.go
@@ -310,7 +310,7 @@
 	w.b.mu.Unlock()
 	if e.End != batch.Done {
 		w.b.opts.Log.Info("run not done", zap.String("task", t.name), zap.Uint64("run", t.run), zap.String("agent", agent),
-			zap.String("end", string(e.End)), zap.String("reason", e.Reason), zap.Duration("waited", e.Waited), zap.Duration("ran", e.Ran))
+			zap.String("end", string(e.End)), zap.String("shown", string(e.Shown)), zap.String("reason", e.Reason), zap.Duration("waited", e.Waited), zap.Duration("ran", e.Ran))
 	}
 	switch e.End {
 	case batch.Done:
--- a/porter/driver.go
+++ b/porter/driver.go
@@ -129,7 +129,11 @@
 }
 
 // Gone is the error of an order to a target that does not live.
-type Gone struct{ Reason string }
+type Gone struct {
+	Reason string
+	// Shown is what that was concluded from.
+	Shown batch.Shown
+}
 
 // Error implements error.
 func (g Gone) Error() string { return "the target does not live: " + g.Reason }
--- a/porter/loops.go
+++ b/porter/loops.go
@@ -61,14 +61,14 @@
 }
 
 // unreachable takes the target for dead until it announces itself again.
-func (p *Porter) unreachable(h *hosted, reason string) {
+func (p *Porter) unreachable(h *hosted, reason string, shown batch.Shown) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.target != h {
 		return
 	}
 	p.opts.Log.Warn("target lost", zap.String("target", h.ID), zap.String("reason", reason))
-	p.abandon(reason)
+	p.abandon(reason, shown)
 	p.target = nil
 	p.resize()
 }
@@ -94,7 +94,7 @@
 		}
 		var gone Gone
 		if errors.As(err, &gone) {
-			p.unreachable(h, gone.Reason)
+			p.unreachable(h, gone.Reason, gone.Shown)
 			continue
 		}
 		misses++
@@ -135,7 +135,7 @@
 		p.raiseFence(h, l.Clock)
 		return nil
 	case l.Verdict == Replaced || l.Born != 0 && t.Born != 0 && l.Born != t.Born:
-		return Gone{Reason: "another life answers at its address"}
+		return Gone{Reason: "another life answers at its address", Shown: batch.BySuccessor}
 	case l.Verdict != Accepted:
 		p.opts.Log.Debug("renewal rejected", zap.String("target", t.ID), zap.Stringer("verdict", l.Verdict))
 	}
@@ -166,7 +166,7 @@
 		}
 		h.seen = e.N
 		if r := p.byTask[Running{e.Task, e.Run}]; r != nil && r.target == h {
-			r.end(e.End, "")
+			r.end(ending{e.End, "", batch.ByListing})
 		}
 	}
 	foreign := p.follow(h, l.Running)
@@ -238,7 +238,7 @@
 		case now.After(p.leases[r.owner]):
 			r.giveUp("the entry's lease has ended")
 		case r.target != nil && now.After(r.target.leaseEnds):
-			r.end(batch.Stopped, "the target's lease has ended")
+			r.end(ending{batch.Stopped, "the target's lease has ended", batch.ByLease})
 		case !r.overdue.IsZero() && now.After(r.overdue):
 			r.giveUp("the run is overdue")
 		}
--- a/porter/porter.go
+++ b/porter/porter.go
@@ -106,6 +106,7 @@
 type ending struct {
 	end    batch.End
 	reason string
+	shown  batch.Shown
 }
 
 // New returns a porter without a target.
@@ -191,7 +192,7 @@
 			}
 			return true
 		}
-		p.abandon("the target was replaced")
+		p.abandon("the target was replaced", batch.BySuccessor)
 	}
 	p.opts.Log.Info("target arrived", zap.String("target", t.ID), zap.String("pool", t.Pool), zap.String("address", t.Address),
 		zap.Int64("cpu", t.Capacity.CPU), zap.Int64("memory", t.Capacity.Memory), zap.Bool("open", t.Open))
@@ -215,7 +216,7 @@
 		return
 	}
 	p.opts.Log.Info("target left", zap.String("target", id))
-	p.abandon("the target left")
+	p.abandon("the target left", batch.ByLeave)
 	p.target = nil
 	p.resize()
 }
@@ -232,16 +233,16 @@
 }
 
 // abandon ends all runs: the target's life is over. The caller holds mu.
-func (p *Porter) abandon(reason string) {
+func (p *Porter) abandon(reason string, shown batch.Shown) {
 	for _, r := range p.runs {
-		r.end(batch.Stopped, reason)
+		r.end(ending{batch.Stopped, reason, shown})
 	}
 }
 
 // end tells the run's handler how it ended; only the first end counts.
-func (r *run) end(e batch.End, reason string) {
+func (r *run) end(e ending) {
 	select {
-	case r.ended <- ending{e, reason}:
+	case r.ended <- e:
 	default:
 	}
 }
--- a/porter/runs.go
+++ b/porter/runs.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/link"
@@ -30,49 +31,59 @@
 	select {
 	case <-r.granted:
 	case <-ctx.Done():
-		return wire.RunEnded{End: batch.NotStarted, Reason: "the entry gave up"}
+		return wire.RunEnded{End: batch.NotStarted, Reason: "the entry gave up", Shown: batch.ByWaiting}
 	case <-r.quit:
-		return wire.RunEnded{End: batch.NotStarted, Reason: r.reason}
+		return wire.RunEnded{End: batch.NotStarted, Reason: r.reason, Shown: batch.ByWaiting}
 	case e := <-r.ended:
-		return wire.RunEnded{End: batch.NotStarted, Reason: e.reason}
+		return wire.RunEnded{End: batch.NotStarted, Reason: e.reason, Shown: batch.ByWaiting}
 	}
 	at := p.opts.Clock.Now()
-	end, reason := p.execute(ctx, r)
-	out := wire.RunEnded{End: end, Reason: reason, Waited: at.Sub(begun), Ran: p.opts.Clock.Since(at)}
-	p.opts.Log.Debug("run ended", zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run), zap.String("end", string(end)),
-		zap.String("reason", reason), zap.Duration("waited", out.Waited), zap.Duration("ran", out.Ran))
+	e := p.execute(ctx, r)
+	out := wire.RunEnded{End: e.end, Reason: e.reason, Shown: e.shown, Waited: at.Sub(begun), Ran: p.opts.Clock.Since(at)}
+	p.opts.Log.Check(levelOf(e), "run ended").Write(zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run),
+		zap.String("target", r.target.ID), zap.String("end", string(e.end)), zap.String("shown", string(e.shown)),
+		zap.String("reason", e.reason), zap.Duration("waited", out.Waited), zap.Duration("ran", out.Ran))
 	return out
 }
 
+// levelOf returns the level of an end's log line: ends that the target did not
+// list are few, and decide whether a task starts again.
+func levelOf(e ending) zapcore.Level {
+	if e.shown == batch.ByListing || e.end == batch.NotStarted {
+		return zap.DebugLevel
+	}
+	return zap.InfoLevel
+}
+
 // execute orders a start and waits for the end of the run.
-func (p *Porter) execute(ctx context.Context, r *run) (batch.End, string) {
+func (p *Porter) execute(ctx context.Context, r *run) ending {
 	reply, err := p.orderStart(r)
 	var gone Gone
 	switch {
 	case errors.As(err, &gone):
-		p.unreachable(r.target, gone.Reason)
-		return batch.NotStarted, gone.Reason
+		p.unreachable(r.target, gone.Reason, gone.Shown)
+		return ending{batch.NotStarted, gone.Reason, gone.Shown}
 	case err != nil:
 		// The order may be carried out late: a stop that is obeyed rules it out.
 		p.opts.Log.Warn("start unanswered", zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run), zap.Error(err))
-		end, reason := p.stop(r, "the target left the start unanswered")
-		if end == batch.Stopped {
-			end = batch.Unanswered
+		e := p.stop(r, "the target left the start unanswered")
+		if e.end == batch.Stopped {
+			e.end = batch.Unanswered
 		}
-		return end, reason
+		return e
 	case reply.Verdict != Accepted:
 		p.opts.Log.Debug("start rejected", zap.String("task", r.key.Task), zap.Int("verdict", int(reply.Verdict)))
 		if reply.Verdict == Fenced {
 			p.raiseFence(r.target, reply.Clock)
 		}
-		return batch.NotStarted, reply.Verdict.String()
+		return ending{batch.NotStarted, reply.Verdict.String(), batch.ByRefusal}
 	}
 	p.mu.Lock()
 	r.accepted, r.progress = true, pace.Begun(p.opts.Clock.Now())
 	p.mu.Unlock()
 	select {
 	case e := <-r.ended:
-		return e.end, e.reason
+		return e
 	case <-ctx.Done():
 		return p.stop(r, "the entry gave up")
 	case <-r.quit:
@@ -107,7 +118,7 @@
 
 // stop ends a run, and returns once it certainly runs no more: the target says
 // so, or its lease has ended.
-func (p *Porter) stop(r *run, reason string) (batch.End, string) {
+func (p *Porter) stop(r *run, reason string) ending {
 	for {
 		p.mu.Lock()
 		o := Order{Task: r.key.Task, Run: r.key.Run, Fence: r.target.fence}
@@ -117,18 +128,27 @@
 		wait := min(holdPause, left)
 		if err == nil && reply.Verdict != Fenced {
 			if p.isOver(r) {
-				return batch.Stopped, reason
+				return ending{batch.Stopped, reason, batch.ByAbsence}
+			}
+			if reply.Verdict != Accepted {
+				p.opts.Log.Info("stop rejected", zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run),
+					zap.Stringer("verdict", reply.Verdict))
 			}
 			wait = stopGrace
 		}
 		select {
 		case e := <-r.ended:
-			return e.end, reason
+			return ending{e.end, reason, e.shown}
 		case <-p.opts.Clock.After(wait):
 		}
 		var gone Gone
-		if err == nil && reply.Verdict != Fenced || errors.As(err, &gone) || left <= 0 {
-			return batch.Stopped, reason
+		switch {
+		case errors.As(err, &gone):
+			return ending{batch.Stopped, reason, gone.Shown}
+		case err == nil && reply.Verdict != Fenced:
+			return ending{batch.Stopped, reason, batch.ByStop}
+		case left <= 0:
+			return ending{batch.Stopped, reason, batch.ByLease}
 		}
 	}
 }
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -73,6 +73,8 @@
 type RunEnded struct {
 	End    batch.End `cbor:"1,keyasint"`
 	Reason string    `cbor:"2,keyasint,omitempty"`
+	// Shown says what the agent concluded the end from.
+	Shown batch.Shown `cbor:"6,keyasint,omitempty"`
 	// Waited is the time before the start, Ran that from the start to the end.
 	Waited time.Duration `cbor:"3,keyasint,omitempty"`
 	Ran    time.Duration `cbor:"4,keyasint,omitempty"`
