--- a/porter/porter_test.go
+++ b/porter/porter_test.go
@@ -37,6 +37,12 @@
 	deaf bool
 	late time.Duration
 	gone bool
+	// refusing connections, a target carries nothing out, but what runs goes on.
+	refusing bool
+	// stopAnswer is given to stops in place of carrying them out, unless Accepted.
+	stopAnswer porter.Verdict
+	// renewals counts the holds that moved the end of the lease.
+	renewals int
 	// pace is how much of a run is done in a millisecond, in hundredths; nil for a
 	// target that says nothing of its runs.
 	pace  func(porter.Running) float64
@@ -105,7 +111,7 @@
 
 func (x *fakeTarget) Start(ctx context.Context, _ porter.Target, o porter.Order) (porter.Reply, error) {
 	x.mu.Lock()
-	deaf, gone, late := x.deaf, x.gone, x.late
+	deaf, gone, late := x.deaf, x.gone || x.refusing, x.late
 	x.mu.Unlock()
 	if gone {
 		return porter.Reply{}, porter.Gone{Reason: "test"}
@@ -122,8 +128,11 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.stops++
-	if x.gone {
+	switch {
+	case x.gone || x.refusing:
 		return porter.Reply{}, porter.Gone{Reason: "test"}
+	case x.stopAnswer != porter.Accepted:
+		return x.reply(x.stopAnswer), nil
 	}
 	if o.Fence < x.fence {
 		return x.reply(porter.Fenced), nil
@@ -140,13 +149,16 @@
 	time.Sleep(5 * time.Millisecond)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.gone {
+	if x.gone || x.refusing {
 		return porter.Listing{}, porter.Gone{Reason: "test"}
 	}
 	if h.Fence < x.fence {
 		return porter.Listing{Reply: x.reply(porter.Fenced)}, nil
 	}
 	x.lapse()
+	if h.Until > x.until {
+		x.renewals++
+	}
 	x.fence, x.until = h.Fence, max(x.until, h.Until)
 	l := porter.Listing{Reply: x.reply(porter.Accepted)}
 	for r := range x.running {
@@ -191,6 +203,14 @@
 func newBed(t *testing.T, x *fakeTarget) *bed { return newBedWith(t, x, longLease) }
 
 func newBedWith(t *testing.T, x *fakeTarget, entryLease time.Duration) *bed {
+	return newBedFor(t, x, x, entryLease)
+}
+
+func newBedOf(t *testing.T, x *fakeTarget, d porter.Driver) *bed {
+	return newBedFor(t, x, d, longLease)
+}
+
+func newBedFor(t *testing.T, x *fakeTarget, d porter.Driver, entryLease time.Duration) *bed {
 	b := &bed{t: t, target: x}
 	clock := clockwork.NewRealClock()
 	b.entry = b.node("entry-1", keys.Entry)
@@ -223,7 +243,7 @@
 	finder := member.NewFinder(agent, clock, zap.NewNop(),
 		wire.Node{Name: "agent-1", DataCentre: "dc", Roles: []string{"agent"}, Incarnation: 3}, []string{b.entry.Address()})
 	b.porter = porter.New(porter.Options{
-		Driver: x, TargetLease: time.Second, EntryLease: entryLease, DrainTimeout: time.Second,
+		Driver: d, TargetLease: time.Second, EntryLease: entryLease, DrainTimeout: time.Second,
 		Clock: clock, Log: zap.NewNop(),
 	})
 	run(t, finder, b.porter, agent)
