porter, platform, broker: a run is over only when something shows it

One way to it, of two that were found: an agent concluded an end from something that does not show it, and the entry started the task elsewhere while the run went on.

Cause: the class of fault is an answer, an error or a silence that is taken for a fact about a run. It acted at each place where an end was concluded rather than listed: - any answer to a stop but a fence counted as obeyed, also 429 and 503, which say that nothing was done, and 80 ms later the run counted as over; - 500, 502, 504, 404, 408, unknown conflicts and conflicts without a readable body counted as orders that were not carried out; - a refused connection, a leave, and another target on the worker ended all runs of a target at once; - an agent renewed the lease of all that ran on its target, also of a run that it could not stop, of an entry whose lease had ended, and of an earlier agent; - a renewal that was rejected counted as a listing without runs, which made a target with foreign runs count as clean; - a row of a listing that could not be read was left out, and its run absent; - a run that had room was ordered without another look at its entry's lease.

Now an end names what shows it: the target's listing, its absence from a listing that was asked for after an obeyed stop, a start that the target refused or that never arrived, another life under the target's ID or at its address, or the end of the lease. Anything else is unknown: the agent goes on stopping the run until one of these is there, and an entry takes an end that names nothing for lost. The lease bounds the wait: no renewal reaches past the time when a run of the target must be over, which also makes the sum of both leases hold where stops are rejected. The price is that a target that rejects stops for a lease (0.49 s) loses its other runs too, and that the runs of a target that died count as over after its lease, not at the first refused connection.

Package lease computes the lease's times: what has passed since the target's clock was read drifts too, which was left out before.

Ruled out as proof: the address refusing connections.

--- a/batch/end.go
+++ b/batch/end.go
@@ -20,26 +20,23 @@
 	Lost End = "lost"
 )
 
-// Shown says what an end is concluded from.
+// Shown says what shows that a run is over. Nothing else does: a run without it
+// may go on.
 type Shown string
 
-// What ends are concluded from.
+// What shows that a run is over.
 const (
 	// ByListing is an end that the target lists.
 	ByListing Shown = "listing"
 	// ByAbsence is a run that the target, asked after it obeyed a stop, does not list.
 	ByAbsence Shown = "absence"
-	// ByStop is a stop that was answered, and the time that a stop takes.
-	ByStop Shown = "stop"
 	// ByRefusal is a start that the target said it did not take.
 	ByRefusal Shown = "refusal"
-	// ByNoListener is a target's address that refuses connections.
-	ByNoListener Shown = "noListener"
-	// BySuccessor is another life that took the target's place.
+	// ByNoDelivery is a start that never arrived.
+	ByNoDelivery Shown = "noDelivery"
+	// BySuccessor is another life under the target's ID or at its address.
 	BySuccessor Shown = "successor"
-	// ByLeave is the target's word that it ends.
-	ByLeave Shown = "leave"
-	// ByLease is the end of the target's lease.
+	// ByLease is the certain end of the target's lease.
 	ByLease Shown = "lease"
 	// ByWaiting is a run that was never ordered.
 	ByWaiting Shown = "waiting"
--- a/broker/work.go
+++ b/broker/work.go
@@ -280,16 +280,20 @@
 	return limit
 }
 
-// endOf returns the end that an agent's answer tells.
+// endOf returns the end that an agent's answer tells. A run of which nothing
+// shows that it is over is lost: it may go on.
 func endOf(a wire.Message, err error) wire.RunEnded {
 	switch a := a.(type) {
 	case wire.RunEnded:
+		if a.Shown == "" {
+			a.End, a.Reason = batch.Lost, "nothing shows that the run is over: "+a.Reason
+		}
 		return a
 	case wire.Refused:
-		return wire.RunEnded{End: batch.NotStarted, Reason: a.Reason}
+		return wire.RunEnded{End: batch.NotStarted, Reason: a.Reason, Shown: batch.ByRefusal}
 	}
 	if link.NotSent(err) {
-		return wire.RunEnded{End: batch.NotStarted, Reason: err.Error()}
+		return wire.RunEnded{End: batch.NotStarted, Reason: err.Error(), Shown: batch.ByNoDelivery}
 	}
 	return wire.RunEnded{End: batch.Lost, Reason: err.Error()}
 }
--- a/porter/driver.go
+++ b/porter/driver.go
@@ -44,8 +44,10 @@
 // Verdict is a target's answer to an order.
 type Verdict int
 
-// The verdicts on an order. All but Accepted did nothing.
+// The verdicts on an order. All but Accepted say that nothing was done; an
+// answer that leaves this open is an error.
 const (
+	// Accepted orders are carried out.
 	Accepted Verdict = iota
 	// Full targets have no room for the task.
 	Full
@@ -57,7 +59,7 @@
 	Fenced
 	// Unhealthy targets take nothing now.
 	Unhealthy
-	// Replaced targets live no more; another life answers at the address.
+	// Replaced targets have ended; another life answers at the address.
 	Replaced
 	// Invalid orders are never taken.
 	Invalid
@@ -81,6 +83,7 @@
 
 // Hold renews the lease of all that runs on a target, and asks for what ended.
 type Hold struct {
+	// Until is the new end of the lease by the target's clock, 0 to leave it.
 	Until time.Duration
 	Fence uint64
 	// Seen is the number of the last end that was taken note of.
@@ -120,20 +123,17 @@
 	Ended   []Ended
 }
 
-// Driver gives orders to targets. An error that satisfies Gone says that the
-// target does not live; after any other, the order may still be carried out.
+// Driver gives orders to targets. An error that satisfies NotDelivered says that
+// the order certainly did not arrive; after any other, it may still be carried out.
 type Driver interface {
 	Start(ctx context.Context, t Target, o Order) (Reply, error)
 	Stop(ctx context.Context, t Target, o Order) (Reply, error)
 	Hold(ctx context.Context, t Target, h Hold) (Listing, error)
 }
 
-// Gone is the error of an order to a target that does not live.
-type Gone struct {
-	Reason string
-	// Shown is what that was concluded from.
-	Shown batch.Shown
-}
+// NotDelivered is the error of an order that certainly did not arrive. It does
+// not say that the target has ended.
+type NotDelivered struct{ Reason string }
 
 // Error implements error.
-func (g Gone) Error() string { return "the target does not live: " + g.Reason }
+func (e NotDelivered) Error() string { return "not delivered: " + e.Reason }
--- a/porter/loops.go
+++ b/porter/loops.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/batch"
@@ -36,20 +37,9 @@
 	entriesInterval = 250 * time.Millisecond
 )
 
-// renewal returns an end of the target's lease from now, by the target's
-// clock, and keeps when it will certainly have passed. The caller holds mu.
-func (p *Porter) renewal(h *hosted) time.Duration {
-	now := p.opts.Clock.Now()
-	lease := p.opts.TargetLease
-	if ends := now.Add(lease + lease/clockDrift + stopGrace); ends.After(h.leaseEnds) {
-		h.leaseEnds = ends
-	}
-	return h.Clock + now.Sub(h.heard) + lease
-}
-
 func (p *Porter) clock(h *hosted, c time.Duration) {
 	if c > 0 {
-		h.Clock, h.heard = c, p.opts.Clock.Now()
+		h.lease = h.lease.WithClock(c, p.opts.Clock.Now())
 	}
 }
 
@@ -60,15 +50,32 @@
 	h.fence = max(h.fence+1, fenceOf(clock))
 }
 
-// unreachable takes the target for dead until it announces itself again.
-func (p *Porter) unreachable(h *hosted, reason string, shown batch.Shown) {
+// unreachable closes a target that refuses connections, and forgets it once
+// nothing can run on it any more.
+func (p *Porter) unreachable(h *hosted, reason string) {
+	p.reached(h, false)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.target != h {
-		return
+	h.refusing = true
+	if p.target == h && h.lease.Over(p.opts.Clock.Now()) {
+		p.lose(h, reason)
+	}
+}
+
+// replaced ends the runs of a target in whose place another life has answered.
+func (p *Porter) replaced(h *hosted) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	const reason = "another life answers at its address"
+	p.abandon(h, reason, batch.BySuccessor)
+	if p.target == h {
+		p.lose(h, reason)
 	}
+}
+
+// lose has no target until one announces itself. The caller holds mu.
+func (p *Porter) lose(h *hosted, reason string) {
 	p.opts.Log.Warn("target lost", zap.String("target", h.ID), zap.String("reason", reason))
-	p.abandon(reason, shown)
 	p.target = nil
 	p.resize()
 }
@@ -92,13 +99,12 @@
 			misses = 0
 			continue
 		}
-		var gone Gone
-		if errors.As(err, &gone) {
-			p.unreachable(h, gone.Reason, gone.Shown)
-			continue
-		}
 		misses++
-		if misses == unreachedAfter {
+		var refused NotDelivered
+		switch {
+		case errors.As(err, &refused):
+			p.unreachable(h, refused.Reason)
+		case misses >= unreachedAfter:
 			p.reached(h, false)
 		}
 		select {
@@ -111,6 +117,7 @@
 func (p *Porter) reached(h *hosted, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	h.refusing = h.refusing && !ok
 	if h.reached != ok {
 		p.opts.Log.Info("target reached", zap.String("target", h.ID), zap.Bool("reached", ok))
 		h.reached = ok
@@ -135,9 +142,10 @@
 		p.raiseFence(h, l.Clock)
 		return nil
 	case l.Verdict == Replaced || l.Born != 0 && t.Born != 0 && l.Born != t.Born:
-		return Gone{Reason: "another life answers at its address", Shown: batch.BySuccessor}
+		p.replaced(h)
+		return nil
 	case l.Verdict != Accepted:
-		p.opts.Log.Debug("renewal rejected", zap.String("target", t.ID), zap.Stringer("verdict", l.Verdict))
+		return trace.ConnectionProblem(nil, "renewal rejected: %s", l.Verdict)
 	}
 	p.reached(h, true)
 	p.listed(h, l)
@@ -170,6 +178,12 @@
 		}
 	}
 	foreign := p.follow(h, l.Running)
+	switch {
+	case len(foreign) > 0 && h.foreign.IsZero():
+		h.foreign = p.opts.Clock.Now()
+	case len(foreign) == 0:
+		h.foreign = time.Time{}
+	}
 	if len(foreign) == 0 && !h.clean {
 		h.clean, p.clean = true, true
 		p.resize()
@@ -192,7 +206,7 @@
 	for _, x := range standings {
 		r := p.byTask[x.Running]
 		switch {
-		case r == nil:
+		case r == nil || r.target != h:
 			foreign = append(foreign, x.Running)
 		case r.accepted:
 			r.progress = r.progress.With(x.Percent, now)
@@ -237,7 +251,7 @@
 		switch {
 		case now.After(p.leases[r.owner]):
 			r.giveUp("the entry's lease has ended")
-		case r.target != nil && now.After(r.target.leaseEnds):
+		case r.target != nil && r.target.lease.Over(now):
 			r.end(ending{batch.Stopped, "the target's lease has ended", batch.ByLease})
 		case !r.overdue.IsZero() && now.After(r.overdue):
 			r.giveUp("the run is overdue")
--- a/porter/porter.go
+++ b/porter/porter.go
@@ -11,6 +11,7 @@
 	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/lease"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
 	"cyclamenrelay.example/pace"
@@ -27,9 +28,6 @@
 	// stopGrace is how long a stopped run may take to be listed as ended: the
 	// platform allows 50 ms.
 	stopGrace = 80 * time.Millisecond
-	// clockDrift is how much slower than this clock a target's may run: one part
-	// in clockDrift.
-	clockDrift = 50
 )
 
 // Options configure a Porter.
@@ -69,16 +67,21 @@
 // hosted is the target of the agent now.
 type hosted struct {
 	Target
-	heard time.Time // when Clock was true, at the latest
 	fence uint64
 	seen  int64
-	// leaseEnds is when all runs of the target have certainly ended unless
-	// renewed, by this process's clock.
-	leaseEnds time.Time
+	lease lease.Lease
 	// clean is set once nothing runs that this process did not start.
 	clean bool
+	// foreign is since when the target has listed a run that this process did not
+	// start, the zero time while it lists none.
+	foreign time.Time
 	// reached is false while the target leaves orders unanswered.
 	reached bool
+	// refusing targets do not listen at their address. No renewal reaches them, so
+	// that their lease must not count as renewed.
+	refusing bool
+	// leaving targets, and those that another one came after, get no renewals.
+	leaving bool
 	// answers is how long the target takes to answer orders.
 	answers pace.Answers
 	slow    pace.Slowness
@@ -96,10 +99,13 @@
 	// accepted is set once the target has taken the start; progress counts from then.
 	accepted bool
 	progress pace.Progress
-	granted  chan struct{}
-	ended    chan ending   // one element at most
-	quit     chan struct{} // closed to give the run up
-	reason   string        // why it was given up, set before quit is closed
+	// over is when the target must have ended the run that is given up, the zero
+	// time before: no renewal reaches past it.
+	over    time.Time
+	granted chan struct{}
+	ended   chan ending   // one element at most
+	quit    chan struct{} // closed to give the run up
+	reason  string        // why it was given up, set before quit is closed
 }
 
 // ending is how a run ended and, unless the target said so, why.
@@ -185,18 +191,18 @@
 		}
 		if same {
 			opened := h.Open != t.Open
-			h.Target, h.heard = t, now
+			h.Target, h.lease = t, h.lease.WithClock(t.Clock, now)
 			p.resize()
 			if opened {
 				p.opts.Log.Info("target changed", zap.String("target", t.ID), zap.Bool("open", t.Open))
 			}
 			return true
 		}
-		p.abandon("the target was replaced", batch.BySuccessor)
+		p.succeeded(h, t)
 	}
 	p.opts.Log.Info("target arrived", zap.String("target", t.ID), zap.String("pool", t.Pool), zap.String("address", t.Address),
 		zap.Int64("cpu", t.Capacity.CPU), zap.Int64("memory", t.Capacity.Memory), zap.Bool("open", t.Open))
-	p.target = &hosted{Target: t, heard: now, fence: fenceOf(t.Clock), reached: true}
+	p.target = &hosted{Target: t, lease: lease.Lease{}.WithClock(t.Clock, now), fence: fenceOf(t.Clock), reached: true}
 	p.resize()
 	close(p.arrived)
 	p.arrived = make(chan struct{})
@@ -208,7 +214,20 @@
 // agent has a higher fence than before.
 func fenceOf(clock time.Duration) uint64 { return uint64(clock.Milliseconds()) + 1 }
 
-// Left takes a target's word that it ends now.
+// succeeded has the target's runs end when another one arrives. Only one under
+// its ID, or at its address, shows that it has ended; any other may have come
+// beside it. The caller holds mu.
+func (p *Porter) succeeded(h *hosted, next Target) {
+	const reason = "the target was replaced"
+	if next.ID == h.ID || next.Address == h.Address {
+		p.abandon(h, reason, batch.BySuccessor)
+		return
+	}
+	p.retire(h, reason)
+}
+
+// Left takes a target's word that it ends. It may go on for seconds when the
+// answer to that is lost.
 func (p *Porter) Left(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -216,14 +235,13 @@
 		return
 	}
 	p.opts.Log.Info("target left", zap.String("target", id))
-	p.abandon("the target left", batch.ByLeave)
-	p.target = nil
+	p.retire(p.target, "the target left")
 	p.resize()
 }
 
 // resize brings the room to what the target says. The caller holds mu.
 func (p *Porter) resize() {
-	open := p.target != nil && p.target.Open && p.target.clean && p.target.reached && !p.leaving
+	open := p.target != nil && p.target.Open && p.target.clean && p.target.reached && !p.target.leaving && !p.leaving
 	p.room.SetOpen(open)
 	if p.target != nil {
 		p.room.Resize(p.target.Capacity)
@@ -232,10 +250,24 @@
 	p.touch()
 }
 
-// abandon ends all runs: the target's life is over. The caller holds mu.
-func (p *Porter) abandon(reason string, shown batch.Shown) {
+// abandon ends the runs of a target that has certainly ended, and those that
+// wait for room. The caller holds mu.
+func (p *Porter) abandon(h *hosted, reason string, shown batch.Shown) {
 	for _, r := range p.runs {
-		r.end(ending{batch.Stopped, reason, shown})
+		if r.target == nil || r.target == h {
+			r.end(ending{batch.Stopped, reason, shown})
+		}
+	}
+}
+
+// retire gives up the runs of a target that may live on, and those that wait
+// for room. The caller holds mu.
+func (p *Porter) retire(h *hosted, reason string) {
+	h.leaving = true
+	for _, r := range p.runs {
+		if r.target == nil || r.target == h {
+			r.giveUp(reason)
+		}
 	}
 }
 
@@ -284,7 +316,7 @@
 		return nil, "no target"
 	case p.leaving:
 		return nil, "the agent is shutting down"
-	case !p.target.Open:
+	case !p.target.Open || p.target.leaving:
 		return nil, "the target is leaving"
 	case !p.target.clean || !p.target.reached:
 		return nil, "the target does not answer"
--- a/porter/runs.go
+++ b/porter/runs.go
@@ -18,7 +18,7 @@
 func (p *Porter) start(ctx context.Context, peer link.Peer, m wire.StartRun) wire.Message {
 	r, reason := p.enter(peer.Name, m)
 	if r == nil {
-		return wire.RunEnded{End: batch.NotStarted, Reason: reason}
+		return wire.RunEnded{End: batch.NotStarted, Reason: reason, Shown: batch.ByWaiting}
 	}
 	e := p.run(ctx, r)
 	e.Room = p.leave(r)
@@ -57,12 +57,16 @@
 
 // execute orders a start and waits for the end of the run.
 func (p *Porter) execute(ctx context.Context, r *run) ending {
-	reply, err := p.orderStart(r)
-	var gone Gone
+	o, reason := p.startOrder(ctx, r)
+	if reason != "" {
+		return ending{batch.NotStarted, reason, batch.ByWaiting}
+	}
+	reply, err := p.order(r.target, p.opts.Driver.Start, o)
+	var refused NotDelivered
 	switch {
-	case errors.As(err, &gone):
-		p.unreachable(r.target, gone.Reason, gone.Shown)
-		return ending{batch.NotStarted, gone.Reason, gone.Shown}
+	case errors.As(err, &refused):
+		p.unreachable(r.target, refused.Reason)
+		return ending{batch.NotStarted, refused.Reason, batch.ByNoDelivery}
 	case err != nil:
 		// The order may be carried out late: a stop that is obeyed rules it out.
 		p.opts.Log.Warn("start unanswered", zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run), zap.Error(err))
@@ -72,7 +76,7 @@
 		}
 		return e
 	case reply.Verdict != Accepted:
-		p.opts.Log.Debug("start rejected", zap.String("task", r.key.Task), zap.Int("verdict", int(reply.Verdict)))
+		p.opts.Log.Debug("start rejected", zap.String("task", r.key.Task), zap.Stringer("verdict", reply.Verdict))
 		if reply.Verdict == Fenced {
 			p.raiseFence(r.target, reply.Clock)
 		}
@@ -91,11 +95,24 @@
 	}
 }
 
-func (p *Porter) orderStart(r *run) (Reply, error) {
+// startOrder returns the order to start a run that has room, or why it must not
+// start any more: much may have happened since it was granted.
+func (p *Porter) startOrder(ctx context.Context, r *run) (o Order, reason string) {
 	p.mu.Lock()
-	o := Order{Task: r.key.Task, Run: r.key.Run, Spec: r.order.Spec, Until: p.renewal(r.target), Fence: r.target.fence}
-	p.mu.Unlock()
-	return p.order(r.target, p.opts.Driver.Start, o)
+	defer p.mu.Unlock()
+	switch {
+	case ctx.Err() != nil:
+		return o, "the entry gave up"
+	case p.opts.Clock.Now().After(p.leases[r.owner]):
+		return o, "the entry's lease has ended"
+	case p.target != r.target || r.target.leaving:
+		return o, "the target is leaving"
+	}
+	o = Order{Task: r.key.Task, Run: r.key.Run, Spec: r.order.Spec, Until: p.renewal(r.target), Fence: r.target.fence}
+	if o.Until == 0 {
+		return o, "the target's lease is not renewed"
+	}
+	return o, ""
 }
 
 // order gives an order, whoever asked for it may have left, and learns from how
@@ -116,38 +133,39 @@
 	return a, err
 }
 
-// stop ends a run, and returns once it certainly runs no more: the target says
-// so, or its lease has ended.
+// stop ends a run, and returns once something shows that it runs no more: the
+// target's listing, a successor, or the end of the lease.
 func (p *Porter) stop(r *run, reason string) ending {
+	p.mu.Lock()
+	r.over = p.opts.Clock.Now().Add(p.opts.TargetLease)
+	p.mu.Unlock()
+	told := false
 	for {
 		p.mu.Lock()
 		o := Order{Task: r.key.Task, Run: r.key.Run, Fence: r.target.fence}
-		left := r.target.leaseEnds.Sub(p.opts.Clock.Now())
 		p.mu.Unlock()
 		reply, err := p.order(r.target, p.opts.Driver.Stop, o)
-		wait := min(holdPause, left)
-		if err == nil && reply.Verdict != Fenced {
+		wait := holdPause
+		switch {
+		case err == nil && reply.Verdict == Accepted:
 			if p.isOver(r) {
 				return ending{batch.Stopped, reason, batch.ByAbsence}
 			}
-			if reply.Verdict != Accepted {
-				p.opts.Log.Info("stop rejected", zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run),
-					zap.Stringer("verdict", reply.Verdict))
-			}
 			wait = stopGrace
+		case !told:
+			told = true
+			p.opts.Log.Info("stop not obeyed", zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run),
+				zap.Stringer("verdict", reply.Verdict), zap.Error(err))
 		}
 		select {
 		case e := <-r.ended:
 			return ending{e.end, reason, e.shown}
 		case <-p.opts.Clock.After(wait):
 		}
-		var gone Gone
-		switch {
-		case errors.As(err, &gone):
-			return ending{batch.Stopped, reason, gone.Shown}
-		case err == nil && reply.Verdict != Fenced:
-			return ending{batch.Stopped, reason, batch.ByStop}
-		case left <= 0:
+		p.mu.Lock()
+		over := r.target.lease.Over(p.opts.Clock.Now())
+		p.mu.Unlock()
+		if over {
 			return ending{batch.Stopped, reason, batch.ByLease}
 		}
 	}
