--- a/broker/work.go
+++ b/broker/work.go
@@ -295,16 +295,20 @@
 	return limit
 }
 
-// endOf returns the end that an agent's answer tells.
+// endOf returns the end that an agent's answer tells. A run of which nothing
+// shows that it is over is lost: it may go on.
 func endOf(a wire.Message, err error) wire.RunEnded {
 	switch a := a.(type) {
 	case wire.RunEnded:
+		if a.Shown == "" {
+			a.End, a.Reason = batch.Lost, "nothing shows that the run is over: "+a.Reason
+		}
 		return a
 	case wire.Refused:
-		return wire.RunEnded{End: batch.NotStarted, Reason: a.Reason}
+		return wire.RunEnded{End: batch.NotStarted, Reason: a.Reason, Shown: batch.ByRefusal}
 	}
 	if link.NotSent(err) {
-		return wire.RunEnded{End: batch.NotStarted, Reason: err.Error()}
+		return wire.RunEnded{End: batch.NotStarted, Reason: err.Error(), Shown: batch.ByNoDelivery}
 	}
 	return wire.RunEnded{End: batch.Lost, Reason: err.Error()}
 }
@@ -325,7 +329,7 @@
 	w.b.mu.Unlock()
 	if e.End != batch.Done {
 		w.b.opts.Log.Info("run not done", zap.String("task", t.name), zap.Uint64("run", t.run), zap.String("agent", agent),
-			zap.String("end", string(e.End)), zap.String("reason", e.Reason), zap.Duration("waited", e.Waited), zap.Duration("ran", e.Ran))
+			zap.String("end", string(e.End)), zap.String("shown", string(e.Shown)), zap.String("reason", e.Reason), zap.Duration("waited", e.Waited), zap.Duration("ran", e.Ran))
 	}
 	switch e.End {
 	case batch.Done:
--- a/porter/runs.go
+++ b/porter/runs.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/link"
@@ -17,7 +18,7 @@
 func (p *Porter) start(ctx context.Context, peer link.Peer, m wire.StartRun) wire.Message {
 	r, reason := p.enter(peer.Name, m)
 	if r == nil {
-		return wire.RunEnded{End: batch.NotStarted, Reason: reason}
+		return wire.RunEnded{End: batch.NotStarted, Reason: reason, Shown: batch.ByWaiting}
 	}
 	e := p.run(ctx, r)
 	e.Room = p.leave(r)
@@ -30,49 +31,63 @@
 	select {
 	case <-r.granted:
 	case <-ctx.Done():
-		return wire.RunEnded{End: batch.NotStarted, Reason: "the entry gave up"}
+		return wire.RunEnded{End: batch.NotStarted, Reason: "the entry gave up", Shown: batch.ByWaiting}
 	case <-r.quit:
-		return wire.RunEnded{End: batch.NotStarted, Reason: r.reason}
+		return wire.RunEnded{End: batch.NotStarted, Reason: r.reason, Shown: batch.ByWaiting}
 	case e := <-r.ended:
-		return wire.RunEnded{End: batch.NotStarted, Reason: e.reason}
+		return wire.RunEnded{End: batch.NotStarted, Reason: e.reason, Shown: batch.ByWaiting}
 	}
 	at := p.opts.Clock.Now()
-	end, reason := p.execute(ctx, r)
-	out := wire.RunEnded{End: end, Reason: reason, Waited: at.Sub(begun), Ran: p.opts.Clock.Since(at)}
-	p.opts.Log.Debug("run ended", zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run), zap.String("end", string(end)),
-		zap.String("reason", reason), zap.Duration("waited", out.Waited), zap.Duration("ran", out.Ran))
+	e := p.execute(ctx, r)
+	out := wire.RunEnded{End: e.end, Reason: e.reason, Shown: e.shown, Waited: at.Sub(begun), Ran: p.opts.Clock.Since(at)}
+	p.opts.Log.Check(levelOf(e), "run ended").Write(zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run),
+		zap.String("target", r.target.ID), zap.String("end", string(e.end)), zap.String("shown", string(e.shown)),
+		zap.String("reason", e.reason), zap.Duration("waited", out.Waited), zap.Duration("ran", out.Ran))
 	return out
 }
 
+// levelOf returns the level of an end's log line: ends that the target did not
+// list are few, and decide whether a task starts again.
+func levelOf(e ending) zapcore.Level {
+	if e.shown == batch.ByListing || e.end == batch.NotStarted {
+		return zap.DebugLevel
+	}
+	return zap.InfoLevel
+}
+
 // execute orders a start and waits for the end of the run.
-func (p *Porter) execute(ctx context.Context, r *run) (batch.End, string) {
-	reply, err := p.orderStart(r)
-	var gone Gone
+func (p *Porter) execute(ctx context.Context, r *run) ending {
+	o, reason := p.startOrder(ctx, r)
+	if reason != "" {
+		return ending{batch.NotStarted, reason, batch.ByWaiting}
+	}
+	reply, err := p.order(r.target, p.opts.Driver.Start, o)
+	var refused NotDelivered
 	switch {
-	case errors.As(err, &gone):
-		p.unreachable(r.target, gone.Reason)
-		return batch.NotStarted, gone.Reason
+	case errors.As(err, &refused):
+		p.unreachable(r.target, refused.Reason)
+		return ending{batch.NotStarted, refused.Reason, batch.ByNoDelivery}
 	case err != nil:
 		// The order may be carried out late: a stop that is obeyed rules it out.
 		p.opts.Log.Warn("start unanswered", zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run), zap.Error(err))
-		end, reason := p.stop(r, "the target left the start unanswered")
-		if end == batch.Stopped {
-			end = batch.Unanswered
+		e := p.stop(r, "the target left the start unanswered")
+		if e.end == batch.Stopped {
+			e.end = batch.Unanswered
 		}
-		return end, reason
+		return e
 	case reply.Verdict != Accepted:
-		p.opts.Log.Debug("start rejected", zap.String("task", r.key.Task), zap.Int("verdict", int(reply.Verdict)))
+		p.opts.Log.Debug("start rejected", zap.String("task", r.key.Task), zap.Stringer("verdict", reply.Verdict))
 		if reply.Verdict == Fenced {
 			p.raiseFence(r.target, reply.Clock)
 		}
-		return batch.NotStarted, reply.Verdict.String()
+		return ending{batch.NotStarted, reply.Verdict.String(), batch.ByRefusal}
 	}
 	p.mu.Lock()
 	r.accepted, r.progress = true, pace.Begun(p.opts.Clock.Now())
 	p.mu.Unlock()
 	select {
 	case e := <-r.ended:
-		return e.end, e.reason
+		return e
 	case <-ctx.Done():
 		return p.stop(r, "the entry gave up")
 	case <-r.quit:
@@ -80,11 +95,24 @@
 	}
 }
 
-func (p *Porter) orderStart(r *run) (Reply, error) {
+// startOrder returns the order to start a run that has room, or why it must not
+// start any more: much may have happened since it was granted.
+func (p *Porter) startOrder(ctx context.Context, r *run) (o Order, reason string) {
 	p.mu.Lock()
-	o := Order{Task: r.key.Task, Run: r.key.Run, Spec: r.order.Spec, Until: p.renewal(r.target), Fence: r.target.fence}
-	p.mu.Unlock()
-	return p.order(r.target, p.opts.Driver.Start, o)
+	defer p.mu.Unlock()
+	switch {
+	case ctx.Err() != nil:
+		return o, "the entry gave up"
+	case p.opts.Clock.Now().After(p.leases[r.owner]):
+		return o, "the entry's lease has ended"
+	case p.target != r.target || r.target.leaving:
+		return o, "the target is leaving"
+	}
+	o = Order{Task: r.key.Task, Run: r.key.Run, Spec: r.order.Spec, Until: p.renewal(r.target), Fence: r.target.fence}
+	if o.Until == 0 {
+		return o, "the target's lease is not renewed"
+	}
+	return o, ""
 }
 
 // order gives an order, whoever asked for it may have left, and learns from how
@@ -105,30 +133,40 @@
 	return a, err
 }
 
-// stop ends a run, and returns once it certainly runs no more: the target says
-// so, or its lease has ended.
-func (p *Porter) stop(r *run, reason string) (batch.End, string) {
+// stop ends a run, and returns once something shows that it runs no more: the
+// target's listing, a successor, or the end of the lease.
+func (p *Porter) stop(r *run, reason string) ending {
+	p.mu.Lock()
+	r.over = p.opts.Clock.Now().Add(p.opts.TargetLease)
+	p.mu.Unlock()
+	told := false
 	for {
 		p.mu.Lock()
 		o := Order{Task: r.key.Task, Run: r.key.Run, Fence: r.target.fence}
-		left := r.target.leaseEnds.Sub(p.opts.Clock.Now())
 		p.mu.Unlock()
 		reply, err := p.order(r.target, p.opts.Driver.Stop, o)
-		wait := min(holdPause, left)
-		if err == nil && reply.Verdict != Fenced {
+		wait := holdPause
+		switch {
+		case err == nil && reply.Verdict == Accepted:
 			if p.isOver(r) {
-				return batch.Stopped, reason
+				return ending{batch.Stopped, reason, batch.ByAbsence}
 			}
 			wait = stopGrace
+		case !told:
+			told = true
+			p.opts.Log.Info("stop not obeyed", zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run),
+				zap.Stringer("verdict", reply.Verdict), zap.Error(err))
 		}
 		select {
 		case e := <-r.ended:
-			return e.end, reason
+			return ending{e.end, reason, e.shown}
 		case <-p.opts.Clock.After(wait):
 		}
-		var gone Gone
-		if err == nil && reply.Verdict != Fenced || errors.As(err, &gone) || left <= 0 {
-			return batch.Stopped, reason
+		p.mu.Lock()
+		over := r.target.lease.Over(p.opts.Clock.Now())
+		p.mu.Unlock()
+		if over {
+			return ending{batch.Stopped, reason, batch.ByLease}
 		}
 	}
 }
