--- a/broker/caller_test.go
+++ b/broker/caller_test.go
@@ -32,7 +32,7 @@
 			var c caller
 			b.agent("a1", 1000, func(context.Context, wire.StartRun) wire.RunEnded {
 				c.gone.Store(true)
-				return wire.RunEnded{End: end}
+				return wire.RunEnded{End: end, Shown: batch.ByListing}
 			})
 			o := b.broker.Submit(t.Context(), &c, queue(), job("j", batch.Step{Count: 1}, batch.Step{Count: 1, After: []int{0}}), time.Now().Add(time.Minute))
 			assert.Equal(t, kindOf(o), "broken", "%+v", o)
@@ -59,7 +59,7 @@
 	b.agent("a1", 1000, func(context.Context, wire.StartRun) wire.RunEnded {
 		running <- struct{}{}
 		<-goOn
-		return wire.RunEnded{End: batch.Done}
+		return wire.RunEnded{End: batch.Done, Shown: batch.ByListing}
 	})
 	j := job("j", batch.Step{Count: 1}, batch.Step{Count: 1, After: []int{0}})
 	outcomes := make(chan broker.Outcome, 2)
