--- a/spread/follow.go
+++ b/spread/follow.go
@@ -60,14 +60,23 @@
 	a, err := f.Node.Call(ctx, link.To{Address: addr, Role: keys.Keeper}, wire.WatchConfig{
 		Version: f.View.Config().Version(), Unproven: !f.View.Usable(),
 	})
+	log := f.Log.With(zap.String("address", addr), zap.Duration("took", f.Clock.Since(sent)))
 	if err != nil {
-		f.Log.Debug("keeper not reached", zap.String("address", addr), zap.Error(err))
+		log.Info("keeper not reached", zap.Error(err))
 		return false
 	}
 	u, ok := a.(wire.ConfigUpdate)
 	if !ok {
+		log.Info("keeper cannot tell its configuration", zap.Any("answer", a))
 		return false
 	}
 	f.View.Apply(u, sent)
-	return f.View.Fresh()
+	if u.Delta.To > 0 {
+		log.Info("configuration taken", zap.Uint64("version", u.Delta.To), zap.Duration("age", u.Fresh.Age))
+	}
+	if !f.View.Fresh() {
+		log.Info("keeper's configuration is not confirmed", zap.Duration("age", u.Fresh.Age))
+		return false
+	}
+	return true
 }
