--- a/link/link_test.go
+++ b/link/link_test.go
@@ -174,6 +174,32 @@
 	assert.Assert(t, link.NotSent(err), "got %v", err)
 }
 
+// TestCallEndsWithItsContext: a peer without power answers no packet. A call that
+// is given up meanwhile says so, whatever becomes of the connection.
+func TestCallEndsWithItsContext(t *testing.T) {
+	n := start(t, newAuthority(t).identity("e1", keys.Entry), nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	const peers = 16
+	errs := make(chan error, peers)
+	for range peers {
+		silent, err := net.ListenPacket("udp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = silent.Close() })
+		go func() {
+			_, err := n.Call(ctx, link.To{Address: silent.LocalAddr().String()}, wire.FindNodes{})
+			errs <- err
+		}()
+		_, _, err = silent.ReadFrom(make([]byte, 1<<11))
+		assert.NilError(t, err)
+	}
+	cancel()
+	for range peers {
+		err := <-errs
+		assert.Assert(t, link.NotSent(err))
+		assert.ErrorIs(t, err, context.Canceled)
+	}
+}
+
 func TestRandomBytesOnThePort(t *testing.T) {
 	a := newAuthority(t)
 	server := start(t, a.identity("k1", keys.Keeper), serveFind)
