spread: an entry stays at a keeper that answers, and asks all when it does not

Cause: the follower took a keeper by an index of the finder's list, which comes out of a map in another order each time. So each question, also the one after an answer, went to any keeper; a keeper without power is named for 5 s and costs a second, two if there is no connection.

Ruled out: keepers that are behind (no answer in time had an older version than the keepers held, none was without a fresh proof), documents that are held but not in force (at most 30 ms between both lines). A restart does play a part, as an entry that has just started had no keeper to stay at.

The follower stays at one keeper while that is known and answers with fresh proofs. If it does not, and at the start, all known keepers are asked at once, and the first one with a fresh proof is kept: silent keepers cost one timeout in all, and none if the kept one lives. There are few keepers, and an entry asks all only then and after each 500 answers, so that one that was away gets its part again.

TestFollowerStaysAtAKeeperThatAnswers: 2 questions at most to a keeper of no use, 46 of 200 before.

--- a/spread/follow.go
+++ b/spread/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -19,12 +20,15 @@
 const (
 	watchTimeout = time.Second
 	retryPause   = 100 * time.Millisecond
+	// maxAnswers is how many answers an entry takes from one keeper before it
+	// asks all again, so that one that was away gets its part.
+	maxAnswers = 500
 )
 
 // Follower keeps an entry's view up to date from the keepers.
 type Follower struct {
 	View *View
-	// Keepers returns the addresses of keepers to ask, the preferred first.
+	// Keepers returns the addresses of the known keepers, in any order.
 	Keepers func() []string
 	Node    *link.Node
 	Clock   clockwork.Clock
@@ -34,14 +38,18 @@
 // Name implements kernel.Service.
 func (f *Follower) Name() string { return ServiceName }
 
-// Run implements kernel.Service: it asks one keeper after another for changes.
+// Run implements kernel.Service: it stays at one keeper while that answers.
 func (f *Follower) Run(ctx context.Context) error {
-	for next := 0; ctx.Err() == nil; {
+	kept, answers := "", 0
+	for ctx.Err() == nil {
 		addrs := f.Keepers()
-		if len(addrs) > 0 && f.ask(ctx, addrs[next%len(addrs)]) {
+		if answers < maxAnswers && slices.Contains(addrs, kept) && f.ask(ctx, kept) {
+			answers++
+			continue
+		}
+		if kept, answers = f.askAll(ctx, addrs), 0; kept != "" {
 			continue
 		}
-		next++
 		pause := retryPause + rand.N(retryPause)
 		select {
 		case <-ctx.Done():
@@ -51,15 +59,41 @@
 	return nil
 }
 
+// askAll asks the keepers at once and returns the first one that left the view
+// fresh, empty for none. One after the other, each that has no power would take
+// a watchTimeout.
+func (f *Follower) askAll(ctx context.Context, addrs []string) string {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	fresh := make(chan string, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			if !f.ask(ctx, addr) {
+				addr = ""
+			}
+			fresh <- addr
+		}()
+	}
+	for range addrs {
+		if addr := <-fresh; addr != "" {
+			return addr
+		}
+	}
+	return ""
+}
+
 // ask reports whether the keeper answered and left the view fresh. One that is
 // cut off from the others answers, but with proofs that grow old.
 func (f *Follower) ask(ctx context.Context, addr string) bool {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	call, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	sent := f.Clock.Now()
-	a, err := f.Node.Call(ctx, link.To{Address: addr, Role: keys.Keeper}, wire.WatchConfig{
+	a, err := f.Node.Call(call, link.To{Address: addr, Role: keys.Keeper}, wire.WatchConfig{
 		Version: f.View.Config().Version(), Unproven: !f.View.Usable(),
 	})
+	if ctx.Err() != nil {
+		return false
+	}
 	log := f.Log.With(zap.String("address", addr), zap.Duration("took", f.Clock.Since(sent)))
 	if err != nil {
 		log.Info("keeper not reached", zap.Error(err))
