--- a/spread/follow.go
+++ b/spread/follow.go
@@ -101,7 +101,8 @@
 	}
 	u, ok := a.(wire.ConfigUpdate)
 	if !ok {
-		log.Info("keeper cannot tell its configuration", zap.Any("answer", a))
+		r, _ := a.(wire.Refused)
+		log.Info("keeper cannot tell its configuration", zap.String("reason", r.Reason))
 		return false
 	}
 	f.View.Apply(u, sent)
