--- a/spread/follow_test.go
+++ b/spread/follow_test.go
@@ -59,7 +59,6 @@
 	return n
 }
 
-// keeper adds a keeper that answers as f says.
 // keeper adds a keeper that answers as f says.
 func (q *questions) keeper(name string, f func(context.Context, wire.WatchConfig) wire.Message) {
 	i := len(q.addrs)
