--- a/link/call.go
+++ b/link/call.go
@@ -146,8 +146,15 @@
 func (n *Node) dial(ctx context.Context, to To) (*quic.Conn, error) {
 	d, mine := n.slot(to.Address)
 	if mine {
-		// A call that is given up leaves the attempt to those that come after it.
-		go n.establish(d, to)
+		c, p, err := n.connect(to)
+		// forget and Close look at all connections, also at those being made.
+		n.mu.Lock()
+		d.conn, d.peer, d.err, d.failed = c, p, err, n.opts.Clock.Now()
+		n.mu.Unlock()
+		close(d.ready)
+		if d.err == nil {
+			n.wg.Go(func() { n.serve(d.conn, d.peer) })
+		}
 	}
 	select {
 	case <-d.ready:
@@ -163,19 +170,6 @@
 	return d.conn, nil
 }
 
-// establish makes a connection and has it served.
-func (n *Node) establish(d *dialled, to To) {
-	c, p, err := n.connect(to)
-	// forget and Close look at all connections, also at those being made.
-	n.mu.Lock()
-	d.conn, d.peer, d.err, d.failed = c, p, err, n.opts.Clock.Now()
-	n.mu.Unlock()
-	close(d.ready)
-	if err == nil {
-		n.wg.Go(func() { n.serve(c, p) })
-	}
-}
-
 func (n *Node) slot(addr string) (d *dialled, mine bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
