spread: a question to all keepers ends after its timeout

A question to an address without a connection lasts up to 2 s, so that keepers that answered without a fresh proof would not be asked again meanwhile.

--- a/spread/follow.go
+++ b/spread/follow.go
@@ -74,9 +74,16 @@
 			fresh <- addr
 		}()
 	}
+	// A question to an address without a connection can outlast its own timeout.
+	timeout := f.Clock.After(watchTimeout)
 	for range addrs {
-		if addr := <-fresh; addr != "" {
-			return addr
+		select {
+		case addr := <-fresh:
+			if addr != "" {
+				return addr
+			}
+		case <-timeout:
+			return ""
 		}
 	}
 	return ""
