broker, porter: a job is not started again while its runs may go on

Only ordered runs end with the lease, and a run that was ended or given up is not ordered.

Beside these: an accepted run that is stopped is over when the target lists its end, and no longer by its absence from the list of what runs, as the users' page names the listed end alone; an announcement without a time of birth makes no other life; runs that wait for a target that is lost are given up.

TestJobComesAgainWhileItsRunEnds; go test -race of broker and platform, and go test of porter passed.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -46,8 +47,11 @@
 	// Name is the entry's, DataCentre where it is.
 	Name, DataCentre string
 	Admission        assign.Settings
-	Clock            clockwork.Clock
-	Log              *zap.Logger
+	// RunsEnd is how long runs may go on that their entry has given up, whatever
+	// happens to it and to their agents.
+	RunsEnd time.Duration
+	Clock   clockwork.Clock
+	Log     *zap.Logger
 }
 
 // Broker is the service.
@@ -62,8 +66,11 @@
 	// answers holds the ends of finished jobs, order their IDs by age.
 	answers map[string]answer
 	order   []string
-	calls   map[uint64]call // to agents, by number
-	lastID  uint64
+	// unsettled tells, by job, until when runs may go on of which it is not known
+	// that they are over.
+	unsettled map[string]time.Time
+	calls     map[uint64]call // to agents, by number
+	lastID    uint64
 }
 
 // Caller is who waits for a job's outcome.
@@ -101,7 +108,7 @@
 func New(opts Options) *Broker {
 	return &Broker{
 		opts: opts, fleet: assign.New(opts.Name, opts.DataCentre), learner: assign.NewLearner(),
-		flights: map[string]*flight{}, answers: map[string]answer{}, calls: map[uint64]call{},
+		flights: map[string]*flight{}, answers: map[string]answer{}, unsettled: map[string]time.Time{}, calls: map[uint64]call{},
 	}
 }
 
@@ -143,6 +150,7 @@
 		}
 	}
 	b.fleet.Forget(now, forgetAfter)
+	maps.DeleteFunc(b.unsettled, func(_ string, until time.Time) bool { return now.After(until) })
 	kept := 0
 	for _, id := range b.order {
 		if now.Sub(b.answers[id].at) < answerKept && len(b.order)-kept <= answersMax {
@@ -210,6 +218,10 @@
 		b.mu.Unlock()
 		return a.outcome
 	}
+	if begun.Before(b.unsettled[j.ID]) {
+		b.mu.Unlock()
+		return Broken{Reason: "earlier runs of the job may go on"}
+	}
 	f := b.flights[j.ID]
 	if f == nil {
 		fctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -257,6 +269,9 @@
 	b.mu.Lock()
 	f.outcome = o
 	delete(b.flights, j.ID)
+	if w.lost || w.open > 0 {
+		b.unsettled[j.ID] = b.opts.Clock.Now().Add(b.opts.RunsEnd)
+	}
 	switch o.(type) {
 	case Complete, Fail:
 		b.answers[j.ID] = answer{o, b.opts.Clock.Now()}
--- a/broker/work.go
+++ b/broker/work.go
@@ -43,9 +43,10 @@
 
 	chain, wait, objective time.Duration
 	runs                   int
-	// open counts the runs that have not ended, ran is set once one has run.
+	// open counts the runs that have not ended, ran is set once one has run, lost
+	// once it is not known whether one is over.
 	open       int
-	ran        bool
+	ran, lost  bool
 	left       []int // tasks that are not done, by step
 	begunSteps []bool
 	results    chan result
@@ -320,6 +321,7 @@
 	agent := t.agent
 	w.open--
 	w.ran = w.ran || e.End != batch.NotStarted
+	w.lost = w.lost || e.End == batch.Lost
 	w.b.mu.Lock()
 	w.b.fleet.Ended(agent, e.End, now)
 	if e.End == batch.Done {
--- a/porter/loops.go
+++ b/porter/loops.go
@@ -77,6 +77,11 @@
 func (p *Porter) lose(h *hosted, reason string) {
 	p.opts.Log.Warn("target lost", zap.String("target", h.ID), zap.String("reason", reason))
 	p.target = nil
+	for _, r := range p.runs {
+		if r.target == nil {
+			r.giveUp(reason)
+		}
+	}
 	p.resize()
 }
 
@@ -251,7 +256,7 @@
 		switch {
 		case now.After(p.leases[r.owner]):
 			r.giveUp("the entry's lease has ended")
-		case r.target != nil && r.target.lease.Over(now):
+		case r.ordered && r.target.lease.Over(now):
 			r.end(ending{batch.Stopped, "the target's lease has ended", batch.ByLease})
 		case !r.overdue.IsZero() && now.After(r.overdue):
 			r.giveUp("the run is overdue")
--- a/porter/porter.go
+++ b/porter/porter.go
@@ -99,9 +99,11 @@
 	// accepted is set once the target has taken the start; progress counts from then.
 	accepted bool
 	progress pace.Progress
-	// over is when the target must have ended the run that is given up, the zero
+	// ordered is set once the start may have gone to the target.
+	ordered bool
+	// mustEnd is when the target must have ended the run that is given up, the zero
 	// time before: no renewal reaches past it.
-	over    time.Time
+	mustEnd time.Time
 	granted chan struct{}
 	ended   chan ending   // one element at most
 	quit    chan struct{} // closed to give the run up
@@ -185,6 +187,10 @@
 	defer p.mu.Unlock()
 	now := p.opts.Clock.Now()
 	if h := p.target; h != nil {
+		if h.ID == t.ID && (h.Born == 0 || t.Born == 0) { // does not tell two lives apart
+			t.Born = max(h.Born, t.Born)
+			h.Born = t.Born
+		}
 		same := h.ID == t.ID && h.Born == t.Born
 		if same && t.Seq <= h.Seq || !same && t.Born < h.Born {
 			return false
@@ -305,27 +311,18 @@
 	}
 }
 
-// enter has a task wait for room, and returns why it cannot.
-func (p *Porter) enter(owner string, m wire.StartRun) (*run, string) {
+// enter has a task wait for room, or returns the answer of one that cannot.
+func (p *Porter) enter(owner string, m wire.StartRun) (*run, wire.RunEnded) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.opts.Clock.Now()
 	key := Running{Task: m.Task, Run: m.Run}
-	switch {
-	case p.target == nil:
-		return nil, "no target"
-	case p.leaving:
-		return nil, "the agent is shutting down"
-	case !p.target.Open || p.target.leaving:
-		return nil, "the target is leaving"
-	case !p.target.clean || !p.target.reached:
-		return nil, "the target does not answer"
-	case !m.Need.Fits(p.room.Capacity()):
-		return nil, "the target is too small"
-	case now.After(p.leases[owner]):
-		return nil, "the entry's lease has ended"
-	case p.byTask[key] != nil:
-		return nil, "this run is here already"
+	if p.byTask[key] != nil {
+		// What is here may be at work, so that nothing shows that the task is not.
+		return nil, wire.RunEnded{End: batch.Lost, Reason: "this run is here already"}
+	}
+	if reason := p.refusal(owner, m, now); reason != "" {
+		return nil, wire.RunEnded{End: batch.NotStarted, Reason: reason, Shown: batch.ByWaiting}
 	}
 	p.lastID++
 	r := &run{
@@ -339,7 +336,26 @@
 	})
 	p.fill()
 	p.touch()
-	return r, ""
+	return r, wire.RunEnded{}
+}
+
+// refusal returns why a task cannot wait here, empty when it can. The caller holds mu.
+func (p *Porter) refusal(owner string, m wire.StartRun, now time.Time) string {
+	switch {
+	case p.target == nil:
+		return "no target"
+	case p.leaving:
+		return "the agent is shutting down"
+	case !p.target.Open || p.target.leaving:
+		return "the target is leaving"
+	case !p.target.clean || !p.target.reached:
+		return "the target does not answer"
+	case !m.Need.Fits(p.room.Capacity()):
+		return "the target is too small"
+	case now.After(p.leases[owner]):
+		return "the entry's lease has ended"
+	}
+	return ""
 }
 
 // leave gives up a run's room, and returns what its entry is told of the room then.
--- a/porter/renew.go
+++ b/porter/renew.go
@@ -27,8 +27,8 @@
 			continue
 		}
 		bound = earlier(bound, p.leases[r.owner].Add(p.opts.TargetLease))
-		if !r.over.IsZero() {
-			bound = earlier(bound, r.over)
+		if !r.mustEnd.IsZero() {
+			bound = earlier(bound, r.mustEnd)
 		}
 	}
 	return bound
--- a/porter/runs.go
+++ b/porter/runs.go
@@ -16,9 +16,9 @@
 
 // start runs a task to its end, for as long as the entry waits for it.
 func (p *Porter) start(ctx context.Context, peer link.Peer, m wire.StartRun) wire.Message {
-	r, reason := p.enter(peer.Name, m)
+	r, refusal := p.enter(peer.Name, m)
 	if r == nil {
-		return wire.RunEnded{End: batch.NotStarted, Reason: reason, Shown: batch.ByWaiting}
+		return refusal
 	}
 	e := p.run(ctx, r)
 	e.Room = p.leave(r)
@@ -107,11 +107,14 @@
 		return o, "the entry's lease has ended"
 	case p.target != r.target || r.target.leaving:
 		return o, "the target is leaving"
+	case len(r.ended) > 0 || r.reason != "":
+		return o, "the run was given up"
 	}
 	o = Order{Task: r.key.Task, Run: r.key.Run, Spec: r.order.Spec, Until: p.renewal(r.target), Fence: r.target.fence}
 	if o.Until == 0 {
 		return o, "the target's lease is not renewed"
 	}
+	r.ordered = true
 	return o, ""
 }
 
@@ -137,7 +140,7 @@
 // target's listing, a successor, or the end of the lease.
 func (p *Porter) stop(r *run, reason string) ending {
 	p.mu.Lock()
-	r.over = p.opts.Clock.Now().Add(p.opts.TargetLease)
+	r.mustEnd = p.opts.Clock.Now().Add(p.opts.TargetLease)
 	p.mu.Unlock()
 	told := false
 	for {
@@ -148,8 +151,8 @@
 		wait := holdPause
 		switch {
 		case err == nil && reply.Verdict == Accepted:
-			if p.isOver(r) {
-				return ending{batch.Stopped, reason, batch.ByAbsence}
+			if shown := p.shown(r); shown != "" {
+				return ending{batch.Stopped, reason, shown}
 			}
 			wait = stopGrace
 		case !told:
@@ -171,12 +174,28 @@
 	}
 }
 
-// isOver reports whether the target lists no run of a stopped order: one that
-// was never carried out is ruled out by the stop, and need not be waited for.
-func (p *Porter) isOver(r *run) bool {
+// shown returns what shows that a run is over whose stop was obeyed, empty for
+// nothing. A start that was never carried out is ruled out by the stop; one that
+// was accepted ends when the target lists its end, which the hold loop reads for
+// the present target.
+func (p *Porter) shown(r *run) batch.Shown {
+	p.mu.Lock()
+	wait := r.accepted && p.target == r.target
+	p.mu.Unlock()
+	if wait {
+		return ""
+	}
 	l, err := p.renew(context.Background(), r.target, 0)
 	if err != nil || l.Verdict != Accepted {
-		return false
+		return ""
+	}
+	isRun := func(x Standing) bool { return x.Running == r.key }
+	hasEnded := func(x Ended) bool { return x.Task == r.key.Task && x.Run == r.key.Run }
+	switch {
+	case slices.ContainsFunc(l.Ended, hasEnded):
+		return batch.ByListing
+	case !r.accepted && !slices.ContainsFunc(l.Running, isRun):
+		return batch.ByAbsence
 	}
-	return !slices.ContainsFunc(l.Running, func(x Standing) bool { return x.Running == r.key })
+	return ""
 }
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -19,6 +19,10 @@
 // one after the other, before the job can be there twice.
 const leaseShare = 0.38
 
+// endShare is the part of that time after which an entry's runs have certainly
+// ended: both leases, and what their ends may take longer.
+const endShare = 0.86
+
 // operatorTry bounds one call for an operator, who turns to another node after a
 // second: it leaves time for a second try.
 const operatorTry = 400 * time.Millisecond
@@ -71,6 +75,7 @@
 	b.k.Add(b.follower())
 	br := broker.New(broker.Options{
 		Name: b.s.Node.Name, DataCentre: b.s.Node.DataCentre, Admission: assign.DefaultSettings(), Clock: b.clock, Log: b.log,
+		RunsEnd: time.Duration(endShare * float64(p.ResendAfter)),
 	})
 	b.k.Add(br)
 	meter.Gauge("relay_jobs_in_progress", func() float64 { return float64(br.InProgress()) })
