--- a/batch/end.go
+++ b/batch/end.go
@@ -28,7 +28,8 @@
 const (
 	// ByListing is an end that the target lists.
 	ByListing Shown = "listing"
-	// ByAbsence is a run that the target, asked after it obeyed a stop, does not list.
+	// ByAbsence is a run whose start was left unanswered, and that the target, asked
+	// after it obeyed a stop, does not list.
 	ByAbsence Shown = "absence"
 	// ByRefusal is a start that the target said it did not take.
 	ByRefusal Shown = "refusal"
@@ -38,6 +39,6 @@
 	BySuccessor Shown = "successor"
 	// ByLease is the certain end of the target's lease.
 	ByLease Shown = "lease"
-	// ByWaiting is a run that was never ordered.
+	// ByWaiting is a run that was never ordered, whether it waited or could not.
 	ByWaiting Shown = "waiting"
 )
