--- a/broker/broker.go
+++ b/broker/broker.go
@@ -208,8 +208,8 @@
 }
 
 // Submit runs a job of the queue and returns how it ended. It gives the job up
-// when ctx ends or at the limit, and starts nothing of it for callers that are not
-// here. A job that is in progress here already is not
+// when ctx ends or at the limit, and starts nothing of it for callers that are
+// not here. A job that is in progress here already is not
 // run again.
 func (b *Broker) Submit(ctx context.Context, c Caller, q policy.Queue, j batch.Job, limit time.Time) Outcome {
 	begun := b.opts.Clock.Now()
--- a/porter/runs.go
+++ b/porter/runs.go
@@ -157,8 +157,12 @@
 			wait = stopGrace
 		case !told:
 			told = true
-			p.opts.Log.Info("stop not obeyed", zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run),
-				zap.Stringer("verdict", reply.Verdict), zap.Error(err))
+			log := p.opts.Log.With(zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run))
+			if err != nil {
+				log.Info("stop not obeyed", zap.Error(err))
+			} else {
+				log.Info("stop not obeyed", zap.Stringer("verdict", reply.Verdict))
+			}
 		}
 		select {
 		case e := <-r.ended:
