link: a dial does not hold the call that needs it first

Cause: the first call to an address made the connection itself and returned only when the attempt had ended, 2 s to a host without power, whatever its context said. The dial goes on by itself, as later calls use the connection. Ruled out: a dial with the call's context, which would be lost for the other callers that wait for it.

--- a/link/call.go
+++ b/link/call.go
@@ -57,6 +57,18 @@
 	return call(ctx, c, m)
 }
 
+// CallNode is CallPeer when the named peer has a connection open to this node, and Call
+// otherwise.
+func (n *Node) CallNode(ctx context.Context, name string, to Dest, m wire.Message) (wire.Message, error) {
+	n.mu.Lock()
+	connected := n.accepted[name] != nil
+	n.mu.Unlock()
+	if connected || to.Address == "" {
+		return n.CallPeer(ctx, name, m)
+	}
+	return n.Call(ctx, to, m)
+}
+
 // Post sends m without waiting for an answer; m may be lost.
 func (n *Node) Post(ctx context.Context, to Dest, m wire.Message) error {
 	c, err := n.dial(ctx, to)
@@ -146,21 +158,12 @@
 	return wire.Decode(b)
 }
 
-// dial returns the open connection to an address. When there is none, it dials, or
-// waits for the dial of another caller.
+// dial returns the open connection to an address. When there is none, it starts a dial, or
+// waits for that of another caller, until ctx ends.
 func (n *Node) dial(ctx context.Context, to Dest) (*quic.Conn, error) {
 	d, isNew := n.connFor(to.Address)
 	if isNew {
-		c, p, err := n.connect(to)
-		// removeConn and Close read the connections of all dials, also of those in
-		// progress.
-		n.mu.Lock()
-		d.conn, d.peer, d.err, d.endedAt = c, p, err, n.opts.Clock.Now()
-		n.mu.Unlock()
-		close(d.ready)
-		if d.err == nil {
-			n.wg.Go(func() { n.serveConn(d.conn, d.peer) })
-		}
+		n.pool.run(func() { n.finishDial(d, to) })
 	}
 	select {
 	case <-d.ready:
@@ -176,6 +179,21 @@
 	return d.conn, nil
 }
 
+// finishDial dials the peer and serves the connection. It does not end with the call that
+// needs the connection first, because later calls use the connection too.
+func (n *Node) finishDial(d *dialledConn, to Dest) {
+	c, p, err := n.connect(to)
+	// removeConn and Close read the connections of all dials, also of those in
+	// progress.
+	n.mu.Lock()
+	d.conn, d.peer, d.err, d.endedAt = c, p, err, n.opts.Clock.Now()
+	n.mu.Unlock()
+	close(d.ready)
+	if err == nil {
+		n.wg.Go(func() { n.serveConn(c, p) })
+	}
+}
+
 // connFor returns the connection to an address, which may still be dialling. When
 // there is none, or only a stale one, it adds one that the caller must dial: isNew
 // is set.
