peers: agents report to four entries, and full entries borrow targets

Cause: each agent reported to every entry. With 55 entries its reports to one entry were 550 ms apart, while an entry gave a target no work 400 ms after its last report, cancelled its calls, and lost its lease after 494 ms: three constants that nothing tied together. Links and reports grew with entries x agents, and entries that know all targets choose the same ones.

An agent that gets a task from an entry without a lease asks it whether it still wants the run (ConfirmRun): nothing delayed on the way starts on the strength of a later report. It then reports to that entry while it has runs here.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -10,7 +10,7 @@
 
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
-	"cyclamenrelay.example/model"
+	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/wire"
 )
 
@@ -86,7 +86,8 @@
 // agent, since their work in progress goes on.
 func (a *Agent) recipients() []wire.Node {
 	known := a.finder.Nodes(keys.Entry)
-	chosen := slices.Clone(chooseEntries(a.finder.Self().Name, known, maxEntries))
+	self := a.finder.Self()
+	chosen := slices.Clone(peers.Choose(self.Name, self.DataCentre, known, maxEntries))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for name, e := range a.reachable {
@@ -140,12 +141,3 @@
 	}
 	return m
 }
-
-// chooseEntries returns at most n entries by rendezvous hashing: the same ones for an
-// agent while the entries stay the same, and spread evenly over all agents.
-func chooseEntries(agent string, entries []wire.Node, n int) []wire.Node {
-	if len(entries) <= n {
-		return entries
-	}
-	return model.Rendezvous(agent, entries, func(e wire.Node) string { return e.Name })[:n]
-}
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/wire"
 )
@@ -25,15 +26,14 @@
 	// the same targets between two reports (TestManyEntriesSpreadLoad).
 	maxLoadCost   = 50 * time.Millisecond
 	maxSpreadCost = 30 * time.Millisecond
-	// maxReportAge is the age of a report above which a target gets no new work. Agents
-	// send several reports in that time.
-	maxReportAge = 400 * time.Millisecond
 )
 
 // TargetView is the state of one target as seen by an entry: the last report of its
 // agent, and what the entry itself has observed.
 type TargetView struct {
 	wire.LoadReport
+	// Address is the link address of the agent.
+	Address   string
 	updatedAt time.Time // arrival of the last report or newer answer
 	// assigned is the total need of this entry's tasks that wait or run on the target.
 	assigned batch.Resources
@@ -47,20 +47,22 @@
 type Fleet struct {
 	// Name is the entry's name, DataCentre its data centre.
 	Name, DataCentre string
+	timing           peers.Timing
 	targets          map[string]*TargetView // by agent name
 	// sortedTargets holds the targets in the order of their agents' names, so that
 	// placement is deterministic.
 	sortedTargets []*TargetView
 }
 
-// New returns a Fleet without targets.
-func New(name, dataCentre string) *Fleet {
-	return &Fleet{Name: name, DataCentre: dataCentre, targets: map[string]*TargetView{}}
+// New returns a Fleet without targets for an entry and its data centre.
+func New(name, dataCentre string, timing peers.Timing) *Fleet {
+	return &Fleet{Name: name, DataCentre: dataCentre, timing: timing, targets: map[string]*TargetView{}}
 }
 
-// HandleReport processes an agent's report. Reports that are not newer than the last one are
-// ignored. HandleReport returns whether the report is from a new incarnation of a known agent.
-func (f *Fleet) HandleReport(r wire.LoadReport, now time.Time) (restarted bool) {
+// HandleReport processes the report of an agent with the link address. Reports that are not
+// newer than the last one are ignored. HandleReport returns whether the report is from a new
+// incarnation of a known agent.
+func (f *Fleet) HandleReport(r wire.LoadReport, address string, now time.Time) (restarted bool) {
 	v := f.targets[r.Agent]
 	if v == nil {
 		v = &TargetView{spreadCost: spreadCost(f.Name, r.Agent)}
@@ -74,7 +76,7 @@
 	if v.Target != r.Target {
 		v.health = health{}
 	}
-	v.LoadReport, v.updatedAt = r, now
+	v.LoadReport, v.Address, v.updatedAt = r, address, now
 	return restarted
 }
 
@@ -86,11 +88,12 @@
 	}
 }
 
-// Silent returns the agents whose last report or newer answer is older than maxReportAge.
+// Silent returns the agents whose last report or newer answer is older than the lease: they
+// have given up the runs of this entry by then.
 func (f *Fleet) Silent(now time.Time) []string {
 	var out []string
 	for name, v := range f.targets {
-		if now.Sub(v.updatedAt) > maxReportAge {
+		if now.Sub(v.updatedAt) > f.timing.Lease {
 			out = append(out, name)
 		}
 	}
@@ -140,7 +143,7 @@
 	best, lowest := "", time.Duration(0)
 	var choice Placement
 	for _, v := range f.sortedTargets {
-		if !v.canTake(t, now) {
+		if !f.canTake(v, t, now) {
 			continue
 		}
 		wait := v.expectedWait(t)
@@ -259,8 +262,8 @@
 
 // canTake reports whether the target can get the task: it accepts work, has a recent
 // report, and satisfies the task's requirements.
-func (v *TargetView) canTake(t Task, now time.Time) bool {
-	return v.Open && v.Pool == t.Pool && t.Need.Fits(v.Capacity) && now.Sub(v.updatedAt) <= maxReportAge &&
+func (f *Fleet) canTake(v *TargetView, t Task, now time.Time) bool {
+	return v.Open && v.Pool == t.Pool && t.Need.Fits(v.Capacity) && now.Sub(v.updatedAt) <= f.timing.MaxReportAge &&
 		(t.Label == "" || slices.Contains(v.Labels, t.Label)) && !slices.Contains(t.Exclude, v.Agent)
 }
 
--- a/assign/fleet_test.go
+++ b/assign/fleet_test.go
@@ -9,12 +9,16 @@
 
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/wire"
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
 
+// timing returns the timing of the users' deployments.
+func timing() peers.Timing { return peers.NewTiming(494 * time.Millisecond) }
+
 // report returns a report of a target with 1000 thousandths of a core.
 func report(agent string, r wire.TargetLoad) wire.LoadReport {
 	return wire.LoadReport{
@@ -32,9 +36,9 @@
 
 // The capacity use in an answer takes effect at once, and outdated data is ignored.
 func TestCapacityInAnswers(t *testing.T) {
-	f := assign.New("e", "dc")
+	f := assign.New("e", "dc", timing())
 	full := wire.TargetLoad{Incarnation: 1, Seq: 5, Used: batch.Resources{CPU: 1000}, CompletionInterval: time.Second}
-	f.HandleReport(report("a", full), epoch)
+	f.HandleReport(report("a", full), "", epoch)
 	admitted := func() bool {
 		return f.Admit(assign.DefaultSettings(), singleTaskJob(600, 60*time.Millisecond), epoch).Placements != nil
 	}
@@ -54,13 +58,13 @@
 func TestWaitCountsOnlyEarlierDueTasks(t *testing.T) {
 	r := wire.TargetLoad{Incarnation: 1, Seq: 1, Used: batch.Resources{CPU: 1000}, CompletionInterval: 10 * time.Millisecond}
 	r.Backlog[3] = batch.Resources{CPU: 5000} // due in 200 to 400 ms
-	f := assign.New("e", "dc")
-	f.HandleReport(report("a", r), epoch)
+	f := assign.New("e", "dc", timing())
+	f.HandleReport(report("a", r), "", epoch)
 	a := f.Admit(assign.DefaultSettings(), singleTaskJob(100, 60*time.Millisecond), epoch)
 	assert.Assert(t, a.Placements != nil && a.Wait > 0)
 	assert.Equal(t, a.Wait, 10*time.Millisecond)
 	r.Seq, r.Backlog = 2, sched.Backlog{{CPU: 5000}}
-	f.HandleReport(report("a", r), epoch)
+	f.HandleReport(report("a", r), "", epoch)
 	a = f.Admit(assign.DefaultSettings(), singleTaskJob(100, 60*time.Millisecond), epoch)
 	assert.Assert(t, a.Placements == nil, "a job was admitted behind 500 ms of urgent work: %+v", a)
 }
@@ -68,8 +72,8 @@
 // A job that would miss its objective is refused, unless a part of it may have run.
 func TestLateJobsAreRefused(t *testing.T) {
 	r := wire.TargetLoad{Incarnation: 1, Seq: 1, Used: batch.Resources{CPU: 1000}, CompletionInterval: 100 * time.Millisecond}
-	f := assign.New("e", "dc")
-	f.HandleReport(report("a", r), epoch)
+	f := assign.New("e", "dc", timing())
+	f.HandleReport(report("a", r), "", epoch)
 	j := singleTaskJob(1000, 60*time.Millisecond)
 	assert.Assert(t, f.Admit(assign.DefaultSettings(), j, epoch).Placements == nil)
 	j.PartlyRun = true
@@ -81,9 +85,9 @@
 	chosen := map[string]int{}
 	const entries, agents = 8, 40
 	for e := range entries {
-		f := assign.New(fmt.Sprint("10.0.0.", e), "dc")
+		f := assign.New(fmt.Sprint("10.0.0.", e), "dc", timing())
 		for a := range agents {
-			f.HandleReport(report(fmt.Sprint("a", a), wire.TargetLoad{Incarnation: 1, Seq: 1}), epoch)
+			f.HandleReport(report(fmt.Sprint("a", a), wire.TargetLoad{Incarnation: 1, Seq: 1}), "", epoch)
 		}
 		for range agents / entries {
 			c, ok := f.Place(assign.Task{Pool: "p", Need: batch.Resources{CPU: 500}, Estimate: time.Second}, epoch)
@@ -101,14 +105,14 @@
 func TestFailingTargetGetsLittleWork(t *testing.T) {
 	const runs = 3000
 	for name, fails := range map[string]int{"all": 10, "two in five": 4} { // of ten runs
-		f := assign.New("e", "dc")
+		f := assign.New("e", "dc", timing())
 		now := epoch
 		task := assign.Task{Pool: "p", Need: batch.Resources{CPU: 100}, Estimate: 100 * time.Millisecond}
 		runTasks := func(failing bool) (bad int) {
 			for i := range runs {
 				now = now.Add(5 * time.Millisecond)
 				for _, a := range []string{"bad", "good"} {
-					f.HandleReport(report(a, wire.TargetLoad{Incarnation: 1, Seq: uint64(now.Sub(epoch))}), now)
+					f.HandleReport(report(a, wire.TargetLoad{Incarnation: 1, Seq: uint64(now.Sub(epoch))}), "", now)
 				}
 				c, ok := f.Place(task, now)
 				assert.Assert(t, ok)
@@ -133,14 +137,14 @@
 // Pattern: an unhealthy target looks idle. After its probation it gets one task at a time
 // until it has recovered.
 func TestUnhealthyTargetGetsOneTaskAtATime(t *testing.T) {
-	f := assign.New("e", "dc")
+	f := assign.New("e", "dc", timing())
 	now := epoch
 	seq := uint64(0)
 	task := assign.Task{Pool: "p", Need: batch.Resources{CPU: 100}, Estimate: 100 * time.Millisecond}
 	place := func() string {
 		seq++
-		f.HandleReport(report("bad", wire.TargetLoad{Incarnation: 1, Seq: seq}), now)
-		f.HandleReport(report("good", wire.TargetLoad{Incarnation: 1, Seq: seq, Used: batch.Resources{CPU: 900}}), now)
+		f.HandleReport(report("bad", wire.TargetLoad{Incarnation: 1, Seq: seq}), "", now)
+		f.HandleReport(report("good", wire.TargetLoad{Incarnation: 1, Seq: seq, Used: batch.Resources{CPU: 900}}), "", now)
 		c, ok := f.Place(task, now)
 		assert.Assert(t, ok)
 		return c.Agent
--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -13,6 +13,7 @@
 
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/wire"
 )
@@ -43,13 +44,20 @@
 	interval        time.Duration // between two reports to one entry
 	cpu             float64       // mean need of a task, in thousandths of a core
 	cores           int64         // capacity of a target, in thousandths of a core
+	links           int           // entries that an agent reports to, 0 for all
+	dataCentres     int           // number of data centres, 0 for one for each entry
+	neighbours      int           // entries that a full entry asks for targets
 }
 
 // currentSize returns the size of the users' present deployments.
-func currentSize() size { return size{3, 11, 30 * time.Millisecond, 6200, 64_000} }
+func currentSize() size {
+	return size{entries: 3, agents: 11, interval: 30 * time.Millisecond, cpu: 6200, cores: 64_000}
+}
 
 // grownSize returns the size of the users' grown deployments.
-func grownSize() size { return size{8, 53, 100 * time.Millisecond, 2500, 32_000} }
+func grownSize() size {
+	return size{entries: 8, agents: 53, interval: 100 * time.Millisecond, cpu: 2500, cores: 32_000}
+}
 
 const (
 	networkDelay   = 1500 * time.Microsecond // one-way network delay
@@ -66,6 +74,8 @@
 	// factor returns the factor on the arrival rate of a kind at a time.
 	factor      func(k string, at time.Duration) float64
 	unavailable float64 // fraction of the agents that have no target from 6 s to 12 s
+	// entryFactor returns the factor on the arrival rate at an entry; nil for 1.
+	entryFactor func(e int, at time.Duration) float64
 }
 
 func between(at, from, to time.Duration) bool { return at >= from && at < to }
@@ -83,13 +93,13 @@
 
 func patterns() []pattern {
 	return []pattern{
-		{"steady", burst("none", 1), 0},
-		{"burst of match", burst("match", 2), 0},
-		{"burst of claim", burst("claim", 2), 0},
-		{"burst of tag", burst("tag", 2), 0},
-		{"burst of all", burst("", 1.7), 0},
-		{"half the targets gone", burst("none", 1), 0.45},
-		{"a quarter gone, more load", func(string, time.Duration) float64 { return 1.15 }, 0.27},
+		{name: "steady", factor: burst("none", 1)},
+		{name: "burst of match", factor: burst("match", 2)},
+		{name: "burst of claim", factor: burst("claim", 2)},
+		{name: "burst of tag", factor: burst("tag", 2)},
+		{name: "burst of all", factor: burst("", 1.7)},
+		{name: "half the targets gone", factor: burst("none", 1), unavailable: 0.45},
+		{name: "a quarter gone, more load", factor: func(string, time.Duration) float64 { return 1.15 }, unavailable: 0.27},
 	}
 }
 
@@ -130,9 +140,14 @@
 	fleets   []*assign.Fleet
 	learners []*assign.Learner
 	targets  []*simTarget
-	lastID   uint64
-	byKind   map[string]*tally // by kind name, and "all"
-	windows  map[int]*tally    // by two-second window of the jobs' submission
+	// targetIndex has the index in targets by agent name, reportsTo the indices in fleets
+	// of the entries that each agent reports to.
+	targetIndex map[string]int
+	reportsTo   [][]int
+	searchAt    []time.Duration // when each entry may ask its neighbours again
+	lastID      uint64
+	byKind      map[string]*tally // by kind name, and "all"
+	windows     map[int]*tally    // by two-second window of the jobs' submission
 }
 
 // simTarget is a simulated agent with its target.
@@ -143,6 +158,9 @@
 	open      bool
 	seq       uint64
 	tasks     map[uint64]*simTask // by request ID
+	// guests has, by entry, the time until which the agent reports to an entry that it
+	// would not report to by itself.
+	guests map[int]time.Duration
 }
 
 type simTask struct {
@@ -189,20 +207,23 @@
 func simulate(deployment size, p pattern, s assign.Settings, seed uint64) *simulation {
 	w := &simulation{
 		size: deployment, rng: rand.New(rand.NewPCG(seed, 9)), settings: s, start: time.Unix(1_700_000_000, 0),
-		byKind: map[string]*tally{}, windows: map[int]*tally{},
+		byKind: map[string]*tally{}, windows: map[int]*tally{}, targetIndex: map[string]int{},
 	}
 	for e := range w.entries {
-		w.fleets = append(w.fleets, assign.New(fmt.Sprint("e", e), fmt.Sprint("dc", e)))
+		w.fleets = append(w.fleets, assign.New(fmt.Sprint("e", e), w.dataCentre(e), timing()))
 		w.learners = append(w.learners, assign.NewLearner())
+		w.searchAt = append(w.searchAt, 0)
 	}
 	for a := range w.agents {
-		h := &simTarget{name: fmt.Sprintf("a%02d", a), scheduler: sched.New(), speed: 1, open: true, tasks: map[uint64]*simTask{}}
+		h := &simTarget{name: fmt.Sprintf("a%02d", a), scheduler: sched.New(), speed: 1, open: true, tasks: map[uint64]*simTask{}, guests: map[int]time.Duration{}}
 		c := batch.Resources{CPU: w.cores, Memory: 262_144}
 		if a%3 == 2 {
 			h.speed, c.CPU = 1.3, w.cores*3/2
 		}
 		h.scheduler.Resize(c)
 		w.targets = append(w.targets, h)
+		w.targetIndex[h.name] = a
+		w.reportsTo = append(w.reportsTo, w.choose(h.name, w.dataCentre(a)))
 		w.schedule(time.Duration(a)*time.Millisecond, func() { w.report(a) })
 	}
 	for e := range w.entries {
@@ -232,6 +253,32 @@
 	return w
 }
 
+// dataCentre returns the data centre of the entry or agent with the index.
+func (n size) dataCentre(i int) string {
+	if n.dataCentres == 0 {
+		return fmt.Sprint("dc", i%n.entries)
+	}
+	return fmt.Sprint("dc", i%n.dataCentres)
+}
+
+// choose returns the indices of the entries that an agent reports to.
+func (n size) choose(agent, dataCentre string) []int {
+	var entries []wire.Node
+	for e := range n.entries {
+		entries = append(entries, wire.Node{Name: fmt.Sprint("e", e), DataCentre: n.dataCentre(e)})
+	}
+	if n.links > 0 {
+		entries = peers.Choose(agent, dataCentre, entries, n.links)
+	}
+	var out []int
+	for _, e := range entries {
+		var i int
+		_, _ = fmt.Sscanf(e.Name, "e%d", &i) // named above
+		out = append(out, i)
+	}
+	return out
+}
+
 // loadFactor returns the factor on the arrival rates of the current deployment that uses
 // the same fraction of this deployment's capacity.
 func (n size) loadFactor() float64 {
@@ -242,6 +289,9 @@
 // arrivals schedules the Poisson arrivals of a kind at an entry.
 func (w *simulation) arrivals(p pattern, k kind, e int) {
 	rate := k.arrivalRate * w.loadFactor() / float64(w.entries) * p.factor(k.name, w.now)
+	if p.entryFactor != nil {
+		rate *= p.entryFactor(e, w.now)
+	}
 	d := time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
 	w.schedule(d, func() {
 		if w.now > lastArrival {
@@ -255,12 +305,19 @@
 // report sends an agent's report to all entries, and schedules the next one.
 func (w *simulation) report(a int) {
 	h := w.targets[a]
-	for e, f := range w.fleets {
+	recipients := w.reportsTo[a]
+	for e, until := range h.guests {
+		if w.now < until {
+			recipients = append(slices.Clone(recipients), e)
+		}
+	}
+	for _, e := range recipients {
+		f := w.fleets[e]
 		r := wire.LoadReport{
-			Agent: h.name, TargetLoad: w.loadOf(h, e), Pool: "p", DataCentre: fmt.Sprint("dc", a%w.entries), Open: h.open,
+			Agent: h.name, TargetLoad: w.loadOf(h, e), Pool: "p", DataCentre: w.dataCentre(a), Open: h.open,
 			Capacity: h.scheduler.Capacity(),
 		}
-		w.schedule(networkDelay, func() { f.HandleReport(r, w.time()) })
+		w.schedule(networkDelay, func() { f.HandleReport(r, r.Agent, w.time()) })
 	}
 	w.schedule(w.interval, func() { w.report(a) })
 }
@@ -303,9 +360,38 @@
 		}
 	}
 	slack := time.Duration((stretch-1)*float64(j.estimate)) + objectiveSlack - overhead
-	a := w.fleets[e].Admit(w.settings, assign.Job{
-		Tasks: tasks, Priority: k.priority, Slack: slack,
-	}, w.time())
+	job := assign.Job{Tasks: tasks, Priority: k.priority, Slack: slack}
+	a := w.fleets[e].Admit(w.settings, job, w.time())
+	if a.Placements == nil && w.neighbours > 0 {
+		w.borrow(e, tasks[0], func() {
+			job.Slack -= 2 * networkDelay
+			w.send(j, job, works, w.fleets[e].Admit(w.settings, job, w.time()))
+		})
+		return
+	}
+	w.send(j, job, works, a)
+}
+
+// borrow asks the neighbours of an entry for targets, and calls then after a round trip.
+func (w *simulation) borrow(e int, t assign.Task, then func()) {
+	askedAt := w.time()
+	for i := 1; i <= w.neighbours; i++ {
+		lender := w.fleets[(e+i*7)%w.entries]
+		w.schedule(networkDelay, func() {
+			lent := lender.Lend(t, 8, w.time())
+			w.schedule(networkDelay, func() {
+				for _, l := range lent {
+					w.fleets[e].Borrow(l, askedAt, w.time())
+				}
+			})
+		})
+	}
+	w.schedule(2*networkDelay, then)
+}
+
+// send sends the tasks of an admitted job to their targets.
+func (w *simulation) send(j *simJob, job assign.Job, works []time.Duration, a assign.Admission) {
+	need, slack := job.Tasks[0].Need, job.Slack
 	if a.Placements == nil {
 		if w.now > warmUp {
 			for _, t := range w.tallies(j) {
@@ -315,7 +401,7 @@
 		return
 	}
 	for i, c := range a.Placements {
-		h := slices.IndexFunc(w.targets, func(h *simTarget) bool { return h.name == c.Agent })
+		h := w.targetIndex[c.Agent]
 		t := &simTask{job: j, work: works[i], target: h, need: need}
 		w.schedule(networkDelay, func() { w.enqueue(t, slack) })
 	}
@@ -338,6 +424,9 @@
 // enqueue queues a task at its target.
 func (w *simulation) enqueue(t *simTask, slack time.Duration) {
 	h := w.targets[t.target]
+	if e := t.job.entry; !slices.Contains(w.reportsTo[t.target], e) {
+		h.guests[e] = w.now + timing().Lease
+	}
 	w.lastID++
 	h.tasks[w.lastID] = t
 	h.scheduler.Enqueue(sched.Request{
--- /dev/null
+++ b/broker/borrow_test.go
@@ -0,0 +1,80 @@
+package broker_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/wire"
+)
+
+// entryNode returns the testbed's entry as other entries know it.
+func (b *testbed) entryNode(name string) wire.Node {
+	return wire.Node{Name: name, Address: b.entry.Address(), DataCentre: "dc", Roles: []string{"entry"}}
+}
+
+// Pattern: a pool whose targets report to other entries only. An entry that has no target
+// for a job asks the others and runs it there.
+func TestEntryUsesTargetsOfOthers(t *testing.T) {
+	lender := newTestbedWith(t, "lender", nil)
+	lender.agent("a1", 1000, done)
+	b := newTestbedWith(t, "entry-1", func() []wire.Node { return []wire.Node{lender.entryNode("lender")} })
+	assert.Equal(t, outcomeKind(b.submit(job("j", batch.Step{Count: 2}))), "complete")
+	assert.Equal(t, len(lender.startedTasks()), 2)
+}
+
+// Pattern: all entries are full. Jobs are refused after one round trip, and a flood of them
+// causes few questions.
+func TestFullFleetIsAskedRarely(t *testing.T) {
+	full := func(ctx context.Context, _ wire.StartRun) wire.RunEnded {
+		<-ctx.Done()
+		return wire.RunEnded{End: batch.Stopped, Proof: batch.ProofListing}
+	}
+	lender := newTestbedWith(t, "lender", nil)
+	lender.agent("a1", 100, full)
+	questions := 0
+	b := newTestbedWith(t, "entry-1", func() []wire.Node {
+		questions++
+		return []wire.Node{lender.entryNode("lender")}
+	})
+	j := job("j", batch.Step{Count: 1})
+	j.Steps[0].Need.CPU = 200
+	before := time.Now()
+	for range 1000 {
+		assert.Equal(t, outcomeKind(b.submit(j)), "refuse")
+	}
+	const atMostEvery = 50 * time.Millisecond
+	assert.Assert(t, questions <= 1+int(time.Since(before)/atMostEvery), "%d questions", questions)
+}
+
+// Guards against starting a delayed order: an entry confirms only runs that it waits for.
+func TestOnlyWantedRunsAreConfirmed(t *testing.T) {
+	b := newTestbed(t)
+	asked := make(chan wire.Message, 2)
+	node := make(chan *link.Node, 1)
+	b.agent("a1", 1000, func(ctx context.Context, m wire.StartRun) wire.RunEnded {
+		n := <-node
+		for _, run := range []uint64{m.Run, m.Run + 1} {
+			a, _ := n.Call(ctx, link.Dest{Address: b.entry.Address()}, wire.ConfirmRun{Task: m.Task, Run: run})
+			asked <- a
+		}
+		return done(ctx, m)
+	})
+	node <- b.agentNode
+	assert.Equal(t, outcomeKind(b.submit(job("j", batch.Step{Count: 1}))), "complete")
+	_, confirmed := (<-asked).(wire.Done)
+	assert.Assert(t, confirmed, "a run in progress was not confirmed")
+	_, confirmed = (<-asked).(wire.Done)
+	assert.Assert(t, !confirmed, "a run that the entry does not know was confirmed")
+	other := b.node("a2", keys.Agent)
+	b.serve(other)
+	a, err := other.Call(t.Context(), link.Dest{Address: b.entry.Address()}, wire.ConfirmRun{Task: "j.0.0.0", Run: 1})
+	assert.NilError(t, err)
+	_, confirmed = a.(wire.Done)
+	assert.Assert(t, !confirmed, "a run was confirmed to an agent that it was not sent to")
+}
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -18,6 +18,7 @@
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/meter"
+	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/policy"
 	"cyclamenrelay.example/wire"
 )
@@ -47,7 +48,11 @@
 type Options struct {
 	// Name is the entry's name, DataCentre its data centre.
 	Name, DataCentre string
-	Admission        assign.Settings
+	// Timing is the timing of reports that the agents use too.
+	Timing    peers.Timing
+	Admission assign.Settings
+	// Entries returns the known entries; nil for an entry that asks no others for targets.
+	Entries func() []wire.Node
 	// MaxOrphanRunTime bounds how long runs may continue after their entry has given them up,
 	// whatever happens to the entry and to their agents.
 	MaxOrphanRunTime time.Duration
@@ -73,6 +78,9 @@
 	mayRunUntil map[string]time.Time
 	calls       map[uint64]call // calls to agents in progress, by number
 	lastID      uint64
+	// searches has the searches for other entries' targets by pool: the one in progress or
+	// the last one.
+	searches map[string]*search
 }
 
 // Caller waits for a job's outcome.
@@ -105,14 +113,17 @@
 // call is a StartRun call that an agent has not answered yet.
 type call struct {
 	agent  string
+	task   string
+	run    uint64
 	cancel context.CancelFunc
 }
 
 // New returns a broker that knows no agents.
 func New(opts Options) *Broker {
 	return &Broker{
-		opts: opts, fleet: assign.New(opts.Name, opts.DataCentre), learner: assign.NewLearner(),
+		opts: opts, fleet: assign.New(opts.Name, opts.DataCentre, opts.Timing), learner: assign.NewLearner(),
 		activeJobs: map[string]*activeJob{}, answers: map[string]cachedAnswer{}, mayRunUntil: map[string]time.Time{}, calls: map[uint64]call{},
+		searches: map[string]*search{},
 	}
 }
 
@@ -121,10 +132,15 @@
 
 // Start implements kernel.Starter.
 func (b *Broker) Start(k *kernel.Kernel) (err error) {
+	if err := b.opts.Timing.Validate(); err != nil {
+		return err
+	}
 	if b.node, err = kernel.Find[*link.Node](k, link.ServiceName); err != nil {
 		return err
 	}
 	link.Handle(b.node.Mux(), b.handleReport, keys.Agent)
+	link.Handle(b.node.Mux(), b.handleConfirm, keys.Agent)
+	link.Handle(b.node.Mux(), b.handleFindTargets, keys.Entry)
 	return nil
 }
 
@@ -178,12 +194,25 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.fleet.HandleReport(m, b.opts.Clock.Now()) {
+	if b.fleet.HandleReport(m, p.Address, b.opts.Clock.Now()) {
 		b.opts.Log.Info("agent restarted", zap.String("agent", m.Agent))
 	}
 	return wire.Done{}
 }
 
+// handleConfirm handles an agent's question whether a run is still wanted. The start may
+// have been under way for long, and the job may have been given up meanwhile.
+func (b *Broker) handleConfirm(_ context.Context, p link.Peer, m wire.ConfirmRun) wire.Message {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.calls {
+		if c.agent == p.Name && c.task == m.Task && c.run == m.Run {
+			return wire.Done{}
+		}
+	}
+	return wire.Refused{Reason: "the entry has given the run up"}
+}
+
 // Pending returns the number of a queue's jobs in progress of which no task has been
 // sent to an agent.
 func (b *Broker) Pending(queue string) int {
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -19,6 +19,7 @@
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/policy"
 	"cyclamenrelay.example/wire"
 )
@@ -28,17 +29,22 @@
 	t      testing.TB
 	broker *broker.Broker
 	entry  *link.Node
+	// agentNode is the node of the agent that was added last.
+	agentNode *link.Node
 
 	mu     sync.Mutex
 	starts []wire.StartRun
 	agents []string // receivers of starts
 }
 
-func newTestbed(t testing.TB) *testbed {
+func newTestbed(t testing.TB) *testbed { return newTestbedWith(t, "entry-1", nil) }
+
+// newTestbedWith returns a testbed of an entry with the name that knows other entries.
+func newTestbedWith(t testing.TB, name string, others func() []wire.Node) *testbed {
 	b := &testbed{t: t}
 	clock := clockwork.NewRealClock()
-	b.entry = b.node("entry-1", keys.Entry)
-	b.broker = broker.New(broker.Options{DataCentre: "dc", Admission: assign.DefaultSettings(), MaxOrphanRunTime: time.Minute, Clock: clock, Log: zap.NewNop()})
+	b.entry = b.node(name, keys.Entry)
+	b.broker = broker.New(broker.Options{Name: name, Entries: others, DataCentre: "dc", Timing: peers.NewTiming(500 * time.Millisecond), Admission: assign.DefaultSettings(), MaxOrphanRunTime: time.Minute, Clock: clock, Log: zap.NewNop()})
 	k := kernel.New(zap.NewNop())
 	k.Add(b.broker)
 	k.Add(b.entry)
@@ -72,10 +78,25 @@
 	return link.New(link.Options{Address: "127.0.0.1:0", Keys: id, Log: zap.NewNop(), Clock: clock})
 }
 
+// serve runs a node until the test ends or the returned function is called.
+func (b *testbed) serve(n *link.Node) (stop func()) {
+	assert.NilError(b.t, n.Start(nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = n.Run(ctx) })
+	stop = sync.OnceFunc(func() {
+		cancel()
+		wg.Wait()
+	})
+	b.t.Cleanup(stop)
+	return stop
+}
+
 // agent adds an agent that answers each start with the result of f, and returns a
 // function that stops the agent.
 func (b *testbed) agent(name string, cpu int64, f func(context.Context, wire.StartRun) wire.RunEnded) (stop func()) {
 	n := b.node(name, keys.Agent)
+	b.agentNode = n
 	link.Handle(n.Mux(), func(ctx context.Context, _ link.Peer, m wire.StartRun) wire.Message {
 		b.mu.Lock()
 		b.starts = append(b.starts, m)
@@ -83,10 +104,9 @@
 		b.mu.Unlock()
 		return f(ctx, m)
 	}, keys.Entry)
-	assert.NilError(b.t, n.Start(nil))
+	stopNode := b.serve(n)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = n.Run(ctx) })
 	reported := make(chan struct{})
 	wg.Go(func() {
 		for seq := uint64(1); ctx.Err() == nil; seq++ {
@@ -103,6 +123,7 @@
 	stop = sync.OnceFunc(func() {
 		cancel()
 		wg.Wait()
+		stopNode()
 	})
 	b.t.Cleanup(stop)
 	<-reported
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -8,6 +8,7 @@
 
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/policy"
@@ -182,12 +183,10 @@
 		reqs[i] = w.requirements(tasks[i], est)
 	}
 	b := w.broker
-	now := b.opts.Clock.Now()
-	b.mu.Lock()
-	admission := b.fleet.Admit(b.opts.Admission, assign.Job{
-		Tasks: reqs, Priority: w.queue.Priority, Slack: slack, PartlyRun: w.mayHaveRun(),
-	}, now)
-	b.mu.Unlock()
+	admission := w.admitStep(reqs, slack)
+	if admission.Placements == nil && b.borrow(ctx, reqs[0], admission.Impossible, slack) {
+		admission = w.admitStep(reqs, w.slack())
+	}
 	w.longestWait = max(w.longestWait, admission.Wait)
 	if admission.Impossible {
 		return w.giveUp("no target can take the work")
@@ -210,6 +209,16 @@
 	return nil
 }
 
+// admitStep places the tasks of a step, or none of them when they cannot end in time.
+func (w *jobRun) admitStep(tasks []assign.Task, slack time.Duration) assign.Admission {
+	b := w.broker
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fleet.Admit(b.opts.Admission, assign.Job{
+		Tasks: tasks, Priority: w.queue.Priority, Slack: slack, PartlyRun: w.mayHaveRun(),
+	}, b.opts.Clock.Now())
+}
+
 // recordPlacement records where the task was placed.
 func (t *task) recordPlacement(c assign.Placement) {
 	t.agent, t.expectedWait, t.expectedRun = c.Agent, c.Wait, c.Run
@@ -256,6 +265,13 @@
 	return ok
 }
 
+// borrowAndPlace chooses an agent for a task among targets of other entries, and reports
+// whether there is one.
+func (w *jobRun) borrowAndPlace(ctx context.Context, t *task) bool {
+	r := w.requirements(t, w.estimate(w.job.Steps[t.step]))
+	return w.broker.borrow(ctx, r, true, w.slack()) && w.placeAgain(t)
+}
+
 // startRun starts a run of the task on its agent. The end of the run is sent to results.
 func (w *jobRun) startRun(ctx context.Context, t *task) {
 	s := w.job.Steps[t.step]
@@ -275,12 +291,13 @@
 	w.broker.lastID++
 	id := w.broker.lastID
 	cctx, cancel := context.WithCancel(ctx)
-	w.broker.calls[id] = call{agent, cancel}
+	w.broker.calls[id] = call{agent: agent, task: m.Task, run: m.Run, cancel: cancel}
+	to := link.Dest{Address: w.broker.fleet.Address(agent), Role: keys.Agent}
 	w.broker.mu.Unlock()
 	meter.Starts().Inc()
 	w.broker.node.Go(func() {
 		defer cancel()
-		answer, err := w.broker.node.CallPeer(cctx, agent, m)
+		answer, err := w.broker.node.CallNode(cctx, agent, to, m)
 		w.broker.mu.Lock()
 		delete(w.broker.calls, id)
 		w.broker.fleet.Release(agent, s.Need)
@@ -379,7 +396,7 @@
 	if !w.broker.hasCaller(w.active) {
 		return w.abandoned()
 	}
-	if !w.placeAgain(t) {
+	if !w.placeAgain(t) && !w.borrowAndPlace(ctx, t) {
 		return w.giveUp("no other target can take the work")
 	}
 	w.startRun(ctx, t)
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -9,9 +9,11 @@
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/leader"
 	"cyclamenrelay.example/meter"
+	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/platform"
 	"cyclamenrelay.example/runner"
 	"cyclamenrelay.example/watch"
+	"cyclamenrelay.example/wire"
 )
 
 // leaseFraction is the length of an entry's lease on its runs, and of a target's
@@ -41,6 +43,11 @@
 	return time.Duration(s.Platform.GracePeriod) / closeWaitDivisor
 }
 
+// entryLease returns the length of an entry's lease on its runs.
+func entryLease(p conf.Platform) time.Duration {
+	return time.Duration(leaseFraction * float64(p.ResendAfter))
+}
+
 // platformServices adds the entry, agent and control services for the platform's protocol.
 func (b *builder) platformServices() {
 	p := b.settings.Platform
@@ -48,9 +55,9 @@
 		b.platformEntry()
 	}
 	if b.settings.Node.Has(keys.Agent) {
-		lease := time.Duration(leaseFraction * float64(p.ResendAfter))
+		lease := entryLease(p)
 		po := runner.New(runner.Options{
-			Driver: platform.NewTarget(), TargetLease: min(lease, time.Duration(p.HoldLimit)), EntryLease: lease,
+			Driver: platform.NewTarget(), TargetLease: min(lease, time.Duration(p.HoldLimit)), Timing: peers.NewTiming(lease),
 			DrainTimeout: time.Duration(p.GracePeriod) / 2, Clock: b.clock, Log: b.log,
 		})
 		b.services.Add(po)
@@ -77,6 +84,7 @@
 	b.services.Add(b.follower())
 	br := broker.New(broker.Options{
 		Name: b.settings.Node.Name, DataCentre: b.settings.Node.DataCentre, Admission: assign.DefaultSettings(), Clock: b.clock, Log: b.log,
+		Timing: peers.NewTiming(entryLease(p)), Entries: func() []wire.Node { return b.finder.Nodes(keys.Entry) },
 		MaxOrphanRunTime: time.Duration(runsEndFraction * float64(p.ResendAfter)),
 	})
 	b.services.Add(br)
--- a/runner/loops.go
+++ b/runner/loops.go
@@ -3,16 +3,12 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/batch"
-	"cyclamenrelay.example/keys"
-	"cyclamenrelay.example/link"
-	"cyclamenrelay.example/wire"
 )
 
 const (
@@ -27,16 +23,6 @@
 	// maxMissedRenewals is the number of consecutive unanswered renewals after which
 	// the target gets no new work.
 	maxMissedRenewals = 3
-	// reportSpacing times the number of entries is the minimum interval between two
-	// reports to one entry, so that an agent's report rate does not grow with the
-	// number of entries.
-	reportSpacing = 10 * time.Millisecond
-	// maxReportInterval is the interval between two reports to one entry while nothing
-	// changes.
-	maxReportInterval = 120 * time.Millisecond
-	reportTimeout     = 300 * time.Millisecond
-	// entryCheckInterval is the interval between checks for new and removed entries.
-	entryCheckInterval = 250 * time.Millisecond
 )
 
 // updateClock updates the lease with a new reading of the target's clock, unless the
@@ -275,107 +261,3 @@
 		}
 	}
 }
-
-// reportLoop runs one reporting goroutine for each known entry.
-func (p *Runner) reportLoop(ctx context.Context) {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	stops := map[string]context.CancelFunc{}
-	for ctx.Err() == nil {
-		known := map[string]bool{}
-		entries := p.finder.Nodes(keys.Entry)
-		for _, n := range entries {
-			known[n.Name+" "+n.Address] = true
-			if stops[n.Name+" "+n.Address] != nil {
-				continue
-			}
-			rctx, stop := context.WithCancel(ctx)
-			stops[n.Name+" "+n.Address] = stop
-			wg.Go(func() { p.reportTo(rctx, n) })
-		}
-		for k, stop := range stops {
-			if !known[k] {
-				stop()
-				delete(stops, k)
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-p.opts.Clock.After(entryCheckInterval):
-		}
-	}
-	for _, stop := range stops {
-		stop()
-	}
-}
-
-// reportTo sends reports to one entry after each change, and at intervals.
-func (p *Runner) reportTo(ctx context.Context, n wire.Node) {
-	for ctx.Err() == nil {
-		p.mu.Lock()
-		changed := p.reportChanged
-		p.mu.Unlock()
-		p.sendReport(ctx, n)
-		pause := reportSpacing * time.Duration(max(len(p.finder.Nodes(keys.Entry)), 1))
-		select {
-		case <-ctx.Done():
-			return
-		case <-p.opts.Clock.After(pause):
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		case <-p.opts.Clock.After(maxReportInterval - min(pause, maxReportInterval)):
-		}
-	}
-}
-
-// sendReport sends one report to an entry. The answer renews the entry's lease,
-// counted from the time when the report was sent.
-func (p *Runner) sendReport(ctx context.Context, n wire.Node) {
-	m, ok := p.buildReport(n.Name)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	sent := p.opts.Clock.Now()
-	answer, err := p.node.Call(ctx, link.Dest{Address: n.Address, Role: keys.Entry}, m)
-	if _, done := answer.(wire.Done); err != nil || !done {
-		p.opts.Log.Debug("capacity report not confirmed by the entry", zap.String("entry", n.Name), zap.Error(err))
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.entryLeases[n.Name] = sent.Add(p.opts.EntryLease)
-}
-
-// buildReport returns the report for an entry, and false until the agent knows that
-// no run of an earlier agent process is left on a target.
-func (p *Runner) buildReport(entry string) (wire.LoadReport, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	self := p.finder.Self()
-	m := wire.LoadReport{Agent: self.Name, TargetLoad: p.usageFor(entry), DataCentre: self.DataCentre}
-	ts := p.target
-	if ts == nil || !ts.reconciled {
-		return m, p.reconciled
-	}
-	m.Target, m.Pool, m.Capacity, m.Labels = ts.ID, ts.Pool, ts.Capacity, ts.Labels
-	m.Open = ts.Open && ts.reachable && !p.draining
-	return m, true
-}
-
-// usageFor returns the capacity use of the target as it is sent to an entry. The
-// caller holds mu.
-func (p *Runner) usageFor(entry string) wire.TargetLoad {
-	p.seq++
-	m := wire.TargetLoad{Incarnation: p.finder.Self().Incarnation, Seq: p.seq}
-	if ts := p.target; ts != nil && ts.reconciled {
-		m.Used, m.ReceiverUsed, m.CompletionInterval = p.scheduler.Used(), p.scheduler.OwnerUse(entry), p.scheduler.CompletionInterval()
-		now := p.opts.Clock.Now()
-		m.Backlog, m.Slowdown = p.scheduler.Backlog(now), ts.slowness.Reported(now)
-	}
-	return m
-}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -15,6 +15,7 @@
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
 	"cyclamenrelay.example/pace"
+	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/wire"
 )
@@ -36,9 +37,9 @@
 	Driver Driver
 	// TargetLease is how long the target keeps runs going without a renewal.
 	TargetLease time.Duration
-	// EntryLease is how long an entry's runs may continue after the last report that
-	// the entry has answered.
-	EntryLease time.Duration
+	// Timing is the timing of reports to entries. Its lease is how long an entry's runs
+	// may continue after the last report that the entry has answered.
+	Timing peers.Timing
 	// DrainTimeout bounds the wait at a shutdown for runs in progress.
 	DrainTimeout time.Duration
 	Clock        clockwork.Clock
@@ -59,6 +60,8 @@
 	lastID      uint64
 	seq         uint64
 	entryLeases map[string]time.Time // lease ends, by entry
+	home        map[string]bool      // the entries that get reports in any case
+	senders     map[string]sender    // entries that have sent a task lately, by name
 	draining    bool                 // set when the agent drains
 	// reconciled is set once a target has listed no run that an earlier agent process
 	// started.
@@ -129,6 +132,7 @@
 func New(opts Options) *Runner {
 	return &Runner{
 		opts: opts, scheduler: sched.New(), runs: map[uint64]*run{}, byKey: map[RunKey]*run{}, entryLeases: map[string]time.Time{},
+		home: map[string]bool{}, senders: map[string]sender{},
 		reportChanged: make(chan struct{}), targetArrived: make(chan struct{}),
 	}
 }
@@ -138,6 +142,9 @@
 
 // Start implements kernel.Starter.
 func (p *Runner) Start(k *kernel.Kernel) (err error) {
+	if err := p.opts.Timing.Validate(); err != nil {
+		return err
+	}
 	if p.node, err = kernel.Find[*link.Node](k, link.ServiceName); err != nil {
 		return err
 	}
@@ -328,10 +335,10 @@
 
 // enqueue queues a task for capacity, or returns nil and the answer to the entry when
 // the task is refused.
-func (p *Runner) enqueue(entry string, m wire.StartRun) (*run, wire.RunEnded) {
+func (p *Runner) enqueue(peer link.Peer, m wire.StartRun) (*run, wire.RunEnded) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.opts.Clock.Now()
+	now, entry := p.opts.Clock.Now(), peer.Name
 	key := RunKey{Task: m.Task, Run: m.Run}
 	if p.byKey[key] != nil {
 		// The run that is in progress here may have started, so that nothing proves
@@ -341,6 +348,9 @@
 	if reason := p.refusalReason(entry, m, now); reason != "" {
 		return nil, wire.RunEnded{End: batch.NotStarted, Reason: reason, Proof: batch.ProofNotSent}
 	}
+	if !p.noteSender(peer) {
+		return nil, wire.RunEnded{End: batch.NotStarted, Reason: "the agent serves as many entries as it can", Proof: batch.ProofNotSent}
+	}
 	p.lastID++
 	r := &run{
 		id: p.lastID, key: key, request: m, entry: entry,
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -18,6 +18,7 @@
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/runner"
 	"cyclamenrelay.example/wire"
 )
@@ -195,16 +196,30 @@
 	target *fakeTarget
 	runner *runner.Runner
 	entry  *link.Node
+	agent  *link.Node
 
 	mu             sync.Mutex
 	reports        []wire.LoadReport
 	refusesReports bool // the entry refuses reports
+	// refusesRenewals is set for an entry that takes reports, but whose answers do not
+	// arrive as renewals.
+	refusesRenewals bool
+	gaveUp          bool // the entry confirms no runs
+	confirmations   []wire.ConfirmRun
 }
 
 // longLease is long enough that no lease expires on a busy machine, for tests that are
 // not about leases.
 const longLease = 30 * time.Second
 
+// timing returns the usual intervals of reports with an entry lease, so that reports come
+// often even when the lease is long.
+func timing(entryLease time.Duration) peers.Timing {
+	t := peers.NewTiming(min(entryLease, 500*time.Millisecond))
+	t.Lease = entryLease
+	return t
+}
+
 func newTestbed(t *testing.T, x *fakeTarget) *testbed { return newTestbedWithLease(t, x, longLease) }
 
 func newTestbedWithLease(t *testing.T, x *fakeTarget, entryLease time.Duration) *testbed {
@@ -228,33 +243,48 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.reports = append(b.reports, m)
-		if b.refusesReports {
+		if b.refusesReports || b.refusesRenewals {
 			return wire.Refused{Reason: "test"}
 		}
 		return wire.Done{}
 	}, keys.Agent)
-	assert.NilError(t, b.entry.Start(nil))
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		_ = b.entry.Run(ctx)
-		close(done)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	link.Handle(b.entry.Mux(), func(_ context.Context, _ link.Peer, m wire.ConfirmRun) wire.Message {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.confirmations = append(b.confirmations, m)
+		if b.refusesReports || b.gaveUp {
+			return wire.Refused{Reason: "test"}
+		}
+		return wire.Done{}
+	}, keys.Agent)
+	b.serve(b.entry)
 	agent := b.node("agent-1", keys.Agent)
 	finder := member.NewFinder(agent, clock, zap.NewNop(),
 		wire.Node{Name: "agent-1", DataCentre: "dc", Roles: []string{"agent"}, Incarnation: 3}, []string{b.entry.Address()})
+	b.agent = agent
 	b.runner = runner.New(runner.Options{
-		Driver: d, TargetLease: time.Second, EntryLease: entryLease, DrainTimeout: time.Second,
+		Driver: d, TargetLease: time.Second, Timing: timing(entryLease), DrainTimeout: time.Second,
 		Clock: clock, Log: zap.NewNop(),
 	})
 	run(t, finder, b.runner, agent)
 	return b
 }
 
+// serve runs a node until the test ends.
+func (b *testbed) serve(n *link.Node) {
+	assert.NilError(b.t, n.Start(nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = n.Run(ctx)
+		close(done)
+	}()
+	b.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
 func (b *testbed) node(name string, role keys.Role) *link.Node {
 	clock := clockwork.NewRealClock()
 	id, err := keys.NewEphemeral(clock, name, []keys.Role{role})
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -17,7 +17,8 @@
 // handleStart handles an entry's request to run a task. It returns when the run has ended,
 // and stops the run when the entry gives up the request.
 func (p *Runner) handleStart(ctx context.Context, peer link.Peer, m wire.StartRun) wire.Message {
-	r, refusal := p.enqueue(peer.Name, m)
+	p.confirmRun(ctx, peer, m)
+	r, refusal := p.enqueue(peer, m)
 	if r == nil {
 		return refusal
 	}
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -12,6 +12,9 @@
 	_ = register(67, LoadReport{})
 	_ = register(68, StartRun{})
 	_ = register(69, RunEnded{})
+	_ = register(70, ConfirmRun{})
+	_ = register(71, FindTargets{})
+	_ = register(72, LentTargets{})
 )
 
 // TargetLoad is the load of an agent's target at one moment.
@@ -84,6 +87,38 @@
 	Load *TargetLoad `cbor:"5,keyasint,omitempty"`
 }
 
-func (LoadReport) message() {}
-func (StartRun) message()   {}
-func (RunEnded) message()   {}
+// ConfirmRun asks an entry whether it still wants a run that it has asked an agent to
+// start. The answer is Done, which also renews the entry's lease on its runs, or Refused.
+type ConfirmRun struct {
+	Task string `cbor:"1,keyasint"`
+	Run  uint64 `cbor:"2,keyasint"`
+}
+
+// FindTargets asks another entry for targets with free capacity; the answer is
+// LentTargets.
+type FindTargets struct {
+	Pool  string          `cbor:"1,keyasint"`
+	Need  batch.Resources `cbor:"2,keyasint"`
+	Label string          `cbor:"3,keyasint,omitempty"`
+}
+
+// LentTargets answers FindTargets.
+type LentTargets struct {
+	Targets []LentTarget `cbor:"1,keyasint,omitempty"`
+}
+
+// LentTarget is a target that another entry may use.
+type LentTarget struct {
+	Report LoadReport `cbor:"1,keyasint"`
+	// Address is the link address of the target's agent.
+	Address string `cbor:"2,keyasint"`
+	// Age is the time since the report came to the entry that lends the target.
+	Age time.Duration `cbor:"3,keyasint"`
+}
+
+func (LoadReport) message()  {}
+func (StartRun) message()    {}
+func (RunEnded) message()    {}
+func (ConfirmRun) message()  {}
+func (FindTargets) message() {}
+func (LentTargets) message() {}
