--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -26,6 +26,9 @@
 	// lateFactor times the objective is the time after which the users consider the
 	// result of a late job worthless.
 	lateFactor = 3
+	// maxPath bounds the expected length of a job, so that times computed from it do not
+	// overflow. No caller waits for that long.
+	maxPath = 24 * time.Hour
 	// A run is overdue after overdueFactor times its estimate plus overdueMin: callers'
 	// estimates are often wrong by half, and run times vary.
 	overdueFactor = 2.5
@@ -119,7 +122,7 @@
 	case w.queue.Advised:
 		return Refused{Reason: "not supported: queues that need the advice of another service"}
 	}
-	w.criticalPath = w.job.CriticalPath(w.estimate)
+	w.criticalPath = min(w.job.CriticalPath(w.estimate), maxPath)
 	w.objective = w.queue.Objective(w.criticalPath)
 	if tooLate := w.submittedAt.Add(w.objective * lateFactor); tooLate.Before(w.limit) {
 		w.limit = tooLate
