link, broker: a run-time error in a handler ends its exchange alone

Cause: no recover stood between a handler of a peer's message, or a job's goroutine, and the process, so that one index out of range, as the job with 2^63-1 tasks caused, ended the process. A panic with a message of our own still ends the process: it reports a broken invariant of state. The caller gets no answer rather than a refusal, which would say that nothing ran; the job counts as one that may run on. relay_handler_errors_total counts them.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -299,7 +299,7 @@
 func (b *Broker) runJob(ctx context.Context, inProgress *activeJob, q policy.Queue, j batch.Job, submittedAt, limit time.Time) {
 	defer inProgress.cancel()
 	w := &jobRun{broker: b, active: inProgress, queue: q, job: j, submittedAt: submittedAt, limit: limit}
-	outcome := w.run(ctx)
+	outcome := w.runGuarded(ctx)
 	took := b.opts.Clock.Since(submittedAt)
 	name, reason := outcomeName(outcome)
 	meter.Answers(name).Inc()
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"time"
 
 	"go.uber.org/zap"
@@ -78,6 +79,23 @@
 	ended wire.RunEnded
 }
 
+// runGuarded is run, but a run-time error ends this job alone.
+func (w *jobRun) runGuarded(ctx context.Context) (o Outcome) {
+	defer func() {
+		if e := recover(); e != nil {
+			err, isRuntime := e.(runtime.Error)
+			if !isRuntime {
+				panic(e)
+			}
+			meter.HandlerErrors().Inc()
+			w.broker.opts.Log.Error("run-time error in a job", zap.String("job", w.job.ID), zap.Error(err), zap.Stack("stack"))
+			w.lost = true
+			o = Interrupted{Reason: "internal error"}
+		}
+	}()
+	return w.run(ctx)
+}
+
 // run runs the job to its end and returns the outcome.
 func (w *jobRun) run(ctx context.Context) Outcome {
 	if o := w.admit(); o != nil {
--- a/link/node.go
+++ b/link/node.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"time"
 
@@ -17,6 +19,7 @@
 
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/wire"
 )
 
@@ -231,7 +234,7 @@
 				n.opts.Log.Debug("invalid message from peer", zap.String("peer", p.Name), zap.Error(err))
 				return
 			}
-			n.mux.Serve(n.ctx, p, m)
+			n.handle(n.ctx, p, m)
 		})
 	}
 }
@@ -269,7 +272,31 @@
 		return
 	}
 	defer n.endCall()
-	n.answer(s, n.mux.Serve(s.Context(), p, m))
+	a, ok := n.handle(s.Context(), p, m)
+	if !ok {
+		// A refusal would say that the message had no effect.
+		s.CancelWrite(0)
+		return
+	}
+	n.answer(s, a)
+}
+
+// handle passes a message to its handler. A run-time error in the handler, such as an index
+// out of range, ends this exchange alone, without an answer: ok is false. Other panics
+// report a broken invariant and end the process.
+func (n *Node) handle(ctx context.Context, p Peer, m wire.Message) (answer wire.Message, ok bool) {
+	defer func() {
+		if e := recover(); e != nil {
+			err, isRuntime := e.(runtime.Error)
+			if !isRuntime {
+				panic(e)
+			}
+			meter.HandlerErrors().Inc()
+			n.opts.Log.Error("run-time error in a message handler", zap.String("peer", p.Name), zap.String("message", fmt.Sprintf("%T", m)),
+				zap.Error(err), zap.Stack("stack"))
+		}
+	}()
+	return n.mux.Serve(ctx, p, m), true
 }
 
 // answer sends the answer to a peer's call.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -35,6 +35,12 @@
 // Starts counts the starts sent to agents.
 func Starts() *metrics.Counter { return metrics.GetOrCreateCounter("relay_starts_total") }
 
+// HandlerErrors counts the run-time errors in handlers of messages and in jobs. Each ended
+// the exchange or job alone.
+func HandlerErrors() *metrics.Counter {
+	return metrics.GetOrCreateCounter("relay_handler_errors_total")
+}
+
 // AbandonedJobs counts the jobs that were abandoned before a start because all of their
 // callers had disconnected.
 func AbandonedJobs() *metrics.Counter { return metrics.GetOrCreateCounter("relay_jobs_deserted_total") }
