broker, runner: a full target returns a task at once, and its entry places it again

Cause: an entry places tasks by loads that are up to a report interval old, and what it places on a target that has filled up meanwhile waits there, though others are free. An agent now returns a task that cannot start at once with the target's load; after two returns, or where the entry expects a wait, it waits as before. Old and new processes: an old agent ignores the flag, an old entry never sets it.

--- a/assign/links_test.go
+++ b/assign/links_test.go
@@ -49,6 +49,21 @@
 	}
 }
 
+// Pattern: a target has filled up since its last report. It returns the task, and the entry
+// places it again with the newer load.
+func TestReturnedTasksFindFreeTargets(t *testing.T) {
+	for name, n := range map[string]size{"3 x 11": currentSize(), "13 x 74": mediumSize(), "55 x 240": largeSize()} {
+		for _, p := range []pattern{patterns()[0], patterns()[4]} {
+			waiting := simulate(n, p, assign.DefaultSettings(), 7)
+			n.maxReturns = 2
+			returning := simulate(n, p, assign.DefaultSettings(), 7)
+			n.maxReturns = 0
+			t.Logf("%s, %s: in time %.3f, when all tasks wait where they were sent %.3f", name, p.name, returning.inTime(), waiting.inTime())
+			assert.Assert(t, returning.inTime() > waiting.inTime())
+		}
+	}
+}
+
 // Pattern: a tenth of the entries get four times the mean load, as clients are hashed to
 // entries. They reach targets elsewhere within one more round trip.
 func TestFullEntryBorrowsTargets(t *testing.T) {
--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -47,6 +47,7 @@
 	links           int           // entries that an agent reports to, 0 for all
 	dataCentres     int           // number of data centres, 0 for one for each entry
 	neighbours      int           // entries that a full entry asks for targets
+	maxReturns      int           // how often a task is returned by full targets
 }
 
 // currentSize returns the size of the users' present deployments.
@@ -168,6 +169,8 @@
 	work   time.Duration // run time on a target with speed 1
 	target int           // index in simulation.targets
 	need   batch.Resources
+	// returns counts how often a target has returned the task for lack of free capacity.
+	returns int
 }
 
 type simJob struct {
@@ -427,6 +430,10 @@
 	if e := t.job.entry; !slices.Contains(w.reportsTo[t.target], e) {
 		h.guests[e] = w.now + timing().Lease
 	}
+	if t.returns < w.maxReturns && !t.need.Fits(h.scheduler.Capacity().Minus(h.scheduler.Used())) {
+		w.giveBack(t, slack)
+		return
+	}
 	w.lastID++
 	h.tasks[w.lastID] = t
 	h.scheduler.Enqueue(sched.Request{
@@ -436,6 +443,30 @@
 	w.startTasks(h)
 }
 
+// giveBack returns a task to its entry, which places it again with the newer load.
+func (w *simulation) giveBack(t *simTask, slack time.Duration) {
+	h := w.targets[t.target]
+	t.returns++
+	load := w.loadOf(h, t.job.entry)
+	w.schedule(networkDelay, func() {
+		f := w.fleets[t.job.entry]
+		f.UpdateUse(h.name, load, w.time())
+		f.Release(h.name, t.need)
+		slack -= 2 * networkDelay
+		c, ok := f.Place(assign.Task{
+			Pool: "p", Need: t.need, Estimate: t.job.estimate, Slack: slack + sched.PriorityDelay(t.job.kind.priority),
+		}, w.time())
+		if !ok {
+			return
+		}
+		if c.Wait > 0 {
+			t.returns = w.maxReturns
+		}
+		t.target = w.targetIndex[c.Agent]
+		w.schedule(networkDelay, func() { w.enqueue(t, slack) })
+	})
+}
+
 // startTasks starts the tasks of a target that can start, and schedules their ends.
 func (w *simulation) startTasks(h *simTarget) {
 	for {
--- a/broker/borrow_test.go
+++ b/broker/borrow_test.go
@@ -78,3 +78,18 @@
 	_, confirmed = a.(wire.Done)
 	assert.Assert(t, !confirmed, "a run was confirmed to an agent that it was not sent to")
 }
+
+// Pattern: a target has filled up since its last report. Its agent returns the task, which
+// goes elsewhere; the agent may get it again later.
+func TestReturnedTaskIsPlacedAgain(t *testing.T) {
+	b := newTestbed(t)
+	answer := func(_ context.Context, m wire.StartRun) wire.RunEnded {
+		if m.Returnable {
+			return wire.RunEnded{End: batch.NotStarted, Proof: batch.ProofNotSent, Returned: true}
+		}
+		return wire.RunEnded{End: batch.Done, Proof: batch.ProofListing}
+	}
+	b.agent("a1", 1000, answer)
+	assert.Equal(t, outcomeKind(b.submit(job("j", batch.Step{Count: 3}))), "complete")
+	assert.Equal(t, len(b.startedTasks()), 9, "each of three tasks is returned twice, then waits")
+}
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -24,6 +24,9 @@
 	// maxMoves is how often a task may be moved away from slow targets: after the
 	// second one, the task itself is probably slow.
 	maxMoves = 2
+	// maxReturns is how often a task is returned by full targets before it waits at one:
+	// the load that an entry knows is up to a report interval old.
+	maxReturns = 2
 	// lateFactor times the objective is the time after which the users consider the
 	// result of a late job worthless.
 	lateFactor = 3
@@ -66,6 +69,7 @@
 	failures   int
 	placements int
 	moves      int // number of runs that were stopped
+	returns    int // number of times that a full target returned the task
 	// expectedWait and expectedRun are the expected waiting time and run time on the
 	// chosen target.
 	expectedWait, expectedRun time.Duration
@@ -303,7 +307,7 @@
 	m := wire.StartRun{
 		Job: w.job.ID, Task: t.name, Run: t.run, Spec: w.job.Spec, Need: s.Need, Estimate: est, Priority: w.queue.Priority,
 		Slack: w.slack(), MaxStartDelay: w.maxStartDelay(w.broker.opts.Clock.Now(), est),
-		Movable: t.moves < maxMoves,
+		Movable: t.moves < maxMoves, Returnable: t.returns < maxReturns && t.expectedWait == 0,
 	}
 	m.MaxRunTime = w.overdueAfter(t, est)
 	agent := t.agent
@@ -376,7 +380,11 @@
 	}
 	w.broker.mu.Unlock()
 	if e.End != batch.Done {
-		w.broker.opts.Log.Info("run not done", zap.String("task", t.name), zap.Uint64("run", t.run), zap.String("agent", agent),
+		level := zap.InfoLevel
+		if e.Returned {
+			level = zap.DebugLevel
+		}
+		w.broker.opts.Log.Check(level, "run not done").Write(zap.String("task", t.name), zap.Uint64("run", t.run), zap.String("agent", agent),
 			zap.String("end", string(e.End)), zap.String("shown", string(e.Proof)), zap.String("reason", e.Reason), zap.Duration("waited", e.Waited), zap.Duration("ran", e.Ran))
 	}
 	switch e.End {
@@ -390,6 +398,11 @@
 			return Failed{Reason: "a task used up its permitted attempts"}
 		}
 	case batch.NotStarted:
+		if e.Returned {
+			t.returns++
+			meter.ReturnedTasks().Inc()
+			break
+		}
 		t.excluded = append(t.excluded, agent)
 	case batch.Unanswered:
 		t.avoid = append(t.avoid, agent)
@@ -408,7 +421,7 @@
 	if ctx.Err() != nil {
 		return w.giveUp("the caller left or its time was up")
 	}
-	if t.placements >= maxPlacements+t.failures {
+	if t.placements >= maxPlacements+t.failures+t.returns {
 		return w.giveUp("no target started the work after the permitted number of placements")
 	}
 	if now.Add(w.estimate(w.job.Steps[t.step]) + overhead).After(w.limit) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -41,6 +41,11 @@
 	return metrics.GetOrCreateCounter("relay_handler_errors_total")
 }
 
+// ReturnedTasks counts the tasks that full targets returned, to be placed again.
+func ReturnedTasks() *metrics.Counter {
+	return metrics.GetOrCreateCounter("relay_tasks_returned_total")
+}
+
 // AbandonedJobs counts the jobs that were abandoned before a start because all of their
 // callers had disconnected.
 func AbandonedJobs() *metrics.Counter { return metrics.GetOrCreateCounter("relay_jobs_deserted_total") }
--- a/runner/guest_test.go
+++ b/runner/guest_test.go
@@ -95,3 +95,34 @@
 		return reports() == before
 	})
 }
+
+// Pattern: a target has filled up since its last report. A returnable task comes back at
+// once with the load, and is certainly not started; another one waits.
+func TestFullTargetReturnsTasks(t *testing.T) {
+	x := newTarget()
+	b := newTestbed(t, x)
+	b.openTarget()
+	send := func(task string, returnable bool) <-chan wire.RunEnded {
+		out := make(chan wire.RunEnded, 1)
+		go func() {
+			a, _ := b.entry.CallPeer(b.t.Context(), "agent-1", wire.StartRun{
+				Job: "j", Task: task, Run: 1, Need: batch.Resources{CPU: 600}, MaxStartDelay: longLease, Returnable: returnable,
+			})
+			e, _ := a.(wire.RunEnded)
+			out <- e
+		}()
+		return out
+	}
+	first := send("t1", true)
+	b.await("the first run to start", func() bool { return b.runCount() == 1 })
+	e := <-send("t2", true)
+	assert.Equal(t, e.End, batch.NotStarted)
+	assert.Assert(t, e.Returned && e.Load != nil && e.Load.Used.CPU == 600)
+	third := send("t3", false)
+	b.await("the third task to wait", func() bool { return b.lastReport().Backlog.Total().CPU == 600 })
+	x.finish("t1", 1, batch.Done)
+	assert.Equal(t, (<-first).End, batch.Done)
+	b.await("the third run to start", func() bool { return b.runCount() == 1 })
+	x.finish("t3", 1, batch.Done)
+	assert.Equal(t, (<-third).End, batch.Done)
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -348,6 +348,12 @@
 	if reason := p.refusalReason(entry, m, now); reason != "" {
 		return nil, wire.RunEnded{End: batch.NotStarted, Reason: reason, Proof: batch.ProofNotSent}
 	}
+	if m.Returnable && !p.scheduler.CanStart(m.Need) {
+		load := p.usageFor(entry)
+		return nil, wire.RunEnded{
+			End: batch.NotStarted, Reason: "the target has no free capacity", Proof: batch.ProofNotSent, Returned: true, Load: &load,
+		}
+	}
 	if !p.noteSender(peer) {
 		return nil, wire.RunEnded{End: batch.NotStarted, Reason: "the agent serves as many entries as it can", Proof: batch.ProofNotSent}
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -94,6 +94,11 @@
 	return Request{}, false
 }
 
+// CanStart reports whether a request for the resources would start at once.
+func (s *Scheduler) CanStart(need batch.Resources) bool {
+	return !s.closed && len(s.waiting) == 0 && need.Fits(s.capacity.Minus(s.used))
+}
+
 // Expired removes and returns the waiting requests whose latest start has passed.
 func (s *Scheduler) Expired(now time.Time) []Request {
 	var out []Request
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -72,6 +72,8 @@
 	// Movable is set when the run may be stopped because it would end sooner on
 	// another target.
 	Movable bool `cbor:"11,keyasint,omitempty"`
+	// Returnable is set when the task may be returned at once if it cannot start at once.
+	Returnable bool `cbor:"12,keyasint,omitempty"`
 }
 
 // RunEnded answers a StartRun.
@@ -85,6 +87,9 @@
 	Ran    time.Duration `cbor:"4,keyasint,omitempty"`
 	// Load is the target's load after the end, nil when the agent does not report it.
 	Load *TargetLoad `cbor:"5,keyasint,omitempty"`
+	// Returned is set for a task that was not started because it was returnable and the
+	// target had no free capacity.
+	Returned bool `cbor:"7,keyasint,omitempty"`
 }
 
 // ConfirmRun asks an entry whether it still wants a run that it has asked an agent to
