--- a/runner/loops.go
+++ b/runner/loops.go
@@ -17,7 +17,7 @@
 	idleLongPoll = 100 * time.Millisecond
 	// busyLongPoll is the same limit for a target with runs, which answers as soon as a
 	// run ends. A lost answer delays the reports of all ended runs by this time.
-	busyLongPoll = 20 * time.Millisecond
+	busyLongPoll = 50 * time.Millisecond
 	// retryDelay is the delay before a failed renewal or stop order is retried.
 	retryDelay = 10 * time.Millisecond
 	// maxMissedRenewals is the number of consecutive unanswered renewals after which
