relayd: a hang-up signal while draining does not end the process

Cause: the goroutine that handles SIGHUP gave the signal back when the shutdown began, so that the next SIGHUP had its default action. TestHangupDuringShutdown fails before and passes now.

--- a/relayd/main.go
+++ b/relayd/main.go
@@ -78,6 +78,10 @@
 		return err
 	}
 	log = log.With(zap.String("node", s.Node.Name))
+	// SIGHUP stays registered until the process exits: unhandled, it ends the process, also
+	// while it drains.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	flush, err := spans.Setup(ctx, s.Node.Name, s.Spans.Collector, s.Spans.Share)
@@ -93,7 +97,7 @@
 		return trace.BadParameter("node.name %q is not the certificate's name %q", s.Node.Name, id.Self().Name)
 	}
 	b := build(s, id, log)
-	go reload(ctx, path, b)
+	go reload(ctx, hangups, path, b)
 	log.Info("starting", zap.Strings("roles", s.Node.Roles), zap.String("dataCentre", s.Node.DataCentre))
 	err = b.services.Run(ctx, time.Duration(s.Entry.DrainTimeout))
 	if err != nil {
@@ -121,13 +125,10 @@
 // changes, which may come without a signal.
 const settingsInterval = 2 * time.Second
 
-// reload rereads the certificates and the settings at each SIGHUP, and the
+// reload rereads the certificates and the settings at each hang-up signal, and the
 // settings also when their file changes. Of the settings, only the join
 // addresses take effect without a restart.
-func reload(ctx context.Context, path string, b *builder) {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	defer signal.Stop(c)
+func reload(ctx context.Context, hangups <-chan os.Signal, path string, b *builder) {
 	tick := b.clock.NewTicker(settingsInterval)
 	defer tick.Stop()
 	last := modTime(path)
@@ -135,7 +136,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-c:
+		case <-hangups:
 			if err := b.id.Reload(); err != nil {
 				b.log.Error("certificates not reloaded", zap.Error(err))
 			} else {
--- a/system/drain_test.go
+++ b/system/drain_test.go
@@ -91,3 +91,30 @@
 	assert.Equal(t, st.State, "complete", st.Reason)
 	assert.Equal(t, d.tasksStartedOnce("shutdown/"), 10)
 }
+
+// Guards against losing the requests of a process that is told to stop and then to reread
+// its settings: the second signal ended it at once.
+func TestHangupDuringShutdown(t *testing.T) {
+	d := deploy(t, threeEntrySpec())
+	const n = 6
+	answers := make([]answer, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			answers[i] = d.request(1, "match", fmt.Sprintf(`{"runTime":"%dms","request":"hangup-%d"}`, 1500+10*i, i), nil)
+		})
+	}
+	for i := range n {
+		d.waitStarted(fmt.Sprintf("hangup-%d", i))
+	}
+	d.signal("entry-1", syscall.SIGTERM)
+	for range 10 {
+		time.Sleep(50 * time.Millisecond)
+		d.signal("entry-1", syscall.SIGHUP)
+	}
+	wg.Wait()
+	for i, a := range answers {
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.outcome, "complete", "%d: %.200s", i, a.body)
+	}
+}
