broker: a run is not confirmed after its job's limit

An entry that was paused may wake up with its call to an agent still open, before the deadline of the call's context has been noticed, and confirm a run whose caller has long sent the job elsewhere. The limit is now checked on the steady clock when the agent asks, after the last wait. TestRunIsNotConfirmedAfterTheLimit fails without the check.

--- a/broker/borrow_test.go
+++ b/broker/borrow_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"cyclamenrelay.example/batch"
@@ -93,3 +94,32 @@
 	assert.Equal(t, outcomeKind(b.submit(job("j", batch.Step{Count: 3}))), "complete")
 	assert.Equal(t, len(b.startedTasks()), 9, "each of three tasks is returned twice, then waits")
 }
+
+// Guards against acting on a permission that has run out: an entry that was paused until
+// after the job's limit does not confirm its run, though its call is still open.
+func TestRunIsNotConfirmedAfterTheLimit(t *testing.T) {
+	// Contexts end by the real clock, which is far from the limit.
+	clock := clockwork.NewFakeClockAt(time.Now().Add(time.Hour))
+	b := newTestbedWithClock(t, "entry-1", nil, clock)
+	node := make(chan *link.Node, 1)
+	asked := make(chan wire.Message, 2)
+	b.agent("a1", 1000, func(ctx context.Context, m wire.StartRun) wire.RunEnded {
+		n := <-node
+		ask := func() {
+			a, _ := n.Call(ctx, link.Dest{Address: b.entry.Address()}, wire.ConfirmRun{Task: m.Task, Run: m.Run})
+			asked <- a
+		}
+		ask()
+		clock.Advance(300 * time.Millisecond) // the agent does not count as silent yet
+		ask()
+		return done(ctx, m)
+	})
+	node <- b.agentNode
+	j := job("j", batch.Step{Count: 1})
+	j.Steps[0].Estimate = 10 * time.Millisecond
+	b.broker.Submit(t.Context(), new(caller), queue(), j, clock.Now().Add(200*time.Millisecond))
+	_, confirmed := (<-asked).(wire.Done)
+	assert.Assert(t, confirmed)
+	_, confirmed = (<-asked).(wire.Done)
+	assert.Assert(t, !confirmed, "a run was confirmed after its job's limit")
+}
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -115,6 +115,7 @@
 	agent  string
 	task   string
 	run    uint64
+	limit  time.Time // the time after which the job is given up
 	cancel context.CancelFunc
 }
 
@@ -205,8 +206,10 @@
 func (b *Broker) handleConfirm(_ context.Context, p link.Peer, m wire.ConfirmRun) wire.Message {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.opts.Clock.Now()
 	for _, c := range b.calls {
-		if c.agent == p.Name && c.task == m.Task && c.run == m.Run {
+		// After a pause of this process, the call may still be open past its limit.
+		if c.agent == p.Name && c.task == m.Task && c.run == m.Run && now.Before(c.limit) {
 			return wire.Done{}
 		}
 	}
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -41,8 +41,11 @@
 
 // newTestbedWith returns a testbed of an entry with the name that knows other entries.
 func newTestbedWith(t testing.TB, name string, others func() []wire.Node) *testbed {
+	return newTestbedWithClock(t, name, others, clockwork.NewRealClock())
+}
+
+func newTestbedWithClock(t testing.TB, name string, others func() []wire.Node, clock clockwork.Clock) *testbed {
 	b := &testbed{t: t}
-	clock := clockwork.NewRealClock()
 	b.entry = b.node(name, keys.Entry)
 	b.broker = broker.New(broker.Options{Name: name, Entries: others, DataCentre: "dc", Timing: peers.NewTiming(500 * time.Millisecond), Admission: assign.DefaultSettings(), MaxOrphanRunTime: time.Minute, Clock: clock, Log: zap.NewNop()})
 	k := kernel.New(zap.NewNop())
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -316,7 +316,7 @@
 	w.broker.lastID++
 	id := w.broker.lastID
 	cctx, cancel := context.WithCancel(ctx)
-	w.broker.calls[id] = call{agent: agent, task: m.Task, run: m.Run, cancel: cancel}
+	w.broker.calls[id] = call{agent: agent, task: m.Task, run: m.Run, limit: w.limit, cancel: cancel}
 	to := link.Dest{Address: w.broker.fleet.Address(agent), Role: keys.Agent}
 	w.broker.mu.Unlock()
 	meter.Starts().Inc()
