--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -2,18 +2,17 @@
 
 import (
 	"context"
-	"runtime"
 	"time"
 
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/policy"
-	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/wire"
 )
 
@@ -85,18 +84,10 @@
 
 // runGuarded is run, but a run-time error ends this job alone.
 func (w *jobRun) runGuarded(ctx context.Context) (o Outcome) {
-	defer func() {
-		if e := recover(); e != nil {
-			err, isRuntime := e.(runtime.Error)
-			if !isRuntime {
-				panic(e)
-			}
-			meter.HandlerErrors().Inc()
-			w.broker.opts.Log.Error("run-time error in a job", zap.String("job", w.job.ID), zap.Error(err), zap.Stack("stack"))
-			w.lost = true
-			o = Interrupted{Reason: "internal error"}
-		}
-	}()
+	defer kernel.CatchRuntimeError(w.broker.opts.Log, "running job "+w.job.ID, func() {
+		w.lost = true
+		o = Interrupted{Reason: "internal error"}
+	})
 	return w.run(ctx)
 }
 
@@ -234,31 +225,6 @@
 	return nil
 }
 
-// admitStep places the tasks of a step, or none of them when they cannot end in time.
-func (w *jobRun) admitStep(tasks []assign.Task, slack time.Duration) assign.Admission {
-	b := w.broker
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.fleet.Admit(b.opts.Admission, assign.Job{
-		Tasks: tasks, Priority: w.queue.Priority, Slack: slack, PartlyRun: w.mayHaveRun(),
-	}, b.opts.Clock.Now())
-}
-
-// recordPlacement records where the task was placed.
-func (t *task) recordPlacement(c assign.Placement) {
-	t.agent, t.expectedWait, t.expectedRun = c.Agent, c.Wait, c.Run
-	t.placements++
-}
-
-// requirements returns the requirements of the task for its placement.
-func (w *jobRun) requirements(t *task, est time.Duration) assign.Task {
-	s := w.job.Steps[t.step]
-	return assign.Task{
-		Pool: w.queue.Pool, Need: s.Need, Label: s.Label, Rack: s.Rack, Estimate: est, Avoid: t.avoid, Exclude: t.excluded,
-		Slack: w.slack() + sched.PriorityDelay(w.queue.Priority),
-	}
-}
-
 // mayHaveRun reports whether a part of the job has run or may have.
 func (w *jobRun) mayHaveRun() bool { return w.ran || w.openRuns > 0 }
 
@@ -278,25 +244,6 @@
 	return w.giveUp("the caller had left before the start")
 }
 
-// placeAgain chooses another agent for a task, and reports whether there is one.
-func (w *jobRun) placeAgain(t *task) bool {
-	est := w.estimate(w.job.Steps[t.step])
-	w.broker.mu.Lock()
-	defer w.broker.mu.Unlock()
-	c, ok := w.broker.fleet.Place(w.requirements(t, est), w.broker.opts.Clock.Now())
-	if ok {
-		t.recordPlacement(c)
-	}
-	return ok
-}
-
-// borrowAndPlace chooses an agent for a task among targets of other entries, and reports
-// whether there is one.
-func (w *jobRun) borrowAndPlace(ctx context.Context, t *task) bool {
-	r := w.requirements(t, w.estimate(w.job.Steps[t.step]))
-	return w.broker.borrow(ctx, r, true, w.slack()) && w.placeAgain(t)
-}
-
 // startRun starts a run of the task on its agent. The end of the run is sent to results.
 func (w *jobRun) startRun(ctx context.Context, t *task) {
 	s := w.job.Steps[t.step]
--- a/link/node.go
+++ b/link/node.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net"
-	"runtime"
 	"sync"
 	"time"
 
@@ -19,7 +18,6 @@
 
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
-	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/wire"
 )
 
@@ -281,21 +279,10 @@
 	n.answer(s, a)
 }
 
-// handle passes a message to its handler. A run-time error in the handler, such as an index
-// out of range, ends this exchange alone, without an answer: ok is false. Other panics
-// report a broken invariant and end the process.
+// handle passes a message to its handler. A run-time error in the handler ends this
+// exchange alone, without an answer: ok is false.
 func (n *Node) handle(ctx context.Context, p Peer, m wire.Message) (answer wire.Message, ok bool) {
-	defer func() {
-		if e := recover(); e != nil {
-			err, isRuntime := e.(runtime.Error)
-			if !isRuntime {
-				panic(e)
-			}
-			meter.HandlerErrors().Inc()
-			n.opts.Log.Error("run-time error in a message handler", zap.String("peer", p.Name), zap.String("message", fmt.Sprintf("%T", m)),
-				zap.Error(err), zap.Stack("stack"))
-		}
-	}()
+	defer kernel.CatchRuntimeError(n.opts.Log.With(zap.String("peer", p.Name)), fmt.Sprintf("handling %T", m), func() { ok = false })
 	return n.mux.Serve(ctx, p, m), true
 }
 
