runner: starts and ends of runs cause no reports

Cause: each start and end woke the reports to all of an agent's entries, which then came at their shortest pause. The load is in the answers to runs, and full targets return tasks, so that what an entry reads is seldom too old.

--- a/peers/timing.go
+++ b/peers/timing.go
@@ -26,8 +26,7 @@
 	// silence before that time.
 	Lease time.Duration
 	// BusyInterval is the greatest interval between two reports to an entry that has runs
-	// on the target, or for which the report has changed. IdleInterval is the interval
-	// otherwise.
+	// on the target, whose lease they renew. IdleInterval is the interval otherwise.
 	BusyInterval, IdleInterval time.Duration
 	// ReportTimeout bounds the wait for the answer to a report.
 	ReportTimeout time.Duration
--- a/runner/enqueue.go
+++ b/runner/enqueue.go
@@ -44,7 +44,6 @@
 		Due: now.Add(m.Slack), StartBy: now.Add(m.MaxStartDelay),
 	})
 	p.grantCapacity()
-	p.wakeReporters()
 	return r, wire.RunEnded{}
 }
 
@@ -77,7 +76,6 @@
 	delete(p.byKey, r.key)
 	p.scheduler.Release(r.id)
 	p.grantCapacity()
-	p.wakeReporters()
 	m := p.usageFor(r.entry)
 	return &m
 }
--- a/runner/guest_test.go
+++ b/runner/guest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -126,3 +127,25 @@
 	x.finish("t3", 1, batch.Done)
 	assert.Equal(t, (<-third).End, batch.Done)
 }
+
+// Pattern: a busy target starts and ends many short runs. Their answers carry its load, so
+// that reports come no oftener than the entry's lease needs.
+func TestShortRunsCauseNoMoreReports(t *testing.T) {
+	x := newTarget()
+	b := newTestbed(t, x)
+	b.openTarget()
+	reports := func() int {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.reports)
+	}
+	before, since := reports(), time.Now()
+	for i := range 40 {
+		task := fmt.Sprint("t", i)
+		end := b.startRunning(task)
+		x.finish(task, 1, batch.Done)
+		assert.Equal(t, (<-end).End, batch.Done)
+	}
+	atMost := 2 + int(time.Since(since)/timing(longLease).BusyInterval)
+	assert.Assert(t, reports()-before <= atMost, "%d reports, expected are at most %d", reports()-before, atMost)
+}
--- a/runner/report.go
+++ b/runner/report.go
@@ -125,7 +125,8 @@
 	return oldest != ""
 }
 
-// reportTo sends reports to one entry after each change, and at intervals.
+// reportTo sends reports to one entry at intervals, and when the target opens or closes.
+// The load between two reports is in the answers to runs, and a full target returns tasks.
 func (p *Runner) reportTo(ctx context.Context, n wire.Node) {
 	for ctx.Err() == nil {
 		p.mu.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -66,7 +66,7 @@
 	// reconciled is set once a target has listed no run that an earlier agent process
 	// started.
 	reconciled    bool
-	reportChanged chan struct{} // closed when the report to entries changes
+	reportChanged chan struct{} // closed when the target opens or closes, or its capacity changes
 	targetArrived chan struct{} // closed when a new target instance is in use
 }
 
