review: a frozen entry sends tasks to an executor of the wrong kind

Cause: a thawed entry takes old reports as new, and agents cannot check the labels that a task requires.

--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -190,3 +190,133 @@
 	}
 	return out, nil
 }
+
+// frozenEntry freezes an entry for two seconds, while an executor crashes and comes back as
+// one of another kind. The rule is ROUTE.
+func frozenEntry(e env) ([]string, error) {
+	const (
+		rounds                = 14
+		calm                  = 1500 * time.Millisecond
+		before, down, after   = 700 * time.Millisecond, 500 * time.Millisecond, 800 * time.Millisecond
+		jobInterval, deadline = 20 * time.Millisecond, 2500 * time.Millisecond
+	)
+	d := e.d
+	third := func(i int) []string {
+		if i%3 == 2 {
+			return []string{"b", "r1-1"}
+		}
+		return []string{"a", "r1-1"}
+	}
+	if err := d.start(resources{CPU: 16000, Memory: 32768}, third); err != nil {
+		return nil, err
+	}
+	if err := d.awaitServing(e.ctx, d.configuration(1, 1.6, deadline, 2*time.Second)); err != nil {
+		return nil, err
+	}
+	front := d.fronts[0]
+	var mu sync.Mutex
+	required := map[string]string{} // labels by job
+	ended := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-ended:
+				return
+			case <-time.After(jobInterval):
+			}
+			j := job{
+				id: newID(), spec: taskSpec{WorkMS: 200, CPU: 2500}, deadline: deadline,
+				steps: []step{{Count: 2, CPU: 2500, Memory: 64, Estimated: 200, Label: []string{"a", "b"}[i%2]}},
+			}
+			mu.Lock()
+			required[j.id] = j.steps[0].Label
+			mu.Unlock()
+			wg.Go(func() { _, _, _ = d.submitOnce(e.ctx, front, j) })
+		}
+	})
+	for round := range rounds {
+		pause(e.ctx, calm)
+		if !e.trouble {
+			pause(e.ctx, before+down+after)
+			continue
+		}
+		x := d.execs[round%len(d.execs)]
+		kind := "a"
+		if x.labels[0] == "a" {
+			kind = "b"
+		}
+		front.signal(syscall.SIGSTOP, false)
+		pause(e.ctx, before)
+		if err := x.crash(down, fmt.Sprintf("i-%08x", 0x8f000000+round), kind); err != nil {
+			return nil, err
+		}
+		pause(e.ctx, after)
+		front.signal(syscall.SIGCONT, false)
+	}
+	pause(e.ctx, deadline)
+	close(ended)
+	wg.Wait()
+	var out []string
+	for _, r := range e.rec.intervals() {
+		if want := required[r.task[:16]]; want != "" && want != r.labels[0] {
+			out = append(out, fmt.Sprintf("ROUTE: %s of kind %s started %s at %.3f s, which requires %s", r.machine, r.labels[0], r.task, r.from.Seconds(), want))
+		}
+	}
+	return out, nil
+}
+
+// rebornExecutor freezes an agent for less than half a second, while its executor crashes
+// and starts again under its ID. The rule is TWICE.
+func rebornExecutor(e env) ([]string, error) {
+	const (
+		rounds              = 24
+		calm                = 1200 * time.Millisecond
+		before, down, after = 300 * time.Millisecond, 100 * time.Millisecond, 30 * time.Millisecond
+		jobInterval         = 10 * time.Millisecond
+		deadline            = 2500 * time.Millisecond
+	)
+	d := e.d
+	if err := d.start(resources{CPU: 16000, Memory: 32768}, kinds); err != nil {
+		return nil, err
+	}
+	if err := d.awaitServing(e.ctx, d.configuration(1, 1.6, deadline, 2*time.Second)); err != nil {
+		return nil, err
+	}
+	ended := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-ended:
+				return
+			case <-time.After(jobInterval):
+			}
+			wg.Go(func() {
+				_, _, _ = d.submitOnce(e.ctx, d.fronts[i%len(d.fronts)], job{
+					id: newID(), spec: taskSpec{WorkMS: 300, CPU: 500}, deadline: deadline,
+					steps: []step{{Count: 2, CPU: 500, Memory: 64, Estimated: 300}},
+				})
+			})
+		}
+	})
+	for round := range rounds {
+		pause(e.ctx, calm)
+		if !e.trouble {
+			pause(e.ctx, before+down+after)
+			continue
+		}
+		x := d.execs[round%len(d.execs)]
+		x.m.signal(syscall.SIGSTOP, false)
+		pause(e.ctx, before)
+		if err := x.crash(down, x.id, x.labels[0]); err != nil {
+			return nil, err
+		}
+		pause(e.ctx, after)
+		x.m.signal(syscall.SIGCONT, false)
+	}
+	pause(e.ctx, deadline)
+	close(ended)
+	wg.Wait()
+	return twice(e.rec.intervals()), nil
+}
--- a/review/_stand/client.go
+++ b/review/_stand/client.go
@@ -55,6 +55,8 @@
 	Memory    int64 `json:"task_memory_mb"`
 	Estimated int64 `json:"estimated_ms"`
 	After     []int `json:"after,omitempty"`
+	// Label is a label that the executor must have.
+	Label string `json:"requirements,omitempty"`
 }
 
 // job is a best-effort job of a client.
--- a/review/_stand/executor.go
+++ b/review/_stand/executor.go
@@ -51,10 +51,7 @@
 	lastEnd  int64
 	changed  chan struct{} // closed at the next end
 	sequence int64
-	state    string
-	// delayStart, when set, returns how long a start stays unanswered before it is carried
-	// out, 0 for none.
-	delayStart func() time.Duration
+	down     bool // between two incarnations
 }
 
 // execRun is a run in progress.
@@ -78,29 +75,58 @@
 type taskSpec struct {
 	WorkMS int64 `json:"work_ms"`
 	CPU    int64 `json:"cpu"`
-	// StepMS is the time of work by step, where steps differ.
-	StepMS map[string]int64 `json:"step_ms,omitempty"`
 }
 
 func newExecutor(d *deployment, m *machine, i int, capacity resources, labels []string) (*executor, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &executor{d: d, m: m, capacity: capacity, labels: labels, address: fmt.Sprintf("%s:%d", m.ip, portApp), ctx: ctx, stop: cancel}
 	x.reset(fmt.Sprintf("i-%08x", 0x7f3a0000+i))
-	l, err := net.Listen("tcp", x.address)
-	if err != nil {
+	if err := x.listen(); err != nil {
 		cancel()
 		return nil, err
 	}
+	go x.work()
+	go x.beats()
+	return x, nil
+}
+
+// listen serves the executor's address.
+func (x *executor) listen() error {
+	l, err := net.Listen("tcp", x.address)
+	if err != nil {
+		return err
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/run-start", x.handleStart)
 	mux.HandleFunc("POST /api/run-stop", x.handleStop)
 	mux.HandleFunc("POST /api/hold", x.handleHold)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	x.srv = &http.Server{Handler: mux}
-	go func() { _ = x.srv.Serve(l) }()
-	go x.work()
-	go x.beats()
-	return x, nil
+	srv := &http.Server{Handler: mux}
+	x.srv = srv
+	go func() { _ = srv.Serve(l) }()
+	return nil
+}
+
+// crash ends the executor, and starts a new incarnation with the ID and of the kind at its
+// address after the time down.
+func (x *executor) crash(down time.Duration, id, kind string) error {
+	x.d.rec.event("executor %s of %s crashes for %v; then it is %s of kind %s", x.id, x.m.name, down, id, kind)
+	x.mu.Lock()
+	x.down = true
+	x.mu.Unlock()
+	_ = x.srv.Close()
+	x.reset(id)
+	pause(x.ctx, down)
+	x.reset(id)
+	x.mu.Lock()
+	x.labels = []string{kind, x.labels[1]}
+	x.down = false
+	x.mu.Unlock()
+	if err := x.listen(); err != nil {
+		return err
+	}
+	go x.beat()
+	return nil
 }
 
 // reset begins a new life of the executor, which knows nothing of before.
@@ -110,7 +136,7 @@
 	for task, r := range x.running {
 		x.d.rec.runEnded(x.m.name, task, r.run, "crashed")
 	}
-	x.id, x.born, x.fence, x.until, x.state = id, time.Now(), 0, 0, "ready"
+	x.id, x.born, x.fence, x.until = id, time.Now(), 0, 0
 	x.running, x.highest, x.ended, x.lastEnd, x.sequence = map[string]*execRun{}, map[string]uint64{}, nil, 0, 0
 	x.changed = make(chan struct{})
 }
@@ -193,6 +219,9 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.down {
+		panic(http.ErrAbortHandler)
+	}
 	if want := r.Header.Get(instanceHead); want != "" && want != x.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return o, false
@@ -223,17 +252,6 @@
 	if !ok {
 		return
 	}
-	if x.delayStart != nil {
-		if d := x.delayStart(); d > 0 {
-			x.d.rec.event("%s leaves the start of %s run %d unanswered for %v", x.m.name, o.Task, o.Run, d)
-			time.Sleep(d)
-			x.mu.Lock()
-			reason := x.begin(o)
-			x.mu.Unlock()
-			x.d.rec.event("%s carries out the start of %s run %d late: %q", x.m.name, o.Task, o.Run, reason)
-			panic(http.ErrAbortHandler)
-		}
-	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.answer(w, x.begin(o))
@@ -264,29 +282,9 @@
 	}
 	x.extend(o.Until)
 	work := time.Duration(spec.WorkMS) * time.Millisecond
-	if ms, ok := spec.StepMS[stepOf(o.Task)]; ok {
-		work = time.Duration(ms) * time.Millisecond
-	}
 	now := time.Now()
 	x.running[o.Task] = &execRun{run: o.Run, spec: spec, need: resources{CPU: spec.CPU}, at: now, ends: now.Add(work)}
-	x.d.rec.runStarted(x.m.name, o.Task, o.Run, o.Spec)
-	return ""
-}
-
-// stepOf returns the number of the step in a task's name, ID.K.STEP.INDEX.
-func stepOf(task string) string {
-	dots, from := 0, 0
-	for i := range len(task) {
-		if task[i] != '.' {
-			continue
-		}
-		if dots++; dots == 2 {
-			from = i + 1
-		}
-		if dots == 3 {
-			return task[from:i]
-		}
-	}
+	x.d.rec.runStarted(x.m.name, o.Task, o.Run, x.labels)
 	return ""
 }
 
@@ -381,10 +379,14 @@
 // beat sends one heartbeat, and reports whether it was acknowledged.
 func (x *executor) beat() bool {
 	x.mu.Lock()
+	if x.down {
+		x.mu.Unlock()
+		return false
+	}
 	x.sequence++
 	id := x.id
 	body, _ := json.Marshal(map[string]any{
-		"service": x.d.service, "address": x.address, "zone": x.m.zone, "version": "v1", "slots": 8, "state": x.state,
+		"service": x.d.service, "address": x.address, "zone": x.m.zone, "version": "v1", "slots": 8, "state": "ready",
 		"cold_remaining_ms": 0, "capacity": x.capacity, "labels": x.labels, "clock_ms": x.clock().Milliseconds(),
 		"sequence": x.sequence, "born": x.born.UnixMilli(),
 	})
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -39,6 +39,8 @@
 	"odd":    {11, oddHeartbeat},
 	"cancel": {11, cancelElsewhere},
 	"drain":  {11, drainWaiting},
+	"kinds":  {11, frozenEntry},
+	"reborn": {4, rebornExecutor},
 }
 
 func main() { os.Exit(run()) }
--- a/review/_stand/record.go
+++ b/review/_stand/record.go
@@ -15,13 +15,12 @@
 
 // interval is the time of one run at an executor.
 type interval struct {
-	machine    string
-	task       string
-	run        uint64
-	from, to   time.Duration // to is 0 while the run goes on
-	how        string
-	taskSpec   string
-	startIndex int
+	machine  string
+	task     string
+	run      uint64
+	from, to time.Duration // to is 0 while the run goes on
+	how      string
+	labels   []string // of the executor
 }
 
 // recorder writes what was sent, answered and run into record.txt, and keeps the runs
@@ -67,13 +66,13 @@
 
 func runKey(machine, task string, run uint64) string { return fmt.Sprint(machine, " ", task, " ", run) }
 
-func (r *recorder) runStarted(machine, task string, run uint64, spec string) {
+func (r *recorder) runStarted(machine, task string, run uint64, labels []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	i := &interval{machine: machine, task: task, run: run, from: r.now(), taskSpec: spec}
+	i := &interval{machine: machine, task: task, run: run, from: r.now(), labels: labels}
 	r.runs = append(r.runs, i)
 	r.open[runKey(machine, task, run)] = i
-	r.write("%s starts %s run %d", machine, task, run)
+	r.write("%s of kind %s starts %s run %d", machine, labels[0], task, run)
 }
 
 func (r *recorder) runEnded(machine, task string, run uint64, how string) {
