--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -272,9 +272,9 @@
 // and starts again under its ID. The rule is TWICE.
 func rebornExecutor(e env) ([]string, error) {
 	const (
-		rounds              = 24
-		calm                = 1200 * time.Millisecond
-		before, down, after = 200 * time.Millisecond, 100 * time.Millisecond, 30 * time.Millisecond
+		rounds              = 80
+		calm                = 700 * time.Millisecond
+		before, down, after = 100 * time.Millisecond, 100 * time.Millisecond, 20 * time.Millisecond
 		jobInterval         = 5 * time.Millisecond
 		deadline            = 2500 * time.Millisecond
 	)
