runner: only a target's own answer proves that another one has exited

Callers' view: a task ran on two targets at a time (TWICE, 3 to 6 tasks) after one heartbeat of another writer at an agent. Cause: HandleAnnouncement took any announcement with the address or the ID of the target in use for a proof that this target had exited. It ended its runs with that proof and put the announced one in its place. An announcement can come from anyone; only the process that listens at the address can tell which instance it is. The agent's log has 'target arrived' and 'run ended shown=successor reason="the target was replaced"' within a millisecond, and no order in between; the other path to that proof logs 'another instance answers at its address'. Change: an announcement of an instance that is not in use is confirmed first: the agent asks at the announced address for that instance, with a renewal that extends no lease. Until it answers, the target in use stays. Why it works: who answers at the address is the listener there, so that the earlier instance does not listen any more; another writer cannot make it answer.

--- a/batch/end.go
+++ b/batch/end.go
@@ -37,8 +37,8 @@
 	ProofRefusal Proof = "refusal"
 	// ProofNoDelivery means that the start was certainly not delivered.
 	ProofNoDelivery Proof = "noDelivery"
-	// ProofSuccessor means that another target instance has the ID or the address of the
-	// run's target, which has therefore exited.
+	// ProofSuccessor means that another target instance has answered at the address of the
+	// run's target, which has therefore exited. An announcement is no such answer.
 	ProofSuccessor Proof = "successor"
 	// ProofLease means that the target's lease has certainly ended.
 	ProofLease Proof = "lease"
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -50,6 +50,12 @@
 // callers had disconnected.
 func AbandonedJobs() *metrics.Counter { return metrics.GetOrCreateCounter("relay_jobs_deserted_total") }
 
+// IgnoredAnnouncements counts the announcements of targets that had no effect, by reason: late,
+// contradicted or unconfirmed.
+func IgnoredAnnouncements(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`relay_announcements_ignored_total{reason="` + reason + `"}`)
+}
+
 // Gauge registers f as the value of the gauge with the name, unless the process has
 // registered the name before.
 func Gauge(name string, f func() float64) { metrics.GetOrCreateGauge(name, f) }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -197,59 +197,11 @@
 	p.reportChanged = make(chan struct{})
 }
 
-// HandleAnnouncement processes a target's announcement of itself, and reports whether it is
-// current. It ignores announcements that are not newer than the last one, and those
-// of an earlier instance.
-func (p *Runner) HandleAnnouncement(t Target) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.opts.Clock.Now()
-	if ts := p.target; ts != nil {
-		if ts.ID == t.ID && (ts.StartedAt == 0 || t.StartedAt == 0) { // a missing start time does not tell two instances apart
-			t.StartedAt = max(ts.StartedAt, t.StartedAt)
-			ts.StartedAt = t.StartedAt
-		}
-		same := ts.ID == t.ID && ts.StartedAt == t.StartedAt
-		if same && t.Seq <= ts.Seq || !same && t.StartedAt < ts.StartedAt {
-			return false
-		}
-		if same {
-			openChanged := ts.Open != t.Open
-			ts.Target, ts.lease = t, ts.lease.WithClock(t.Clock, now)
-			p.updateScheduler()
-			if openChanged {
-				p.opts.Log.Info("target changed", zap.String("target", t.ID), zap.Bool("open", t.Open))
-			}
-			return true
-		}
-		p.handleSuccessor(ts, t)
-	}
-	p.opts.Log.Info("target arrived", zap.String("target", t.ID), zap.String("pool", t.Pool), zap.String("address", t.Address),
-		zap.Int64("cpu", t.Capacity.CPU), zap.Int64("memory", t.Capacity.Memory), zap.Bool("open", t.Open))
-	p.target = &targetState{Target: t, lease: lease.Lease{}.WithClock(t.Clock, now), fence: initialFence(t.Clock), reachable: true}
-	p.updateScheduler()
-	close(p.targetArrived)
-	p.targetArrived = make(chan struct{})
-	return true
-}
-
 // initialFence returns the fencing token for an agent that first meets the target at
 // this reading of the target's clock. The clock of an instance never goes back, so that a
 // restarted agent has a higher token than before.
 func initialFence(clock time.Duration) uint64 { return uint64(clock.Milliseconds()) + 1 }
 
-// handleSuccessor ends or gives up the runs of a target when another target arrives. Only
-// a target with the same ID or address proves that the earlier one has exited; with
-// any other, both may be running. The caller holds mu.
-func (p *Runner) handleSuccessor(ts *targetState, next Target) {
-	const reason = "the target was replaced"
-	if next.ID == ts.ID || next.Address == ts.Address {
-		p.endRuns(ts, reason, batch.ProofSuccessor)
-		return
-	}
-	p.retireTarget(ts, reason)
-}
-
 // HandleShutdown processes a target's message that it is shutting down. The target may keep
 // running for seconds when the answer to the message is lost.
 func (p *Runner) HandleShutdown(id string) {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -461,7 +461,7 @@
 	b := newTestbed(t, x)
 	b.openTarget()
 	end := b.startRunning("t1")
-	assert.Assert(t, b.runner.HandleAnnouncement(x.announcement(2, false)))
+	assert.Equal(t, b.runner.HandleAnnouncement(x.announcement(2, false)), runner.Taken)
 	assert.Equal(t, (<-b.start("t2", 100)).End, batch.NotStarted)
 	b.await("a report that the target is closed", func() bool { return !b.lastReport().Open })
 	assert.Equal(t, b.runCount(), 1, "the run in progress was stopped")
@@ -474,10 +474,10 @@
 	b := newTestbed(t, x)
 	b.runner.HandleAnnouncement(x.announcement(5, true))
 	b.await("a report that the target is open", func() bool { return b.lastReport().Open })
-	assert.Assert(t, !b.runner.HandleAnnouncement(x.announcement(4, false)))
+	assert.Equal(t, b.runner.HandleAnnouncement(x.announcement(4, false)), runner.Late)
 	earlier := x.announcement(9, false)
 	earlier.ID, earlier.StartedAt = "i-0", 3
-	assert.Assert(t, !b.runner.HandleAnnouncement(earlier), "an earlier target instance replaced a later one")
+	assert.Equal(t, b.runner.HandleAnnouncement(earlier), runner.Late, "an earlier target instance replaced a later one")
 	assert.Assert(t, b.lastReport().Open)
 }
 
--- a/runner/singlerun_test.go
+++ b/runner/singlerun_test.go
@@ -130,7 +130,7 @@
 	x.withLock(func() { x.stopAnswer = runner.Unhealthy })
 	a := next.announcement(1, true)
 	a.ID, a.StartedAt, a.Address = "i-2", 8, "y"
-	assert.Assert(t, b.runner.HandleAnnouncement(a))
+	assert.Equal(t, b.runner.HandleAnnouncement(a), runner.Taken)
 	e := <-end
 	assert.Assert(t, !x.isRunning("t1", 1), "the run was reported as %s, proven by %s, but is still running", e.End, e.Proof)
 }
