runner: proofs of a run's end hold for the instance that ran it

Callers' view: a task ran on two targets at a time after its first target had exited and started again under its ID. Orders name a target by its ID, so the successor under the same ID accepts them. (1) The first listing with another start time ended all runs that were meant for the earlier instance, also those that the successor had accepted. (2) A run whose start was unanswered counted as absent by the listing of an instance that had not got the stop order, and could carry out the start order later. Ruled out: that a start time in start orders would do; the platform's orders have none, and only listings and announcements state it. Change: an instance proves the end of the runs that its predecessor has certainly accepted, as it answered a later renewal. Other runs under the same ID are stopped until they are listed as ended, or not listed by an instance that was there before the stop order. Their lease counts from the longest that the target grants, as the two clocks differ. No lease is renewed, and no end acknowledged, for an instance that was replaced.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -39,15 +39,29 @@
 		return l, 0
 	}
 	sinceRead := now.Sub(l.clockReadAt)
-	// When the target's clock is slow, both the time since it was read and the granted
-	// time take longer.
-	ends := now.Add(d + (sinceRead+d)/maxDriftDivisor + killTime)
-	if ends.After(l.certainEnd) {
+	if ends := certainEnd(now, d, sinceRead); ends.After(l.certainEnd) {
 		l.certainEnd = ends
 	}
 	return l, l.clock + sinceRead + d
 }
 
+// WithUnknownClock returns the lease of a target whose runs may be under another clock, so
+// that a renewal may have granted them any time up to limit.
+func (l Lease) WithUnknownClock(now time.Time, limit time.Duration) Lease {
+	if ends := certainEnd(now, limit, 0); ends.After(l.certainEnd) {
+		l.certainEnd = ends
+	}
+	return l
+}
+
+// certainEnd returns when runs that were granted d at the time now have certainly ended,
+// if the target's clock was read sinceRead before.
+func certainEnd(now time.Time, d, sinceRead time.Duration) time.Time {
+	// When the target's clock is slow, both the time since it was read and the granted
+	// time take longer.
+	return now.Add(d + (sinceRead+d)/maxDriftDivisor + killTime)
+}
+
 // Ended reports whether all runs under the lease have certainly ended.
 func (l Lease) Ended(now time.Time) bool { return now.After(l.certainEnd) }
 
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -57,7 +57,7 @@
 	if b.settings.Node.Has(keys.Agent) {
 		lease := entryLease(p)
 		po := runner.New(runner.Options{
-			Driver: platform.NewTarget(), TargetLease: min(lease, time.Duration(p.HoldLimit)), Timing: peers.NewTiming(lease),
+			Driver: platform.NewTarget(), TargetLease: min(lease, time.Duration(p.HoldLimit)), MaxTargetLease: time.Duration(p.HoldLimit), Timing: peers.NewTiming(lease),
 			DrainTimeout: time.Duration(p.GracePeriod) / 2, Clock: b.clock, Log: b.log,
 		})
 		b.services.Add(po)
--- a/runner/announce.go
+++ b/runner/announce.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/lease"
 	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/pace"
@@ -92,7 +91,9 @@
 // or confirmTimeout has passed. The question renews no lease and acknowledges no ended run.
 func (p *Runner) confirm(t Target) (confirmation, Announcement) {
 	deadline := p.opts.Clock.Now().Add(confirmTimeout)
-	fence := p.currentFence(t.ID)
+	p.mu.Lock()
+	fence := p.knownFence(t.ID)
+	p.mu.Unlock()
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), pace.ResponseTimes{}.Timeout())
 		l, err := p.opts.Driver.Renew(ctx, t, Renewal{Fence: fence})
@@ -121,7 +122,7 @@
 	sameID := p.target != nil && p.target.ID == t.ID
 	p.mu.Unlock()
 	switch {
-	case l.StartedAt != 0 && t.StartedAt != 0 && l.StartedAt != t.StartedAt:
+	case otherInstance(l.StartedAt, t.StartedAt):
 		return Contradicted
 	case l.StartedAt == 0 && sameID:
 		return Unconfirmed // the answer does not tell the two instances apart
@@ -131,17 +132,6 @@
 	return Taken
 }
 
-// currentFence returns the fencing token that the agent uses for targets with the ID: 0,
-// which raises no target's token, unless the target in use has the ID.
-func (p *Runner) currentFence(id string) uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.target != nil && p.target.ID == id {
-		return p.target.fence
-	}
-	return 0
-}
-
 // adopt makes a confirmed instance the target in use.
 func (p *Runner) adopt(t Target, c confirmation) Announcement {
 	p.mu.Lock()
@@ -169,15 +159,3 @@
 	p.targetArrived = make(chan struct{})
 	return Taken
 }
-
-// replaceTarget ends or gives up the runs of a target when another instance takes its
-// place. Only an instance that has answered at the target's own address proves that the
-// target has exited; otherwise both may be running. The caller holds mu.
-func (p *Runner) replaceTarget(ts *targetState, confirmed Target) {
-	const reason = "the target was replaced"
-	if confirmed.Address == ts.Address {
-		p.endRuns(ts, reason, batch.ProofSuccessor)
-		return
-	}
-	p.retireTarget(ts, reason)
-}
--- a/runner/loops.go
+++ b/runner/loops.go
@@ -54,23 +54,11 @@
 	}
 }
 
-// targetReplaced ends the runs of a target after another instance has answered at its
-// address, and removes the target.
-func (p *Runner) targetReplaced(ts *targetState) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	const reason = "another instance answers at its address"
-	p.endRuns(ts, reason, batch.ProofSuccessor)
-	if p.target == ts {
-		p.removeTarget(ts, reason)
-	}
-}
-
 // removeTarget removes the target and gives up the tasks that wait for it. The agent has
 // no target until the next announcement. The caller holds mu.
 func (p *Runner) removeTarget(ts *targetState, reason string) {
 	p.opts.Log.Warn("target lost", zap.String("target", ts.ID), zap.String("reason", reason))
-	p.target = nil
+	p.target, p.previous = nil, ts
 	for _, r := range p.runs {
 		if r.target == nil {
 			r.giveUp(reason)
@@ -135,6 +123,7 @@
 		wait = busyLongPoll
 	}
 	p.mu.Unlock()
+	sent := p.opts.Clock.Now()
 	listing, err := p.sendRenewal(ctx, ts, wait)
 	if err != nil {
 		return err
@@ -143,14 +132,14 @@
 	case listing.Verdict == Fenced:
 		p.raiseFence(ts, listing.Clock)
 		return nil
-	case listing.Verdict == Replaced || listing.StartedAt != 0 && t.StartedAt != 0 && listing.StartedAt != t.StartedAt:
-		p.targetReplaced(ts)
+	case listing.Verdict == Replaced || otherInstance(listing.StartedAt, t.StartedAt):
+		p.targetReplaced(ts, listing.Verdict != Replaced)
 		return nil
 	case listing.Verdict != Accepted:
 		return trace.ConnectionProblem(nil, "target rejected the lease renewal: %s", listing.Verdict)
 	}
 	p.setReachable(ts, true)
-	p.processListing(ts, listing)
+	p.processListing(ts, listing, sent)
 	return nil
 }
 
@@ -158,7 +147,10 @@
 // delay by up to wait until a run ends. Errors are those of Driver.Renew.
 func (p *Runner) sendRenewal(ctx context.Context, ts *targetState, wait time.Duration) (Listing, error) {
 	p.mu.Lock()
-	renewal := Renewal{LeaseEnd: p.nextLeaseEnd(ts), Fence: ts.fence, LastEnded: ts.lastEnded, Wait: wait}
+	renewal := Renewal{LeaseEnd: p.nextLeaseEnd(ts), Fence: p.currentFence(ts), Wait: wait}
+	if p.target == ts { // the numbers of another instance's ended runs are unknown
+		renewal.LastEnded = ts.lastEnded
+	}
 	t, timeout := ts.Target, wait+ts.answerTimes.Timeout()
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -166,17 +158,18 @@
 	return p.opts.Driver.Renew(ctx, t, renewal)
 }
 
-// processListing processes the ended runs of a listing, and stops foreign runs: those that
-// this process did not start.
-func (p *Runner) processListing(ts *targetState, l Listing) {
+// processListing processes the ended runs of a listing that was asked for at a time, and
+// stops foreign runs: those that this process did not start.
+func (p *Runner) processListing(ts *targetState, l Listing, sent time.Time) {
 	p.mu.Lock()
 	p.updateClock(ts, l.Clock)
+	ts.answeredAt = sent
 	for _, e := range l.Ended {
 		if e.Number <= ts.lastEnded {
 			continue
 		}
 		ts.lastEnded = e.Number
-		if r := p.byKey[RunKey{e.Task, e.Run}]; r != nil && r.target == ts {
+		if r := p.byKey[RunKey{e.Task, e.Run}]; r != nil && r.target != nil && r.target.ID == ts.ID {
 			r.finish(runEnd{e.End, "", batch.ProofListing})
 		}
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -37,6 +37,9 @@
 	Driver Driver
 	// TargetLease is how long the target keeps runs going without a renewal.
 	TargetLease time.Duration
+	// MaxTargetLease is the longest lease that a target grants, whatever it is asked for.
+	// 0 stands for TargetLease.
+	MaxTargetLease time.Duration
 	// Timing is the timing of reports to entries. Its lease is how long an entry's runs
 	// may continue after the last report that the entry has answered.
 	Timing peers.Timing
@@ -55,6 +58,7 @@
 	mu          sync.Mutex
 	scheduler   *sched.Scheduler
 	target      *targetState
+	previous    *targetState // the last target that was removed or replaced
 	runs        map[uint64]*run
 	byKey       map[RunKey]*run
 	lastID      uint64
@@ -89,6 +93,9 @@
 	// retired is set when the target shuts down or another one has taken over. The
 	// lease is not renewed any more.
 	retired bool
+	// answeredAt is when the last renewal was sent that this instance has answered. It was
+	// running then.
+	answeredAt time.Time
 	// answerTimes estimates the response time of the target to orders.
 	answerTimes pace.ResponseTimes
 	slowness    pace.Slowness
@@ -106,8 +113,9 @@
 	overdueAt time.Time
 	// accepted is set once the target has accepted the start order; progress counts
 	// from then.
-	accepted bool
-	progress pace.Progress
+	accepted   bool
+	acceptedAt time.Time
+	progress   pace.Progress
 	// startSent is set before the start order is sent: the target may have it from then
 	// on.
 	startSent bool
@@ -130,6 +138,9 @@
 
 // New returns a Runner that has no target yet.
 func New(opts Options) *Runner {
+	if opts.MaxTargetLease == 0 {
+		opts.MaxTargetLease = opts.TargetLease
+	}
 	return &Runner{
 		opts: opts, scheduler: sched.New(), runs: map[uint64]*run{}, byKey: map[RunKey]*run{}, entryLeases: map[string]time.Time{},
 		home: map[string]bool{}, senders: map[string]sender{},
@@ -227,16 +238,6 @@
 	p.wakeReporters()
 }
 
-// endRuns ends the runs of a target that has certainly exited, and the runs that
-// still wait for capacity. The caller holds mu.
-func (p *Runner) endRuns(ts *targetState, reason string, proof batch.Proof) {
-	for _, r := range p.runs {
-		if r.target == nil || r.target == ts {
-			r.finish(runEnd{batch.Stopped, reason, proof})
-		}
-	}
-}
-
 // retireTarget gives up the runs of a target that may keep running, and the runs that
 // still wait for capacity. The caller holds mu.
 func (p *Runner) retireTarget(ts *targetState, reason string) {
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -86,7 +86,8 @@
 		return runEnd{batch.NotStarted, reply.Verdict.String(), batch.ProofRefusal}
 	}
 	p.mu.Lock()
-	r.accepted, r.progress = true, pace.NewProgress(p.opts.Clock.Now())
+	r.acceptedAt = p.opts.Clock.Now()
+	r.accepted, r.progress = true, pace.NewProgress(r.acceptedAt)
 	p.mu.Unlock()
 	select {
 	case e := <-r.ended:
@@ -145,18 +146,20 @@
 func (p *Runner) stop(r *run, reason string) runEnd {
 	p.mu.Lock()
 	r.mustEnd = p.opts.Clock.Now().Add(p.opts.TargetLease)
+	instance := r.target.StartedAt
 	p.mu.Unlock()
 	logged := false
 	for {
 		p.mu.Lock()
-		o := Order{Task: r.key.Task, Run: r.key.Run, Fence: r.target.fence}
+		o := Order{Task: r.key.Task, Run: r.key.Run, Fence: p.currentFence(r.target)}
 		p.mu.Unlock()
 		reply, err := p.sendOrder(r.target, p.opts.Driver.Stop, o)
 		wait := retryDelay
 		switch {
 		case err == nil && reply.Verdict == Accepted:
-			if proof := p.proofOfEnd(r); proof != "" {
-				return runEnd{batch.Stopped, reason, proof}
+			var e runEnd
+			if e, instance = p.provenEnd(r, instance); e.proof != "" {
+				return runEnd{e.end, reason, e.proof}
 			}
 			wait = stopGrace
 		case !logged:
@@ -182,28 +185,36 @@
 	}
 }
 
-// proofOfEnd returns what proves, after an accepted stop order, that the run has ended,
-// empty for nothing. An accepted stop rules out that a start order is carried out
-// later. A run whose start was accepted has ended when the target lists it as ended;
-// for the current target, the renewal loop reads the listing.
-func (p *Runner) proofOfEnd(r *run) batch.Proof {
+// provenEnd returns how the run has ended, with what proves it after an accepted stop order,
+// and without a proof if nothing does. instance is the start time of the instance that was running before
+// the stop order; provenEnd returns that of the instance that answers now. An accepted
+// stop rules out that a start order is carried out later, but only by the instance that has
+// accepted it. A run whose start was accepted has ended when the target lists it as ended;
+// for the current target, the renewal loop reads the listing. A run that is not listed by a
+// successor under the same ID has ended with its own instance.
+func (p *Runner) provenEnd(r *run, instance int64) (e runEnd, current int64) {
 	p.mu.Lock()
 	readByLoop := r.accepted && p.target == r.target
 	p.mu.Unlock()
 	if readByLoop {
-		return ""
+		return e, instance
 	}
 	listing, err := p.sendRenewal(context.Background(), r.target, 0)
 	if err != nil || listing.Verdict != Accepted {
-		return ""
+		return e, instance
+	}
+	for _, x := range listing.Ended {
+		if x.Task == r.key.Task && x.Run == r.key.Run {
+			return runEnd{end: x.End, proof: batch.ProofListing}, instance
+		}
+	}
+	if otherInstance(listing.StartedAt, instance) {
+		return e, listing.StartedAt
 	}
 	isThisRun := func(x RunProgress) bool { return x.RunKey == r.key }
-	hasEnded := func(x EndedRun) bool { return x.Task == r.key.Task && x.Run == r.key.Run }
-	switch {
-	case slices.ContainsFunc(listing.Ended, hasEnded):
-		return batch.ProofListing
-	case !r.accepted && !slices.ContainsFunc(listing.Running, isThisRun):
-		return batch.ProofAbsence
+	certainlyElsewhere := otherInstance(listing.StartedAt, r.target.StartedAt)
+	if (!r.accepted || certainlyElsewhere) && !slices.ContainsFunc(listing.Running, isThisRun) {
+		return runEnd{end: batch.Stopped, proof: batch.ProofAbsence}, instance
 	}
-	return ""
+	return e, instance
 }
