runner: an announcement under the target's own ID must agree with it

One with another address sent the orders there, one with another pool hid the target from entries, and its sequence number made the target's own announcements count as late. Change: another address is confirmed there first. Another pool, which nothing can confirm, has to be announced twice in a row, so that neither one odd announcement nor an odd first one lasts. What is not taken does not count for the order of announcements. Not covered: an announcement that agrees with the target in all but its sequence number, state, capacity or labels.

--- a/runner/announce.go
+++ b/runner/announce.go
@@ -26,7 +26,8 @@
 	// instance than the target in use.
 	Late Announcement = "late"
 	// Contradicted means that the process at the announced address is not the announced
-	// instance: another writer sent the announcement.
+	// instance, or that the target in use has announced another pool: another writer sent
+	// the announcement.
 	Contradicted Announcement = "contradicted"
 	// Unconfirmed means that nothing has answered at the announced address in time.
 	Unconfirmed Announcement = "unconfirmed"
@@ -54,7 +55,8 @@
 }
 
 // update applies an announcement of the target in use, and returns Unconfirmed for one of
-// another instance. The caller holds mu.
+// another instance or address. Nothing can confirm a pool, so that another one has to be
+// announced twice in a row. The caller holds mu.
 func (p *Runner) update(t Target) Announcement {
 	ts := p.target
 	if ts == nil {
@@ -68,16 +70,24 @@
 	switch {
 	case same && t.Seq <= ts.Seq || !same && t.StartedAt < ts.StartedAt:
 		return Late
-	case !same:
+	case !same || t.Address != ts.Address:
 		return Unconfirmed
+	case t.Pool != ts.Pool && t.Pool != ts.announcedPool:
+		ts.announcedPool = t.Pool
+		return Contradicted
 	}
+	p.apply(ts, t)
+	return Taken
+}
+
+// apply puts an announcement of the target in use into effect. The caller holds mu.
+func (p *Runner) apply(ts *targetState, t Target) {
 	openChanged := ts.Open != t.Open
-	ts.Target = t
+	ts.Target, ts.announcedPool = t, ""
 	p.updateScheduler()
 	if openChanged {
 		p.opts.Log.Info("target changed", zap.String("target", t.ID), zap.Bool("open", t.Open))
 	}
-	return Taken
 }
 
 // confirmation is the answer of a target instance at the address that it has announced.
@@ -142,8 +152,12 @@
 	if result := p.update(t); result != Unconfirmed { // another announcement was faster
 		return result
 	}
-	if p.target != nil {
-		p.replaceTarget(p.target, t)
+	if ts := p.target; ts != nil {
+		if ts.ID == t.ID && ts.StartedAt == t.StartedAt {
+			p.apply(ts, t)
+			return Taken
+		}
+		p.replaceTarget(ts, t)
 	}
 	clock := c.clock
 	if clock == 0 {
--- a/runner/announce_test.go
+++ b/runner/announce_test.go
@@ -121,6 +121,48 @@
 	}
 }
 
+// Guards against losing a target to one announcement of another writer under its ID: orders
+// went to another address, or entries got another pool, and later announcements of the
+// target itself were ignored.
+func TestAnnouncementOfAnotherWriterUnderTheSameID(t *testing.T) {
+	for name, change := range map[string]func(*runner.Target){
+		"another address": func(a *runner.Target) { a.Address = "y" },
+		"another pool":    func(a *runner.Target) { a.Pool = "unknown" },
+		"another start":   func(a *runner.Target) { a.StartedAt = 8 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b, _ := newProcess(t)
+			b.openTarget()
+			a := b.target.announcement(1_000_000, true)
+			change(&a)
+			assert.Assert(t, b.runner.HandleAnnouncement(a) != runner.Taken)
+			assert.Equal(t, b.runner.HandleAnnouncement(b.target.announcement(2, true)), runner.Taken)
+			b.mu.Lock()
+			b.reports = nil
+			b.mu.Unlock()
+			b.await("a report", func() bool { return b.lastReport().Agent != "" })
+			assert.Equal(t, b.lastReport().Pool, "p")
+			assert.Assert(t, b.lastReport().Open)
+			end := b.startRunning("t1")
+			b.target.finish("t1", 1, batch.Done)
+			assert.Equal(t, (<-end).End, batch.Done)
+		})
+	}
+}
+
+// A target whose first announcement had another pool than the later ones is not kept in it.
+func TestRepeatedPoolIsTaken(t *testing.T) {
+	b, _ := newProcess(t)
+	b.openTarget()
+	a := b.target.announcement(2, true)
+	a.Pool = "q"
+	assert.Equal(t, b.runner.HandleAnnouncement(a), runner.Contradicted)
+	a.Seq = 3
+	assert.Equal(t, b.runner.HandleAnnouncement(a), runner.Taken)
+	b.await("a report of the other pool", func() bool { return b.lastReport().Pool == "q" })
+}
+
 // A target that has started again is found by its announcement, even if answers are lost and
 // an earlier agent has used higher fencing tokens. It proves the end of the earlier runs.
 func TestConfirmedSuccessorTakesOver(t *testing.T) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -93,6 +93,8 @@
 	// retired is set when the target shuts down or another one has taken over. The
 	// lease is not renewed any more.
 	retired bool
+	// announcedPool is the pool of the last announcement if it differed from Pool.
+	announcedPool string
 	// answeredAt is when the last renewal was sent that this instance has answered. It was
 	// running then.
 	answeredAt time.Time
