agent: announcements end no task on the native path

The outcome of a task is what its own target answers; no announcement proves an end. The product is unchanged.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -141,3 +141,33 @@
 	assert.Assert(t, ok && len(c.Body) == len(g.answer), "the answer was cut off")
 	assert.NilError(t, <-b.ended)
 }
+
+// Guards against two simultaneous runs of a task: whatever is announced to the agent while a
+// task runs, its outcome is what its own target answers.
+func TestAnnouncementsEndNoTask(t *testing.T) {
+	g, other := newBlockingTarget(t), newBlockingTarget(t)
+	b := newHarness(t, g.URL, 8)
+	out := make(chan model.Outcome, 1)
+	go func() { out <- b.tryOutcome(task("a")) }()
+	<-g.started
+	send := func(method, body string) int {
+		req, err := http.NewRequestWithContext(t.Context(), method, "http://"+b.listen+"/v1/target", strings.NewReader(body))
+		assert.NilError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	announcement := func(name, url string) string {
+		return `{"name":"` + name + `","url":"` + url + `","slots":8,"connections":16,"lease":"1m"}`
+	}
+	assert.Equal(t, send(http.MethodPut, announcement("t2", g.URL)), http.StatusConflict)
+	assert.Equal(t, send(http.MethodPut, announcement("t1", "http://127.0.0.1:9")), http.StatusNoContent)
+	assert.Equal(t, send(http.MethodDelete, ""), http.StatusNoContent)
+	assert.Equal(t, send(http.MethodPut, announcement("t2", other.URL)), http.StatusNoContent)
+	assert.Equal(t, len(out), 0, "the task was reported as ended, but is still running")
+	close(g.release)
+	c, ok := (<-out).(model.Complete)
+	assert.Assert(t, ok && string(c.Body) == "whole")
+	assert.Equal(t, other.starts.Load(), int64(0))
+}
