runner: a target that goes on after a leave gets work again

Callers' view: a target got no work for as long as it ran once a leave under its ID had arrived that it had not sent, as one that an earlier instance under the ID had sent and that was delayed. Cause: found on the walk through what an old announcement can displace. A leave retired the target, and nothing took that back. Change: a later announcement of the same instance that is open takes the retirement back. A target that really leaves announces before that it is closed, with a higher sequence number than its earlier announcements, which count as late then.

--- a/runner/announce.go
+++ b/runner/announce.go
@@ -84,6 +84,9 @@
 func (p *Runner) apply(ts *targetState, t Target) {
 	openChanged := ts.Open != t.Open
 	ts.Target, ts.announcedPool = t, ""
+	if t.Open { // an earlier instance under the ID, or another writer, has sent the leave
+		ts.retired = false
+	}
 	p.updateScheduler()
 	if openChanged {
 		p.opts.Log.Info("target changed", zap.String("target", t.ID), zap.Bool("open", t.Open))
--- a/runner/announce_test.go
+++ b/runner/announce_test.go
@@ -151,6 +151,19 @@
 	}
 }
 
+// Guards against losing a target to a leave that an earlier instance under its ID had sent: the
+// target got no work for as long as it ran.
+func TestTargetThatGoesOnAfterALeaveGetsWork(t *testing.T) {
+	b, _ := newProcess(t)
+	b.openTarget()
+	b.runner.HandleShutdown("i-1")
+	assert.Equal(t, (<-b.start("t1", 100)).End, batch.NotStarted)
+	assert.Equal(t, b.runner.HandleAnnouncement(b.target.announcement(2, true)), runner.Taken)
+	end := b.startRunning("t2")
+	b.target.finish("t2", 1, batch.Done)
+	assert.Equal(t, (<-end).End, batch.Done)
+}
+
 // A target whose first announcement had another pool than the later ones is not kept in it.
 func TestRepeatedPoolIsTaken(t *testing.T) {
 	b, _ := newProcess(t)
