runner: read a run's target under the lock

A start time that an announcement alone states is not learned any more: another writer could state a later one, and the target's own announcements would have counted as late.

--- a/runner/announce.go
+++ b/runner/announce.go
@@ -63,8 +63,7 @@
 		return Unconfirmed
 	}
 	if ts.ID == t.ID && (ts.StartedAt == 0 || t.StartedAt == 0) { // a missing start time does not tell two instances apart
-		t.StartedAt = max(ts.StartedAt, t.StartedAt)
-		ts.StartedAt = t.StartedAt
+		t.StartedAt = ts.StartedAt
 	}
 	same := ts.ID == t.ID && ts.StartedAt == t.StartedAt
 	switch {
@@ -84,7 +83,7 @@
 func (p *Runner) apply(ts *targetState, t Target) {
 	openChanged := ts.Open != t.Open
 	ts.Target, ts.announcedPool = t, ""
-	if t.Open { // an earlier instance under the ID, or another writer, has sent the leave
+	if t.Open { // the leave that retired the target was not its own
 		ts.retired = false
 	}
 	p.updateScheduler()
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -42,8 +42,11 @@
 	startedAt := p.opts.Clock.Now()
 	end := p.execute(ctx, r)
 	ended := wire.RunEnded{End: end.end, Reason: end.reason, Proof: end.proof, Waited: startedAt.Sub(queuedAt), Ran: p.opts.Clock.Since(startedAt)}
+	p.mu.Lock()
+	target := r.target.ID
+	p.mu.Unlock()
 	p.opts.Log.Check(logLevel(end), "run ended").Write(zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run),
-		zap.String("target", r.target.ID), zap.String("end", string(end.end)), zap.String("shown", string(end.proof)),
+		zap.String("target", target), zap.String("end", string(end.end)), zap.String("shown", string(end.proof)),
 		zap.String("reason", end.reason), zap.Duration("waited", ended.Waited), zap.Duration("ran", ended.Ran))
 	return ended
 }
@@ -185,16 +188,17 @@
 	}
 }
 
-// provenEnd returns how the run has ended, with what proves it after an accepted stop order,
-// and without a proof if nothing does. instance is the start time of the instance that was running before
-// the stop order; provenEnd returns that of the instance that answers now. An accepted
-// stop rules out that a start order is carried out later, but only by the instance that has
-// accepted it. A run whose start was accepted has ended when the target lists it as ended;
-// for the current target, the renewal loop reads the listing. A run that is not listed by a
-// successor under the same ID has ended with its own instance.
+// provenEnd returns how a run has ended after an accepted stop order, with the proof, and no
+// proof when nothing shows that it has ended. instance is the start time of the instance that
+// was running before the stop order; provenEnd returns that of the instance that answers now.
+//
+// An accepted stop rules out that a start order is carried out later, but only by the
+// instance that has accepted it. A run whose start was accepted has ended when the target
+// lists it as ended; for the target in use, the renewal loop reads the listing. It has also
+// ended when a successor under the same ID, which has accepted the stop, does not list it.
 func (p *Runner) provenEnd(r *run, instance int64) (e runEnd, current int64) {
 	p.mu.Lock()
-	readByLoop := r.accepted && p.target == r.target
+	readByLoop, own := r.accepted && p.target == r.target, r.target.StartedAt
 	p.mu.Unlock()
 	if readByLoop {
 		return e, instance
@@ -212,8 +216,8 @@
 		return e, listing.StartedAt
 	}
 	isThisRun := func(x RunProgress) bool { return x.RunKey == r.key }
-	certainlyElsewhere := otherInstance(listing.StartedAt, r.target.StartedAt)
-	if (!r.accepted || certainlyElsewhere) && !slices.ContainsFunc(listing.Running, isThisRun) {
+	bySuccessor := otherInstance(listing.StartedAt, own)
+	if (!r.accepted || bySuccessor) && !slices.ContainsFunc(listing.Running, isThisRun) {
 		return runEnd{end: batch.Stopped, proof: batch.ProofAbsence}, instance
 	}
 	return e, instance
