runner: retry orders that a target does not accept with backoff

While targets reset connections, each stop and each renewal was repeated every 10 ms, with a new connection each. Change: the delay doubles up to 80 ms, a sixth of the shortest lease. TestStopsAreRetriedWithBackoff failed before (within a lease of 1 s more than 17 stops).

--- a/runner/loops.go
+++ b/runner/loops.go
@@ -18,8 +18,11 @@
 	// busyLongPoll is the same limit for a target with runs, which answers as soon as a
 	// run ends. A lost answer delays the reports of all ended runs by this time.
 	busyLongPoll = 50 * time.Millisecond
-	// retryDelay is the delay before a failed renewal or stop order is retried.
-	retryDelay = 10 * time.Millisecond
+	// retryDelay is the delay before a failed renewal or stop order is first retried. It
+	// doubles with each further failure up to maxRetryDelay, a sixth of the shortest lease:
+	// each retry at a target that resets connections opens a new one.
+	retryDelay    = 10 * time.Millisecond
+	maxRetryDelay = 80 * time.Millisecond
 	// maxMissedRenewals is the number of consecutive unanswered renewals after which
 	// the target gets no new work.
 	maxMissedRenewals = 3
@@ -97,11 +100,16 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-p.opts.Clock.After(retryDelay):
+		case <-p.opts.Clock.After(backoff(misses - 1)):
 		}
 	}
 }
 
+// backoff returns the delay before the next attempt after a number of failed retries.
+func backoff(retries int) time.Duration {
+	return min(retryDelay<<min(retries, 10), maxRetryDelay)
+}
+
 // setReachable sets whether the target answers. A target that does not answer gets no
 // new work.
 func (p *Runner) setReachable(ts *targetState, ok bool) {
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -152,12 +152,12 @@
 	instance := r.target.StartedAt
 	p.mu.Unlock()
 	logged := false
-	for {
+	for retries := 0; ; retries++ {
 		p.mu.Lock()
 		o := Order{Task: r.key.Task, Run: r.key.Run, Fence: p.currentFence(r.target)}
 		p.mu.Unlock()
 		reply, err := p.sendOrder(r.target, p.opts.Driver.Stop, o)
-		wait := retryDelay
+		wait := backoff(retries)
 		switch {
 		case err == nil && reply.Verdict == Accepted:
 			var e runEnd
--- a/runner/singlerun_test.go
+++ b/runner/singlerun_test.go
@@ -69,6 +69,18 @@
 	b.await("a report that the target is closed", func() bool { return !b.lastReport().Open })
 }
 
+// Guards against a flood of connections: stop orders that a target did not accept were
+// repeated every 10 ms until its lease had ended, one new connection each.
+func TestStopsAreRetriedWithBackoff(t *testing.T) {
+	x := newTarget()
+	x.stopAnswer = runner.Unhealthy
+	b := newTestbed(t, x)
+	b.openTarget()
+	<-b.startOverdue("t1")
+	// Within the lease of 1 s: after 10, 20 and 40 ms, then every 80 ms.
+	x.withLock(func() { assert.Assert(t, x.stops <= 17, "%d stop orders were sent", x.stops) })
+}
+
 // Guards against two simultaneous runs of a task: a run that had to end was kept
 // alive by the lease renewals for the other runs on its target.
 func TestLeaseNotRenewedPastStoppedRun(t *testing.T) {
