--- a/broker/broker.go
+++ b/broker/broker.go
@@ -309,7 +309,8 @@
 	meter.ObserveResponse(name, took)
 	b.opts.Log.Info("job ended", zap.String("job", j.ID), zap.String("queue", q.Name), zap.Int("tasks", j.Tasks()),
 		zap.String("outcome", name), zap.String("reason", reason), zap.Duration("took", took),
-		zap.Duration("estimate", w.criticalPath), zap.Duration("wait", w.longestWait), zap.Duration("objective", w.objective), zap.Int("runs", w.runs))
+		zap.Duration("estimate", w.criticalPath), zap.Duration("wait", w.longestWait), zap.Duration("objective", w.objective), zap.Int("runs", w.runs),
+		zap.Duration("lastWaited", w.lastWaited), zap.Duration("lastRan", w.lastRan))
 	b.mu.Lock()
 	inProgress.outcome = outcome
 	delete(b.activeJobs, j.ID)
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -49,7 +49,10 @@
 	limit       time.Time
 
 	criticalPath, longestWait, objective time.Duration
-	runs                                 int
+	// lastWaited and lastRan are the waiting time at the agent and the run time of the
+	// task that ended last.
+	lastWaited, lastRan time.Duration
+	runs                int
 	// openRuns counts the runs in progress. ran is set once a task has run or may have
 	// run, lost once it is not known whether a run has ended.
 	openRuns     int
@@ -336,6 +339,7 @@
 	}
 	switch e.End {
 	case batch.Done:
+		w.lastWaited, w.lastRan = e.Waited, e.Ran
 		w.remaining[t.step]--
 		return nil
 	case batch.Failed:
--- a/relctl/explain.go
+++ b/relctl/explain.go
@@ -26,9 +26,7 @@
 
 // Execute implements flags.Commander.
 func (c *explain) Execute([]string) error {
-	all, err := events.ReadFiles(c.Args.Files, func(name string, n int) {
-		c.a.printNote("%s: skipped %d lines that are not log events", name, n)
-	})
+	all, err := c.a.readLogs(c.Args.Files)
 	if err != nil {
 		return err
 	}
@@ -41,3 +39,10 @@
 	}
 	return s.Write(c.a.out)
 }
+
+// readLogs reads the events in log files, and notes how many lines were skipped.
+func (a *app) readLogs(files []string) ([]events.Event, error) {
+	return events.ReadFiles(files, func(name string, n int) {
+		a.printNote("%s: skipped %d lines that are not log events", name, n)
+	})
+}
