--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -206,6 +206,10 @@
 	// Slack is by how much the start of the tasks may be delayed from now with the job
 	// still meeting its objective.
 	Slack time.Duration
+	// LateSlack is by how much their start may be delayed with the job still being of use,
+	// though late: the tasks start then on targets with free capacity. 0 for a job that must
+	// not be late.
+	LateSlack time.Duration
 	// PartlyRun is set when a part of the job may have run: its tasks are placed no matter
 	// how late they would end.
 	PartlyRun bool
@@ -223,7 +227,7 @@
 			admission.Placements = append(admission.Placements, choice)
 			admission.Wait = max(admission.Wait, choice.Wait+choice.Run-t.Estimate)
 		}
-		if ok && (j.PartlyRun || admission.Wait <= maxWait || choice.Wait == 0 && admission.Wait <= j.Slack) {
+		if ok && (j.PartlyRun || admission.Wait <= maxWait || choice.Wait == 0 && admission.Wait <= max(j.Slack, j.LateSlack)) {
 			continue
 		}
 		for i, c := range admission.Placements {
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -81,6 +81,10 @@
 	// searches has the searches for other entries' targets by pool: the one in progress or
 	// the last one.
 	searches map[string]*search
+	// startedAt is when the broker began to get reports. reported is closed, and replaced,
+	// when a report arrives while the broker warms up.
+	startedAt time.Time
+	reported  chan struct{}
 }
 
 // Caller waits for a job's outcome.
@@ -124,7 +128,7 @@
 	return &Broker{
 		opts: opts, fleet: assign.New(opts.Name, opts.DataCentre, opts.Timing), learner: assign.NewLearner(),
 		activeJobs: map[string]*activeJob{}, answers: map[string]cachedAnswer{}, mayRunUntil: map[string]time.Time{}, calls: map[uint64]call{},
-		searches: map[string]*search{},
+		searches: map[string]*search{}, startedAt: opts.Clock.Now(), reported: make(chan struct{}),
 	}
 }
 
@@ -195,9 +199,11 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.fleet.HandleReport(m, p.Address, b.opts.Clock.Now()) {
+	now := b.opts.Clock.Now()
+	if b.fleet.HandleReport(m, p.Address, now) {
 		b.opts.Log.Info("agent restarted", zap.String("agent", m.Agent))
 	}
+	b.notifyReport(now)
 	return wire.Done{}
 }
 
@@ -257,6 +263,10 @@
 // that wait for it. A finished job is answered from the cache.
 func (b *Broker) Submit(ctx context.Context, c Caller, q policy.Queue, j batch.Job, limit time.Time) Outcome {
 	submittedAt := b.opts.Clock.Now()
+	receivedAt := submittedAt
+	if !j.ReceivedAt.IsZero() {
+		receivedAt = j.ReceivedAt
+	}
 	b.mu.Lock()
 	if a, ok := b.answers[j.ID]; ok {
 		b.mu.Unlock()
@@ -271,7 +281,7 @@
 		jobCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 		inProgress = &activeJob{cancel: cancel, done: make(chan struct{}), queue: q.Name}
 		b.activeJobs[j.ID] = inProgress
-		go b.runJob(jobCtx, inProgress, q, j, submittedAt, limit)
+		go b.runJob(jobCtx, inProgress, q, j, receivedAt, limit)
 	}
 	inProgress.waiters++
 	inProgress.callerWaits = append(inProgress.callerWaits, func() bool { return ctx.Err() == nil && c.Connected() })
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -202,9 +202,12 @@
 		reqs[i] = w.requirements(tasks[i], est)
 	}
 	b := w.broker
-	admission := w.admitStep(reqs, slack)
+	admission := w.admitStep(reqs, slack, 0)
 	if admission.Placements == nil && b.borrow(ctx, reqs[0], admission.Impossible, slack) {
-		admission = w.admitStep(reqs, w.slack())
+		admission = w.admitStep(reqs, w.slack(), 0)
+	}
+	if admission.Placements == nil {
+		admission = w.admitWhileWarmingUp(ctx, reqs, admission)
 	}
 	w.longestWait = max(w.longestWait, admission.Wait)
 	if admission.Impossible {
--- a/broker/placing.go
+++ b/broker/placing.go
@@ -8,13 +8,14 @@
 	"cyclamenrelay.example/sched"
 )
 
-// admitStep places the tasks of a step, or none of them when they cannot end in time.
-func (w *jobRun) admitStep(tasks []assign.Task, slack time.Duration) assign.Admission {
+// admitStep places the tasks of a step, or none of them when they cannot end in time. lateSlack
+// is that of assign.Job.
+func (w *jobRun) admitStep(tasks []assign.Task, slack, lateSlack time.Duration) assign.Admission {
 	b := w.broker
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.fleet.Admit(b.opts.Admission, assign.Job{
-		Tasks: tasks, Priority: w.queue.Priority, Slack: slack, PartlyRun: w.mayHaveRun(),
+		Tasks: tasks, Priority: w.queue.Priority, Slack: slack, LateSlack: lateSlack, PartlyRun: w.mayHaveRun(),
 	}, b.opts.Clock.Now())
 }
 
