pace, runner: runs that take long at their target's usual rate go on

A run was stopped after 2.5 times its estimate plus 150 ms, whatever its progress. Where a few tasks take many times as long on any target, the second run took as long and the first was wasted.

An overdue run is stopped now when it stands still, when its progress is unknown, or when its target is slow against its past or against others and another run would end sooner and in time for the caller. The detection of stuck runs allows for slow percents, and that of slow targets uses the median of the runs, which a few long tasks do not move.

--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -33,7 +33,8 @@
 	// overflow. No caller waits for that long.
 	maxPath = 24 * time.Hour
 	// A run is overdue after overdueFactor times its estimate plus overdueMin: callers'
-	// estimates are often wrong by half, and run times vary.
+	// estimates are often wrong by half, and run times vary. Three in a hundred tasks of some
+	// users take seven times as long on any target, so that the agent also looks at progress.
 	overdueFactor = 2.5
 	overdueMin    = 150 * time.Millisecond
 )
@@ -282,8 +283,9 @@
 	})
 }
 
-// overdueAfter returns the run time after which the run is stopped so that its task can
-// start on another target, 0 when there would be no time left for that.
+// overdueAfter returns the run time after which the agent may stop the run so that its task
+// can start on another target, 0 when there would be no time left for that. The agent stops
+// only a run whose progress shows, or leaves open, that another one could end sooner.
 func (w *jobRun) overdueAfter(t *task, estimate time.Duration) time.Duration {
 	limit := (overdueMin + time.Duration(overdueFactor*float64(max(estimate, t.expectedRun)))) << t.moves
 	if w.broker.opts.Clock.Now().Add(t.expectedWait + limit + estimate + overhead).After(w.limit) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -56,6 +56,17 @@
 	return metrics.GetOrCreateCounter(`relay_announcements_ignored_total{reason="` + reason + `"}`)
 }
 
+// EarlyStops counts the runs that agents stopped so that their tasks could run on other
+// targets, by reason: stuck, slow or overdue.
+func EarlyStops(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`relay_runs_stopped_early_total{reason="` + reason + `"}`)
+}
+
+// DiscardedWork sums the core-seconds of runs that were stopped before their end.
+func DiscardedWork() *metrics.FloatCounter {
+	return metrics.GetOrCreateFloatCounter("relay_discarded_core_seconds_total")
+}
+
 // Gauge registers f as the value of the gauge with the name, unless the process has
 // registered the name before.
 func Gauge(name string, f func() float64) { metrics.GetOrCreateGauge(name, f) }
--- a/pace/progress.go
+++ b/pace/progress.go
@@ -15,6 +15,12 @@
 	// stuckAfter is the time without progress after which a run counts as stuck: more
 	// than a target needs to begin a run, less than what a short job can wait.
 	stuckAfter = 100 * time.Millisecond
+	// stuckFraction is the same time as a fraction of the run's estimate, and stuckSteps as a
+	// multiple of the mean time that a percent has taken so far; the longest of the three
+	// counts. A run of 0.8 s that takes seven times as long on a target of half the speed
+	// needs 110 ms for each percent.
+	stuckFraction = 0.25
+	stuckSteps    = 3
 )
 
 // observation is the progress of a run at a time.
@@ -30,12 +36,20 @@
 	// the next value of base.
 	base, nextBase, last observation
 	lastGrowth           time.Time // when percent last grew
+	startedAt            time.Time
+	estimate             time.Duration // expected run time, 0 when unknown
 }
 
 // NewProgress returns the progress of a run that starts at the given time.
 func NewProgress(at time.Time) Progress {
 	m := observation{at: at}
-	return Progress{base: m, nextBase: m, last: m, lastGrowth: at}
+	return Progress{base: m, nextBase: m, last: m, lastGrowth: at, startedAt: at}
+}
+
+// WithEstimate returns the progress of a run with an expected run time.
+func (p Progress) WithEstimate(estimate time.Duration) Progress {
+	p.estimate = estimate
+	return p
 }
 
 // With returns the progress after one more observation; percent is the completed part
@@ -62,4 +76,21 @@
 }
 
 // Stuck reports whether the run makes no progress.
-func (p Progress) Stuck() bool { return p.last.at.Sub(p.lastGrowth) >= stuckAfter }
+func (p Progress) Stuck() bool {
+	limit := max(stuckAfter, time.Duration(stuckFraction*float64(p.estimate)))
+	if p.last.percent > 0 {
+		limit = max(limit, stuckSteps*p.lastGrowth.Sub(p.startedAt)/time.Duration(p.last.percent))
+	}
+	return p.last.at.Sub(p.lastGrowth) >= limit
+}
+
+// projection returns the expected total and remaining run time at the present rate, or at the
+// mean rate since the start for a run that is too slow for a present one. It returns false
+// for a run without progress.
+func (p Progress) projection() (total, left time.Duration, ok bool) {
+	total, ok = p.TotalRunTime()
+	if !ok && p.last.percent > 0 {
+		total, ok = p.last.at.Sub(p.startedAt)*100/time.Duration(p.last.percent), true
+	}
+	return total, total * time.Duration(100-p.last.percent) / 100, ok
+}
--- a/pace/progress_test.go
+++ b/pace/progress_test.go
@@ -47,7 +47,7 @@
 	assert.Assert(t, !progressAfter(0, 9).Stuck())
 	assert.Assert(t, progressAfter(0, 10).Stuck())
 	assert.Assert(t, !progressAfter(1, 50).Stuck())
-	assert.Equal(t, progressAfter(0, 10).MoveReason(pace.Slowness{}), "the run stands still")
+	assert.Equal(t, progressAfter(0, 10).MoveReason(pace.Slowness{}, pace.Other{}), "the run stands still")
 }
 
 // observe returns the slowness after n observations of four runs that all take ratio
@@ -78,7 +78,7 @@
 // A run leaves a slow target as long as a new start on another target would end sooner.
 func TestLeave(t *testing.T) {
 	slow := observe(pace.Slowness{}, 50, 6, start)
-	assert.Equal(t, progressAfter(2, 5).MoveReason(slow), "the target is slow")
-	assert.Equal(t, progressAfter(2, 45).MoveReason(slow), "", "a run that is 90 percent complete should stay")
-	assert.Equal(t, progressAfter(2, 5).MoveReason(pace.Slowness{}), "")
+	assert.Equal(t, progressAfter(2, 5).MoveReason(slow, pace.Other{}), "the target is slow")
+	assert.Equal(t, progressAfter(2, 45).MoveReason(slow, pace.Other{}), "", "a run that is 90 percent complete should stay")
+	assert.Equal(t, progressAfter(2, 5).MoveReason(pace.Slowness{}, pace.Other{}), "")
 }
--- a/pace/slow.go
+++ b/pace/slow.go
@@ -1,6 +1,9 @@
 package pace
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// slowThreshold is the factor above its usual slowness from which a target counts as
@@ -14,7 +17,7 @@
 	// usualWindow is the number of run observations over which the usual ratio is
 	// averaged: about ten seconds of a busy target.
 	usualWindow = 5000
-	// minRatio and maxRatio bound the ratio that one run may contribute.
+	// minRatio and maxRatio bound the ratio of one observation.
 	minRatio, maxRatio = 0.25, 8
 	// recentWindow is the number of run observations over which the recent ratio is
 	// averaged: one or two listings of a busy target.
@@ -44,18 +47,18 @@
 	if n < minRuns {
 		return s
 	}
-	var mean float64
-	for _, r := range ratios {
-		mean += min(max(r, minRatio), maxRatio) / float64(n)
-	}
+	sorted := slices.Sorted(slices.Values(ratios))
+	// The median, as a few tasks that take many times as long as expected would raise the
+	// mean of a sound target above slowThreshold.
+	present := min(max((sorted[(n-1)/2]+sorted[n/2])/2, minRatio), maxRatio)
 	if s.at.IsZero() {
 		s.recent, s.usual = initialUsual, initialUsual
 	}
 	factor := s.Factor(at)
 	s.recent = s.usual * factor
-	s.recent += (mean - s.recent) * min(1, float64(n)/recentWindow)
+	s.recent += (present - s.recent) * min(1, float64(n)/recentWindow)
 	if factor < slowThreshold {
-		s.usual += (mean - s.usual) * float64(n) / usualWindow
+		s.usual += (present - s.usual) * float64(n) / usualWindow
 	}
 	s.at = at
 	return s
@@ -79,29 +82,3 @@
 	}
 	return 0
 }
-
-const (
-	// A run is moved when its remaining time exceeds moveFactor times a whole run on
-	// another target plus moveCost: estimates are inexact, and a stop and a start cost
-	// a few network hops.
-	moveFactor = 1.25
-	moveCost   = 20 * time.Millisecond
-)
-
-// MoveReason returns the reason to move a run to another target, empty when it should stay.
-func (p Progress) MoveReason(s Slowness) string {
-	if p.Stuck() {
-		return "the run stands still"
-	}
-	whole, ok := p.TotalRunTime()
-	factor := s.Factor(p.last.at)
-	if !ok || factor < slowThreshold {
-		return ""
-	}
-	left := whole * time.Duration(100-p.last.percent) / 100
-	elsewhere := time.Duration(float64(whole) / factor)
-	if left > time.Duration(moveFactor*float64(elsewhere))+moveCost {
-		return "the target is slow"
-	}
-	return ""
-}
--- a/runner/enqueue.go
+++ b/runner/enqueue.go
@@ -36,7 +36,8 @@
 	p.lastID++
 	r := &run{
 		id: p.lastID, key: key, request: m, entry: entry,
-		granted: make(chan struct{}), ended: make(chan runEnd, 1), givenUp: make(chan struct{}),
+		usefulUntil: now.Add(m.MaxStartDelay + m.Estimate),
+		granted:     make(chan struct{}), ended: make(chan runEnd, 1), givenUp: make(chan struct{}),
 	}
 	p.runs[r.id], p.byKey[key] = r, r
 	p.scheduler.Enqueue(sched.Request{
--- a/runner/loops.go
+++ b/runner/loops.go
@@ -9,6 +9,8 @@
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/meter"
+	"cyclamenrelay.example/pace"
 )
 
 const (
@@ -214,8 +216,8 @@
 	}
 	ts.slowness = ts.slowness.With(ratios, now)
 	for _, r := range own {
-		if reason := r.progress.MoveReason(ts.slowness); reason != "" && r.request.Movable {
-			r.giveUp(reason)
+		if reason := r.progress.MoveReason(ts.slowness, r.other(now)); reason != "" && r.request.Movable {
+			r.stopEarly(reason)
 		}
 	}
 	return foreign
@@ -250,7 +252,41 @@
 		case r.startSent && r.target.lease.Ended(now):
 			r.finish(runEnd{batch.Stopped, "the target's lease has ended", batch.ProofLease})
 		case !r.overdueAt.IsZero() && now.After(r.overdueAt):
-			r.giveUp("the run is overdue")
+			if reason := p.overdueReason(r, now); reason != "" {
+				r.stopEarly(reason)
+			}
 		}
 	}
 }
+
+// overdueReason returns the reason to stop an overdue run, empty when it should go on. The
+// caller holds mu.
+func (p *Runner) overdueReason(r *run, now time.Time) string {
+	if !r.accepted {
+		return pace.Overdue
+	}
+	return r.progress.OverdueReason(r.target.slowness, r.other(now), now)
+}
+
+// other describes a run of the task on another target.
+func (r *run) other(now time.Time) pace.Other {
+	// No other run can end in time once nothing is left of the time; 0 stands for unknown.
+	return pace.Other{Relative: r.request.Relative, Within: max(r.usefulUntil.Sub(now), 1)}
+}
+
+// stopEarly gives up a run for a reason of package pace, so that its task can run on another
+// target, and counts it. The caller holds mu.
+func (r *run) stopEarly(reason string) {
+	if r.giveUpReason != "" {
+		return
+	}
+	name := "overdue"
+	switch reason {
+	case pace.Stuck:
+		name = "stuck"
+	case pace.Slow:
+		name = "slow"
+	}
+	meter.EarlyStops(name).Inc()
+	r.giveUp(reason)
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -110,9 +110,11 @@
 	request wire.StartRun
 	entry   string
 	target  *targetState
-	// overdueAt is the time when the run is stopped for taking too long, the zero time
-	// for never.
+	// overdueAt is the time from which the run may be stopped for taking too long, the zero
+	// time for never.
 	overdueAt time.Time
+	// usefulUntil is when a run of the task must end to be of use to its caller.
+	usefulUntil time.Time
 	// accepted is set once the target has accepted the start order; progress counts
 	// from then.
 	accepted   bool
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -590,3 +590,30 @@
 	assert.Equal(t, a.(wire.RunEnded).End, batch.Stopped)
 	assert.Equal(t, b.runCount(), 0)
 }
+
+// A task that takes seven times as long as estimated would take as long on another target. Its
+// run must not be stopped for being overdue, or the time that it has run is wasted.
+func TestLongTaskIsNotOverdue(t *testing.T) {
+	x := newTarget()
+	b := newTestbed(t, x)
+	b.setProgressRate(func(runner.RunKey) float64 { return 0.05 })
+	b.openTarget()
+	m := wire.StartRun{
+		Job: "j", Task: "t1", Run: 1, Need: batch.Resources{CPU: 100}, Estimate: 300 * time.Millisecond, MaxStartDelay: longLease,
+		MaxRunTime: 300 * time.Millisecond,
+	}
+	end := make(chan wire.RunEnded, 1)
+	go func() {
+		if a, err := b.entry.CallPeer(t.Context(), "agent-1", m); err == nil {
+			end <- a.(wire.RunEnded)
+		}
+	}()
+	b.await("the run to be overdue for long", func() bool {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		at, ok := x.startedAt[runner.RunKey{Task: "t1", Run: 1}]
+		return ok && time.Since(at) > 4*m.MaxRunTime
+	})
+	x.finish("t1", 1, batch.Done)
+	assert.Equal(t, (<-end).End, batch.Done)
+}
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -10,6 +10,7 @@
 
 	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/pace"
 	"cyclamenrelay.example/wire"
 )
@@ -42,6 +43,9 @@
 	startedAt := p.opts.Clock.Now()
 	end := p.execute(ctx, r)
 	ended := wire.RunEnded{End: end.end, Reason: end.reason, Proof: end.proof, Waited: startedAt.Sub(queuedAt), Ran: p.opts.Clock.Since(startedAt)}
+	if end.end == batch.Stopped {
+		meter.DiscardedWork().Add(ended.Ran.Seconds() * float64(r.request.Need.CPU) / 1000)
+	}
 	p.mu.Lock()
 	target := r.target.ID
 	p.mu.Unlock()
@@ -90,7 +94,7 @@
 	}
 	p.mu.Lock()
 	r.acceptedAt = p.opts.Clock.Now()
-	r.accepted, r.progress = true, pace.NewProgress(r.acceptedAt)
+	r.accepted, r.progress = true, pace.NewProgress(r.acceptedAt).WithEstimate(r.request.Estimate)
 	p.mu.Unlock()
 	select {
 	case e := <-r.ended:
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -67,13 +67,17 @@
 	// MaxStartDelay is how long the task may wait before it must not start any more.
 	MaxStartDelay time.Duration `cbor:"9,keyasint"`
 	// MaxRunTime is the run time after which the run is stopped, so that the task can
-	// run elsewhere; 0 for no limit.
+	// run elsewhere, unless its progress shows that another run would take as long; 0 for
+	// no limit.
 	MaxRunTime time.Duration `cbor:"10,keyasint,omitempty"`
 	// Movable is set when the run may be stopped because it would end sooner on
 	// another target.
 	Movable bool `cbor:"11,keyasint,omitempty"`
 	// Returnable is set when the task may be returned at once if it cannot start at once.
 	Returnable bool `cbor:"12,keyasint,omitempty"`
+	// Relative is the usual run time on the target as a multiple of that on the other targets
+	// that the entry knows, 0 when it is not known.
+	Relative float64 `cbor:"14,keyasint,omitempty"`
 }
 
 // RunEnded answers a StartRun.
