pace, assign, runner: usual speed of targets in reports, compared within a pool

An agent compared its target with the target's own past, so that one that was always slow looked normal, and each entry learned the rest from few runs of its own.

Agents average the ratio of run time to estimate over all runs and report it. Entries compare the targets of a pool and use the deviation from the mean in expected run times, admission and, by StartRun.Relative, for overdue runs.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -38,6 +38,7 @@
 	// assigned is the total need of this entry's tasks that wait or run on the target.
 	assigned batch.Resources
 	health   health
+	speed    speed
 	// spreadCost is a small placement cost that differs between entries, so that entries
 	// with the same reports do not all choose the same targets.
 	spreadCost time.Duration
@@ -52,6 +53,7 @@
 	// sortedTargets holds the targets in the order of their agents' names, so that
 	// placement is deterministic.
 	sortedTargets []*TargetView
+	comparedAt    time.Time // when the targets' speeds were last compared
 }
 
 // New returns a Fleet without targets for an entry and its data centre.
@@ -74,7 +76,7 @@
 	}
 	restarted = v.Incarnation != 0 && v.Incarnation != r.Incarnation
 	if v.Target != r.Target {
-		v.health = health{}
+		v.health, v.speed = health{}, speed{}
 	}
 	v.LoadReport, v.Address, v.updatedAt = r, address, now
 	return restarted
@@ -134,12 +136,16 @@
 	Wait time.Duration
 	// Run is the expected run time on the agent's target.
 	Run time.Duration
+	// Relative is the usual run time on the target as a multiple of that on other targets of
+	// the pool, 0 when it is not known or is about the same.
+	Relative float64
 }
 
 // Place chooses the agent with the lowest cost for a task, which is about the time at
 // which the task would end there, and counts the task as assigned to the agent until
 // Release. It returns false when no target can take the task.
 func (f *Fleet) Place(t Task, now time.Time) (Placement, bool) {
+	f.compareSpeeds(now)
 	best, lowest := "", time.Duration(0)
 	var choice Placement
 	for _, v := range f.sortedTargets {
@@ -156,7 +162,7 @@
 			cost += time.Hour
 		}
 		if best == "" || cost < lowest {
-			best, lowest, choice = v.Agent, cost, Placement{Agent: v.Agent, Wait: wait, Run: run}
+			best, lowest, choice = v.Agent, cost, Placement{Agent: v.Agent, Wait: wait, Run: run, Relative: v.speed.toMedian}
 		}
 	}
 	if best == "" {
@@ -284,11 +290,12 @@
 }
 
 // expectedRun returns the expected run time of a task on the target: by the Slowdown
-// that its agent reports if there is one, otherwise by the run times that this entry has
-// seen.
+// that its agent reports if there is one, by its speed if that differs from the others',
+// otherwise by the run times that this entry has seen.
 func (v *TargetView) expectedRun(estimate time.Duration) time.Duration {
-	if v.Slowdown > 0 {
-		return time.Duration(v.Slowdown * float64(estimate))
+	// A slowdown that lasts becomes a part of the speed, so that the greater one counts.
+	if factor := max(v.Slowdown, v.speed.toMean); factor > 0 {
+		return time.Duration(factor * float64(estimate))
 	}
 	return v.health.expectedRun(estimate)
 }
--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -13,6 +13,7 @@
 
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/pace"
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/wire"
@@ -49,6 +50,13 @@
 	neighbours      int           // entries that a full entry asks for targets
 	maxReturns      int           // how often a task is returned by full targets
 	until           time.Duration // time of the last arrivals, 0 for lastArrival
+	// speed returns the factor on the run times of a target by its index; nil for targets of
+	// which every third is slower and larger. longTasks is the fraction of the tasks that take
+	// seven times as long as the others of their job. tellSpeed has agents report the ratio
+	// of run times to estimates.
+	speed     func(a int) float64
+	longTasks float64
+	tellSpeed bool
 }
 
 // currentSize returns the size of the users' present deployments.
@@ -160,6 +168,7 @@
 	open      bool
 	seq       uint64
 	tasks     map[uint64]*simTask // by request ID
+	ratio     pace.Speed
 	// guests has, by entry, the time until which the agent reports to an entry that it
 	// would not report to by itself.
 	guests map[int]time.Duration
@@ -221,7 +230,9 @@
 	for a := range w.agents {
 		h := &simTarget{name: fmt.Sprintf("a%02d", a), scheduler: sched.New(), speed: 1, open: true, tasks: map[uint64]*simTask{}, guests: map[int]time.Duration{}}
 		c := batch.Resources{CPU: w.cores, Memory: 262_144}
-		if a%3 == 2 {
+		if w.speed != nil {
+			h.speed = w.speed(a)
+		} else if a%3 == 2 {
 			h.speed, c.CPU = 1.3, w.cores*3/2
 		}
 		h.scheduler.Resize(c)
@@ -337,9 +348,13 @@
 // loadOf returns the capacity use of a target as it is sent to an entry.
 func (w *simulation) loadOf(h *simTarget, entry int) wire.TargetLoad {
 	h.seq++
+	ratio := h.ratio.Ratio()
+	if !w.tellSpeed {
+		ratio = 0
+	}
 	return wire.TargetLoad{
 		Incarnation: 1, Seq: h.seq, Used: h.scheduler.Used(), ReceiverUsed: h.scheduler.OwnerUse(fmt.Sprint(entry)), CompletionInterval: h.scheduler.CompletionInterval(),
-		Backlog: h.scheduler.Backlog(w.time()),
+		Backlog: h.scheduler.Backlog(w.time()), RunRatio: ratio,
 	}
 }
 
@@ -361,6 +376,9 @@
 	for i := range tasks {
 		tasks[i] = assign.Task{Pool: "p", Need: need, Estimate: j.estimate}
 		works[i] = time.Duration(base * (1 + 0.15*(2*w.rng.Float64()-1)))
+		if w.longTasks > 0 && w.rng.Float64() < w.longTasks {
+			works[i] *= 7
+		}
 		j.longestWork = max(j.longestWork, works[i])
 		work += float64(works[i])
 	}
@@ -489,6 +507,7 @@
 			h.scheduler.Release(x.ID)
 			delete(h.tasks, x.ID)
 			w.startTasks(h)
+			h.ratio = h.ratio.With(float64(ran) / float64(t.job.estimate))
 			said := w.loadOf(h, t.job.entry)
 			w.schedule(networkDelay, func() {
 				w.done(t, ran)
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -73,6 +73,7 @@
 	// expectedWait and expectedRun are the expected waiting time and run time on the
 	// chosen target.
 	expectedWait, expectedRun time.Duration
+	relative                  float64  // assign.Placement.Relative of the chosen target
 	avoid                     []string // agents to avoid if there are others
 	excluded                  []string // agents that did not start the task
 }
@@ -256,6 +257,7 @@
 		Job: w.job.ID, Task: t.name, Run: t.run, Spec: w.job.Spec, Need: s.Need, Estimate: est, Priority: w.queue.Priority,
 		Slack: w.slack(), MaxStartDelay: w.maxStartDelay(w.broker.opts.Clock.Now(), est),
 		Movable: t.moves < maxMoves, Returnable: t.returns < maxReturns && t.expectedWait == 0,
+		Relative: t.relative,
 	}
 	m.MaxRunTime = w.overdueAfter(t, est)
 	agent := t.agent
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -61,6 +61,7 @@
 			DrainTimeout: time.Duration(p.GracePeriod) / 2, Clock: b.clock, Log: b.log,
 		})
 		b.services.Add(po)
+		meter.Gauge("relay_target_run_ratio", po.RunRatio)
 		b.services.Add(&platform.ControlServer{Listen: p.Control, Log: b.log})
 	}
 	if b.settings.Node.Has(keys.Keeper) {
--- a/runner/report.go
+++ b/runner/report.go
@@ -230,7 +230,18 @@
 	if ts := p.target; ts != nil && ts.reconciled {
 		m.Used, m.ReceiverUsed, m.CompletionInterval = p.scheduler.Used(), p.scheduler.OwnerUse(entry), p.scheduler.CompletionInterval()
 		now := p.opts.Clock.Now()
-		m.Backlog, m.Slowdown = p.scheduler.Backlog(now), ts.slowness.Reported(now)
+		m.Backlog, m.Slowdown, m.RunRatio = p.scheduler.Backlog(now), ts.slowness.Reported(now), ts.speed.Ratio()
 	}
 	return m
 }
+
+// RunRatio returns the usual ratio of run times to estimates at the target, 0 while it is
+// not known.
+func (p *Runner) RunRatio() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.target == nil {
+		return 0
+	}
+	return p.target.speed.Ratio()
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -101,6 +101,7 @@
 	// answerTimes estimates the response time of the target to orders.
 	answerTimes pace.ResponseTimes
 	slowness    pace.Slowness
+	speed       pace.Speed
 }
 
 // run is one run of a task, from the request of its entry to its end.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -617,3 +617,19 @@
 	x.finish("t1", 1, batch.Done)
 	assert.Equal(t, (<-end).End, batch.Done)
 }
+
+// The speed of a target is reported to entries at all times, also to those that have sent it no
+// work, so that a restarted entry knows it.
+func TestSpeedIsReported(t *testing.T) {
+	x := newTarget()
+	b := newTestbed(t, x)
+	b.openTarget()
+	assert.Equal(t, b.lastReport().RunRatio, 0.0)
+	for i := range 16 {
+		task := fmt.Sprint("t", i)
+		end := b.startRunning(task)
+		x.finish(task, 1, batch.Done)
+		assert.Equal(t, (<-end).End, batch.Done)
+	}
+	b.await("a report of the speed", func() bool { r := b.lastReport().RunRatio; return r > 0 && r < 1 })
+}
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -47,6 +47,7 @@
 		meter.DiscardedWork().Add(ended.Ran.Seconds() * float64(r.request.Need.CPU) / 1000)
 	}
 	p.mu.Lock()
+	r.recordSpeed(ended)
 	target := r.target.ID
 	p.mu.Unlock()
 	p.opts.Log.Check(logLevel(end), "run ended").Write(zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run),
@@ -55,6 +56,19 @@
 	return ended
 }
 
+// recordSpeed adds the run to the speed of its target: its run time if it is done, otherwise
+// the one that its progress projects, as only quick runs would count if those that are stopped
+// for taking long did not. The caller holds mu.
+func (r *run) recordSpeed(e wire.RunEnded) {
+	took := e.Ran
+	if e.End != batch.Done {
+		took, _ = r.progress.TotalRunTime()
+	}
+	if r.accepted && r.request.Estimate > 0 && took > 0 {
+		r.target.speed = r.target.speed.With(float64(took) / float64(r.request.Estimate))
+	}
+}
+
 // logLevel returns the log level for the end of a run. Ends that the target did not
 // list are few, and decide whether the task is started again, so they are logged at
 // info level.
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -35,6 +35,9 @@
 	// Slowdown is the ratio of actual to estimated run time at the target now, 0 while
 	// the target is not clearly slow.
 	Slowdown float64 `cbor:"14,keyasint,omitempty"`
+	// RunRatio is the usual ratio of actual to estimated run time at the target, over the runs
+	// of all entries, 0 while it is not known.
+	RunRatio float64 `cbor:"16,keyasint,omitempty"`
 }
 
 // LoadReport reports the capacity and load of an agent's target to an entry. The
