--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -33,7 +33,8 @@
 	// overflow. No caller waits for that long.
 	maxPath = 24 * time.Hour
 	// A run is overdue after overdueFactor times its estimate plus overdueMin: callers'
-	// estimates are often wrong by half, and run times vary.
+	// estimates are often wrong by half, and run times vary. Three in a hundred tasks of some
+	// users take seven times as long on any target, so that the agent also looks at progress.
 	overdueFactor = 2.5
 	overdueMin    = 150 * time.Millisecond
 )
@@ -75,6 +76,7 @@
 	// expectedWait and expectedRun are the expected waiting time and run time on the
 	// chosen target.
 	expectedWait, expectedRun time.Duration
+	relative                  float64  // assign.Placement.Relative of the chosen target
 	avoid                     []string // agents to avoid if there are others
 	excluded                  []string // agents that did not start the task
 }
@@ -261,6 +263,7 @@
 		Job: w.job.ID, Task: t.name, Run: t.run, Spec: w.job.Spec, Need: s.Need, Estimate: est, Priority: w.queue.Priority,
 		Slack: w.slack(), MaxStartDelay: w.maxStartDelay(w.broker.opts.Clock.Now(), est),
 		Movable: t.moves < maxMoves, Returnable: t.returns < maxReturns && t.expectedWait == 0,
+		Relative: t.relative,
 	}
 	m.MaxRunTime = w.overdueAfter(t, est)
 	agent := t.agent
@@ -288,8 +291,9 @@
 	})
 }
 
-// overdueAfter returns the run time after which the run is stopped so that its task can
-// start on another target, 0 when there would be no time left for that.
+// overdueAfter returns the run time after which the agent may stop the run so that its task
+// can start on another target, 0 when there would be no time left for that. The agent stops
+// only a run whose progress shows, or leaves open, that another one could end sooner.
 func (w *jobRun) overdueAfter(t *task, estimate time.Duration) time.Duration {
 	limit := (overdueMin + time.Duration(overdueFactor*float64(max(estimate, t.expectedRun)))) << t.moves
 	if w.broker.opts.Clock.Now().Add(t.expectedWait + limit + estimate + overhead).After(w.limit) {
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -10,6 +10,7 @@
 
 	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/pace"
 	"cyclamenrelay.example/wire"
 )
@@ -42,7 +43,11 @@
 	startedAt := p.opts.Clock.Now()
 	end := p.execute(ctx, r)
 	ended := wire.RunEnded{End: end.end, Reason: end.reason, Proof: end.proof, Waited: startedAt.Sub(queuedAt), Ran: p.opts.Clock.Since(startedAt)}
+	if end.end == batch.Stopped {
+		meter.DiscardedWork().Add(ended.Ran.Seconds() * float64(r.request.Need.CPU) / 1000)
+	}
 	p.mu.Lock()
+	r.recordSpeed(ended)
 	target := r.target.ID
 	p.mu.Unlock()
 	p.opts.Log.Check(logLevel(end), "run ended").Write(zap.String("task", r.key.Task), zap.Uint64("run", r.key.Run),
@@ -51,6 +56,19 @@
 	return ended
 }
 
+// recordSpeed adds the run to the speed of its target: its run time if it is done, otherwise
+// the one that its progress projects, as only quick runs would count if those that are stopped
+// for taking long did not. The caller holds mu.
+func (r *run) recordSpeed(e wire.RunEnded) {
+	took := e.Ran
+	if e.End != batch.Done {
+		took, _ = r.progress.TotalRunTime()
+	}
+	if r.accepted && r.request.Estimate > 0 && took > 0 {
+		r.target.speed = r.target.speed.With(float64(took) / float64(r.request.Estimate))
+	}
+}
+
 // logLevel returns the log level for the end of a run. Ends that the target did not
 // list are few, and decide whether the task is started again, so they are logged at
 // info level.
@@ -90,7 +108,7 @@
 	}
 	p.mu.Lock()
 	r.acceptedAt = p.opts.Clock.Now()
-	r.accepted, r.progress = true, pace.NewProgress(r.acceptedAt)
+	r.accepted, r.progress = true, pace.NewProgress(r.acceptedAt).WithEstimate(r.request.Estimate)
 	p.mu.Unlock()
 	select {
 	case e := <-r.ended:
