--- a/member/finder.go
+++ b/member/finder.go
@@ -21,12 +21,14 @@
 const (
 	// announceInterval is the time between an entry's or a keeper's announcements.
 	announceInterval = time.Second
-	// agentInterval is the shortest time between an agent's polls. A starting agent
-	// polls sooner, after agentFirstPause, which doubles up to agentInterval: when
-	// the keepers have just started too, they know few entries in the first second.
-	agentInterval   = 2 * time.Second
-	agentFirstPause = 200 * time.Millisecond
-	pollTimeout     = time.Second
+	// agentInterval is the shortest time between an agent's polls.
+	agentInterval = 2 * time.Second
+	// A process that has just started polls sooner, after firstPause, which doubles, and
+	// waits at most firstTimeout: when all processes start at once, some keepers do not
+	// answer yet, and those that do know few entries.
+	firstPause   = 100 * time.Millisecond
+	firstTimeout = 250 * time.Millisecond
+	pollTimeout  = time.Second
 	// pollsPerKeeper is how many times on average an agent polls the same keeper.
 	pollsPerKeeper = 500
 	// NodeLease is how long a process counts as alive after its last announcement.
@@ -157,16 +159,20 @@
 // Run implements kernel.Service.
 func (f *Finder) Run(ctx context.Context) error {
 	leaving := f.leaving
-	firstPause := agentFirstPause
+	next := firstPause
 	for ctx.Err() == nil {
-		anyKnown := f.poll(ctx)
+		starting := next < agentInterval
+		timeout := pollTimeout
+		if starting {
+			timeout = firstTimeout
+		}
+		anyKnown := f.poll(ctx, timeout)
 		pause := announceInterval
 		switch {
-		case f.announces():
-		case firstPause < agentInterval:
-			pause = min(firstPause, announceInterval)
-			firstPause *= 2
-		case anyKnown:
+		case starting:
+			pause = min(next, announceInterval)
+			next *= 2
+		case !f.announces() && anyKnown:
 			pause = agentInterval + rand.N(agentInterval)
 		}
 		select {
@@ -189,8 +195,8 @@
 // poll asks the keepers for the live processes, and reports whether any process is
 // known. An entry or a keeper thereby announces itself to every keeper; an agent
 // asks one keeper only, since there are many agents.
-func (f *Finder) poll(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+func (f *Finder) poll(ctx context.Context, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	addrs := f.Addresses(keys.Keeper)
 	if !f.announces() {
