evac, platform: operators start and end the evacuation of a data centre

The state is an item of the new section evacuation, beside the published document, changed with its expected count. Keepers take POST /api/evacuations/ZONE/start and /end: a linearizable read, then a change; repeated orders change nothing, a conflict is read again within the call's time, and nothing is proposed for an operator who has left. The template lists the names of all data centres, so that others get 404.

Nothing acts on the state yet.

--- a/conf/platform.go
+++ b/conf/platform.go
@@ -23,6 +23,9 @@
 	// GracePeriod is the time from the platform's request to stop until it kills the
 	// process.
 	GracePeriod Duration `json:"gracePeriod"`
+	// DataCentres are the names of all data centres. An evacuation of another one is
+	// refused as unknown; with an empty list, any name is taken.
+	DataCentres []string `json:"dataCentres,omitempty"`
 }
 
 func defaultPlatform() Platform {
@@ -40,6 +43,9 @@
 	if n.Has(keys.Keeper) || n.Has(keys.Agent) {
 		c.listen("platform.control", p.Control)
 	}
+	for i, name := range p.DataCentres {
+		c.name(indexPath("platform.dataCentres", i), name, keys.ValidName)
+	}
 	c.duration("platform.holdLimit", p.HoldLimit, millis(100), seconds(60))
 	c.duration("platform.resendAfter", p.ResendAfter, millis(100), seconds(60))
 	c.duration("platform.gracePeriod", p.GracePeriod, seconds(1), seconds(600))
--- a/model/config.go
+++ b/model/config.go
@@ -17,6 +17,8 @@
 	SectionMember  Section = "member"  // Member
 	// SectionDocument holds the document that operators publish as a whole.
 	SectionDocument Section = "document"
+	// SectionEvacuation holds an Evacuation for each evacuated data centre, under its name.
+	SectionEvacuation Section = "evacuation"
 )
 
 // ItemKey names an item of the configuration.
@@ -74,6 +76,14 @@
 	Reason  string `json:"reason,omitempty"`
 }
 
+// Evacuation keeps new work from a data centre until the item is deleted.
+type Evacuation struct {
+	// Address is the network address from which the evacuation was requested.
+	Address string `json:"address,omitempty"`
+	// At is when it was requested, by the clock of the process that took the request.
+	At time.Time `json:"at"`
+}
+
 // Team is the quota and the weight of a team.
 type Team struct {
 	// Quota is the most slots that the team's tasks may hold at once at all targets, 0 for no bound.
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -61,11 +61,11 @@
 			DrainTimeout: time.Duration(p.GracePeriod) / 2, Clock: b.clock, Log: b.log,
 		})
 		b.services.Add(po)
-		b.services.Add(&platform.ControlServer{Listen: p.Control, Log: b.log})
+		b.services.Add(&platform.ControlServer{Listen: p.Control, Clock: b.clock, Log: b.log})
 	}
 	if b.settings.Node.Has(keys.Keeper) {
 		b.services.Add(&platform.ControlServer{
-			Listen: p.Control, Log: b.log,
+			Listen: p.Control, DataCentres: p.DataCentres, Clock: b.clock, Log: b.log,
 			Keepers: &leader.Client{
 				Node: b.node, Finder: b.finder, Clock: b.clock, Log: b.log, Groups: b.settings.Keeper.Groups,
 				LocalKeeper: b.settings.Node.Advertise, TryTimeout: operatorCallTimeout,
--- a/state/check.go
+++ b/state/check.go
@@ -50,7 +50,7 @@
 // Invalid.
 func Check(key model.ItemKey, value []byte) error {
 	c := &checker{}
-	if !validName(key.Name) {
+	if !ValidKey(key) {
 		c.add("name", key.Name, fmt.Sprintf("1 to %d letters, digits or any of ._-", MaxName))
 	}
 	if len(value) > MaxValue {
@@ -73,6 +73,15 @@
 	})
 }
 
+// ValidKey reports whether an item may have the key. An evacuation has the name of a data
+// centre, which may contain @ as names of nodes do.
+func ValidKey(k model.ItemKey) bool {
+	if k.Section == model.SectionEvacuation {
+		return validName(strings.ReplaceAll(k.Name, "@", "-"))
+	}
+	return validName(k.Name)
+}
+
 type checker struct{ fields []FieldError }
 
 func (c *checker) add(path string, value any, allowed string) {
@@ -104,6 +113,11 @@
 			c.selector("targets", d.Targets)
 			c.length("reason", d.Reason, 0, 1024)
 		}
+	case model.SectionEvacuation:
+		var e model.Evacuation
+		if c.decode(value, &e) {
+			c.length("address", e.Address, 0, MaxName)
+		}
 	case model.SectionTeam:
 		var t model.Team
 		if c.decode(value, &t) {
@@ -116,7 +130,7 @@
 			c.member(m)
 		}
 	default:
-		c.add("section", string(s), "rule, overlay, drain, team or member")
+		c.add("section", string(s), "rule, overlay, drain, evacuation, team or member")
 	}
 }
 
--- a/state/command.go
+++ b/state/command.go
@@ -13,7 +13,7 @@
 	Change model.Change `cbor:"1,keyasint"`
 }
 
-// ConfigQuery is a query of the configuration state machine: GetDelta or GetHistory.
+// ConfigQuery is a query of the configuration state machine: GetDelta, GetHistory or GetItem.
 type ConfigQuery interface{ configQuery() }
 
 // GetDelta requests the changes after a version; the answer is a Delta.
@@ -21,13 +21,18 @@
 	Version uint64 `cbor:"1,keyasint"`
 }
 
+// GetItem requests one item; the answer is Found.
+type GetItem struct {
+	Key model.ItemKey `cbor:"1,keyasint"`
+}
+
 // GetHistory requests the last N accepted changes; the answer is Events.
 type GetHistory struct {
 	N int `cbor:"1,keyasint"`
 }
 
 // ConfigAnswer is an answer of the configuration state machine: Changed, Delta,
-// Events, Unknown or Published.
+// Events, Unknown, Published or Found.
 type ConfigAnswer interface{ configAnswer() }
 
 // Changed answers Change.
@@ -45,6 +50,11 @@
 	Events []Event `cbor:"1,keyasint"`
 }
 
+// Found answers GetItem. The item's Count is 0 when it has never existed.
+type Found struct {
+	Item model.Item `cbor:"1,keyasint"`
+}
+
 // InvalidQuery answers a query that could not be decoded.
 type InvalidQuery struct {
 	Reason string `cbor:"1,keyasint"`
@@ -53,16 +63,18 @@
 func (Change) configCommand()      {}
 func (GetDelta) configQuery()      {}
 func (GetHistory) configQuery()    {}
+func (GetItem) configQuery()       {}
 func (Changed) configAnswer()      {}
 func (Delta) configAnswer()        {}
 func (Events) configAnswer()       {}
+func (Found) configAnswer()        {}
 func (InvalidQuery) configAnswer() {}
 
 // The codecs of the configuration state machine.
 var (
 	ConfigCommands = NewCodec[ConfigCommand](Change{}, Publish{})
-	ConfigQueries  = NewCodec[ConfigQuery](GetDelta{}, GetHistory{})
-	ConfigAnswers  = NewCodec[ConfigAnswer](Changed{}, Delta{}, Events{}, InvalidQuery{}, Published{})
+	ConfigQueries  = NewCodec[ConfigQuery](GetDelta{}, GetHistory{}, GetItem{})
+	ConfigAnswers  = NewCodec[ConfigAnswer](Changed{}, Delta{}, Events{}, InvalidQuery{}, Published{}, Found{})
 )
 
 // Query answers a ConfigQuery.
@@ -76,6 +88,8 @@
 		return ConfigAnswers.MustEncode(Delta{c.Since(q.Version)})
 	case GetHistory:
 		return ConfigAnswers.MustEncode(Events{c.History(q.N)})
+	case GetItem:
+		return ConfigAnswers.MustEncode(Found{c.Item(q.Key)})
 	default:
 		return ConfigAnswers.MustEncode(InvalidQuery{"unknown query"})
 	}
--- a/state/config.go
+++ b/state/config.go
@@ -148,7 +148,7 @@
 	if ch.Value == nil && item.Value == nil && !initialMember {
 		return c.refuse(ch, "there is no such item")
 	}
-	if ch.Value == nil && !validName(ch.Key.Name) {
+	if ch.Value == nil && !ValidKey(ch.Key) {
 		return c.refuse(ch, "the item's name is no name")
 	}
 	if ch.Value != nil {
