runner, assign, broker: evacuations are in force at entries and agents

Entries exclude evacuated data centres when they place, lend and borrow. Agents learn the state from Done answers to reports and confirmations, keep the highest version and ask keepers (codes 73 and 74) when it is older than 0.4 of the limit. Before a start order, after the last wait, an agent refuses the run as not sent when the data centre is evacuated or the information is too old and keepers have not been asked twice in vain. Queued tasks are returned as not started, and the target is reported as not open. A restarted agent starts nothing until it is told, for at most 0.4 of the limit.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/wire"
@@ -52,6 +53,7 @@
 	// sortedTargets holds the targets in the order of their agents' names, so that
 	// placement is deterministic.
 	sortedTargets []*TargetView
+	evacuations   evac.Set
 }
 
 // New returns a Fleet without targets for an entry and its data centre.
@@ -59,6 +61,9 @@
 	return &Fleet{Name: name, DataCentre: dataCentre, timing: timing, targets: map[string]*TargetView{}}
 }
 
+// SetEvacuations sets the evacuations in force. Targets in their data centres get no tasks.
+func (f *Fleet) SetEvacuations(s evac.Set) { f.evacuations = s }
+
 // HandleReport processes the report of an agent with the link address. Reports that are not
 // newer than the last one are ignored. HandleReport returns whether the report is from a new
 // incarnation of a known agent.
@@ -261,10 +266,11 @@
 }
 
 // canTake reports whether the target can get the task: it accepts work, has a recent
-// report, and satisfies the task's requirements.
+// report, satisfies the task's requirements, and its data centre is not evacuated.
 func (f *Fleet) canTake(v *TargetView, t Task, now time.Time) bool {
 	return v.Open && v.Pool == t.Pool && t.Need.Fits(v.Capacity) && now.Sub(v.updatedAt) <= f.timing.MaxReportAge &&
-		(t.Label == "" || slices.Contains(v.Labels, t.Label)) && !slices.Contains(t.Exclude, v.Agent)
+		(t.Label == "" || slices.Contains(v.Labels, t.Label)) && !slices.Contains(t.Exclude, v.Agent) &&
+		!f.evacuations.Has(v.DataCentre)
 }
 
 // totalUse returns the total need of all entries' tasks on the target: those of other
--- a/assign/lend.go
+++ b/assign/lend.go
@@ -31,9 +31,10 @@
 }
 
 // Borrow adds a target that another entry has lent in answer to a question of askedAt,
-// unless this entry has a recent report of its own. It reports whether the target was added.
+// unless this entry has a recent report of its own or the target's data centre is evacuated:
+// the other entry may not know of that yet. It reports whether the target was added.
 func (f *Fleet) Borrow(l wire.LentTarget, askedAt, now time.Time) bool {
-	if v := f.targets[l.Report.Agent]; v != nil && now.Sub(v.updatedAt) <= f.timing.MaxReportAge || l.Age < 0 {
+	if v := f.targets[l.Report.Agent]; v != nil && now.Sub(v.updatedAt) <= f.timing.MaxReportAge || l.Age < 0 || f.evacuations.Has(l.Report.DataCentre) {
 		return false
 	}
 	f.HandleReport(l.Report, l.Address, askedAt.Add(-l.Age))
@@ -47,3 +48,11 @@
 	}
 	return ""
 }
+
+// DataCentreOf returns the data centre of an agent's target, empty when it is not known.
+func (f *Fleet) DataCentreOf(agent string) string {
+	if v := f.targets[agent]; v != nil {
+		return v.DataCentre
+	}
+	return ""
+}
--- a/broker/borrow.go
+++ b/broker/borrow.go
@@ -93,6 +93,7 @@
 			useful++
 		}
 		b.mu.Lock()
+		b.updateEvacuations()
 		for _, l := range lent {
 			if b.fleet.Borrow(l, askedAt, b.opts.Clock.Now()) {
 				added++
@@ -141,5 +142,6 @@
 func (b *Broker) handleFindTargets(_ context.Context, _ link.Peer, m wire.FindTargets) wire.Message {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.updateEvacuations()
 	return wire.LentTargets{Targets: b.fleet.Lend(assign.Task{Pool: m.Pool, Need: m.Need, Label: m.Label}, maxLent, b.opts.Clock.Now())}
 }
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -14,12 +14,14 @@
 
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/policy"
+	"cyclamenrelay.example/watch"
 	"cyclamenrelay.example/wire"
 )
 
@@ -53,6 +55,9 @@
 	Admission assign.Settings
 	// Entries returns the known entries; nil for an entry that asks no others for targets.
 	Entries func() []wire.Node
+	// View is the entry's copy of the configuration, with the evacuations in force; nil for
+	// an entry that knows of none.
+	View *watch.View
 	// MaxOrphanRunTime bounds how long runs may continue after their entry has given them up,
 	// whatever happens to the entry and to their agents.
 	MaxOrphanRunTime time.Duration
@@ -65,10 +70,12 @@
 	opts Options
 	node *link.Node
 
-	mu         sync.Mutex
-	fleet      *assign.Fleet
-	learner    *assign.Learner
-	activeJobs map[string]*activeJob
+	mu    sync.Mutex
+	fleet *assign.Fleet
+	// evacuations are those that the fleet has got.
+	evacuations evac.Set
+	learner     *assign.Learner
+	activeJobs  map[string]*activeJob
 	// answers caches the outcomes of finished jobs by job ID; answerIDs has the IDs,
 	// oldest first.
 	answers   map[string]cachedAnswer
@@ -166,6 +173,7 @@
 func (b *Broker) checkAgents() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.updateEvacuations()
 	now := b.opts.Clock.Now()
 	for _, agent := range b.fleet.Silent(now) {
 		for _, c := range b.calls {
@@ -198,7 +206,7 @@
 	if b.fleet.HandleReport(m, p.Address, b.opts.Clock.Now()) {
 		b.opts.Log.Info("agent restarted", zap.String("agent", m.Agent))
 	}
-	return wire.Done{}
+	return wire.Done{Evacuation: b.evacuationState(m.DataCentre)}
 }
 
 // handleConfirm handles an agent's question whether a run is still wanted. The start may
@@ -210,7 +218,7 @@
 	for _, c := range b.calls {
 		// After a pause of this process, the call may still be open past its limit.
 		if c.agent == p.Name && c.task == m.Task && c.run == m.Run && now.Before(c.limit) {
-			return wire.Done{}
+			return wire.Done{Evacuation: b.evacuationState(b.fleet.DataCentreOf(p.Name))}
 		}
 	}
 	return wire.Refused{Reason: "the entry has given the run up"}
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -21,6 +21,7 @@
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/policy"
+	"cyclamenrelay.example/watch"
 	"cyclamenrelay.example/wire"
 )
 
@@ -29,6 +30,8 @@
 	t      testing.TB
 	broker *broker.Broker
 	entry  *link.Node
+	// view is the entry's copy of the configuration.
+	view *watch.View
 	// agentNode is the node of the agent that was added last.
 	agentNode *link.Node
 
@@ -45,9 +48,9 @@
 }
 
 func newTestbedWithClock(t testing.TB, name string, others func() []wire.Node, clock clockwork.Clock) *testbed {
-	b := &testbed{t: t}
+	b := &testbed{t: t, view: watch.NewView(clock, time.Second)}
 	b.entry = b.node(name, keys.Entry)
-	b.broker = broker.New(broker.Options{Name: name, Entries: others, DataCentre: "dc", Timing: peers.NewTiming(500 * time.Millisecond), Admission: assign.DefaultSettings(), MaxOrphanRunTime: time.Minute, Clock: clock, Log: zap.NewNop()})
+	b.broker = broker.New(broker.Options{Name: name, Entries: others, View: b.view, DataCentre: "dc", Timing: peers.NewTiming(500 * time.Millisecond), Admission: assign.DefaultSettings(), MaxOrphanRunTime: time.Minute, Clock: clock, Log: zap.NewNop()})
 	k := kernel.New(zap.NewNop())
 	k.Add(b.broker)
 	k.Add(b.entry)
--- a/broker/placing.go
+++ b/broker/placing.go
@@ -13,6 +13,7 @@
 	b := w.broker
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.updateEvacuations()
 	return b.fleet.Admit(b.opts.Admission, assign.Job{
 		Tasks: tasks, Priority: w.queue.Priority, Slack: slack, PartlyRun: w.mayHaveRun(),
 	}, b.opts.Clock.Now())
@@ -38,6 +39,7 @@
 	est := w.estimate(w.job.Steps[t.step])
 	w.broker.mu.Lock()
 	defer w.broker.mu.Unlock()
+	w.broker.updateEvacuations()
 	c, ok := w.broker.fleet.Place(w.requirements(t, est), w.broker.opts.Clock.Now())
 	if ok {
 		t.recordPlacement(c)
--- a/conf/platform.go
+++ b/conf/platform.go
@@ -23,13 +23,16 @@
 	// GracePeriod is the time from the platform's request to stop until it kills the
 	// process.
 	GracePeriod Duration `json:"gracePeriod"`
+	// EvacuationLimit is the time after the acknowledgement of an evacuation from which no
+	// task may start in the data centre.
+	EvacuationLimit Duration `json:"evacuationLimit"`
 	// DataCentres are the names of all data centres. An evacuation of another one is
 	// refused as unknown; with an empty list, any name is taken.
 	DataCentres []string `json:"dataCentres,omitempty"`
 }
 
 func defaultPlatform() Platform {
-	return Platform{HoldLimit: millis(1000), ResendAfter: millis(1300), GracePeriod: seconds(6)}
+	return Platform{HoldLimit: millis(1000), ResendAfter: millis(1300), GracePeriod: seconds(6), EvacuationLimit: seconds(5)}
 }
 
 func (p Platform) check(c *checker, n Node) {
@@ -48,5 +51,6 @@
 	}
 	c.duration("platform.holdLimit", p.HoldLimit, millis(100), seconds(60))
 	c.duration("platform.resendAfter", p.ResendAfter, millis(100), seconds(60))
+	c.duration("platform.evacuationLimit", p.EvacuationLimit, seconds(2), seconds(600))
 	c.duration("platform.gracePeriod", p.GracePeriod, seconds(1), seconds(600))
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -136,6 +136,7 @@
 	link.Handle(mx, k.propose, keys.Entry, keys.Keeper)
 	link.Handle(mx, k.query, keys.Entry, keys.Keeper)
 	link.Handle(mx, k.watchConfig, keys.Entry)
+	link.Handle(mx, k.evacuationState, keys.Agent)
 	return nil
 }
 
--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/rlog"
@@ -106,6 +107,21 @@
 	return u, ok
 }
 
+// evacuationState handles GetEvacuation. The answer's age tells how recent it is, so that a
+// keeper without a quorum answers too.
+func (k *Keeper) evacuationState(_ context.Context, _ link.Peer, m wire.GetEvacuation) wire.Message {
+	s := wire.EvacuationState{Age: -1}
+	k.runInLoop(func() {
+		r := k.groups[0]
+		c := r.machine.(*state.Config)
+		s.Version, s.Evacuated = c.Version(), evac.Active(c.Item(evac.Key(m.DataCentre)))
+		if _, age, ok := r.node.Freshness(k.now()); ok {
+			s.Age = age
+		}
+	})
+	return s
+}
+
 // Ready reports whether a quorum has confirmed this keeper's configuration
 // within the given time.
 func (k *Keeper) Ready(within time.Duration) bool {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -35,6 +35,12 @@
 // Starts counts the starts sent to agents.
 func Starts() *metrics.Counter { return metrics.GetOrCreateCounter("relay_starts_total") }
 
+// RefusedStarts counts the tasks that an agent has refused or returned before their start, by
+// reason: evacuation.
+func RefusedStarts(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`relay_starts_refused_total{reason="` + reason + `"}`)
+}
+
 // HandlerErrors counts the run-time errors in handlers of messages and in jobs. Each ended
 // the exchange or job alone.
 func HandlerErrors() *metrics.Counter {
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -11,6 +11,7 @@
 	"cyclamenrelay.example/claims"
 	"cyclamenrelay.example/conf"
 	"cyclamenrelay.example/entry"
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/jobs"
 	"cyclamenrelay.example/keeper"
 	"cyclamenrelay.example/kernel"
@@ -52,6 +53,7 @@
 func (b *builder) monitorView() {
 	b.readyChecks = append(b.readyChecks, b.view.Usable)
 	meter.Gauge("relay_config_version", func() float64 { return float64(b.view.Config().Version()) })
+	meter.Gauge("relay_evacuations", func() float64 { return float64(len(evac.FromConfig(b.view.Config()).Orders())) })
 	meter.Gauge("relay_config_usable", func() float64 {
 		if b.view.Usable() {
 			return 1
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -6,6 +6,7 @@
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/broker"
 	"cyclamenrelay.example/conf"
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/leader"
 	"cyclamenrelay.example/meter"
@@ -58,9 +59,16 @@
 		lease := entryLease(p)
 		po := runner.New(runner.Options{
 			Driver: platform.NewTarget(), TargetLease: min(lease, time.Duration(p.HoldLimit)), MaxTargetLease: time.Duration(p.HoldLimit), Timing: peers.NewTiming(lease),
+			Evacuation:   evac.NewTiming(time.Duration(p.EvacuationLimit)),
 			DrainTimeout: time.Duration(p.GracePeriod) / 2, Clock: b.clock, Log: b.log,
 		})
 		b.services.Add(po)
+		meter.Gauge("relay_evacuations", func() float64 {
+			if po.IsEvacuated() {
+				return 1
+			}
+			return 0
+		})
 		b.services.Add(&platform.ControlServer{Listen: p.Control, Clock: b.clock, Log: b.log})
 	}
 	if b.settings.Node.Has(keys.Keeper) {
@@ -85,6 +93,7 @@
 	br := broker.New(broker.Options{
 		Name: b.settings.Node.Name, DataCentre: b.settings.Node.DataCentre, Admission: assign.DefaultSettings(), Clock: b.clock, Log: b.log,
 		Timing: peers.NewTiming(entryLease(p)), Entries: func() []wire.Node { return b.finder.Nodes(keys.Entry) },
+		View:             b.view,
 		MaxOrphanRunTime: time.Duration(runsEndFraction * float64(p.ResendAfter)),
 	})
 	b.services.Add(br)
--- a/runner/enqueue.go
+++ b/runner/enqueue.go
@@ -5,6 +5,7 @@
 
 	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/wire"
 )
@@ -55,6 +56,9 @@
 		return "the agent has no target"
 	case p.draining:
 		return "the agent is shutting down"
+	case p.closedByEvacuation():
+		meter.RefusedStarts(refusedByEvacuation).Inc()
+		return p.verdict.String()
 	case !p.target.Open || p.target.retired:
 		return "the target is leaving"
 	case !p.target.reconciled || !p.target.reachable:
--- a/runner/report.go
+++ b/runner/report.go
@@ -182,11 +182,13 @@
 	if refused, ok := answer.(wire.Refused); ok {
 		return trace.AccessDenied("refused by the entry: %s", refused.Reason)
 	}
-	if _, ok := answer.(wire.Done); !ok {
+	done, ok := answer.(wire.Done)
+	if !ok {
 		return trace.BadParameter("answer of type %T from the entry", answer)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.learnEvacuation(done.Evacuation, n.Name, sent)
 	if end := sent.Add(p.opts.Timing.Lease); end.After(p.entryLeases[n.Name]) {
 		p.entryLeases[n.Name] = end
 	}
@@ -218,7 +220,7 @@
 		return m, p.reconciled
 	}
 	m.Target, m.Pool, m.Capacity, m.Labels = ts.ID, ts.Pool, ts.Capacity, ts.Labels
-	m.Open = ts.Open && ts.reachable && !p.draining
+	m.Open = ts.Open && ts.reachable && !p.draining && !p.closedByEvacuation()
 	return m, true
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/lease"
@@ -43,6 +45,9 @@
 	// Timing is the timing of reports to entries. Its lease is how long an entry's runs
 	// may continue after the last report that the entry has answered.
 	Timing peers.Timing
+	// Evacuation is the timing with which the agent learns of evacuations. The zero value
+	// asks no keepers.
+	Evacuation evac.Timing
 	// DrainTimeout bounds the wait at a shutdown for runs in progress.
 	DrainTimeout time.Duration
 	Clock        clockwork.Clock
@@ -69,7 +74,11 @@
 	draining    bool                 // set when the agent drains
 	// reconciled is set once a target has listed no run that an earlier agent process
 	// started.
-	reconciled    bool
+	reconciled bool
+	evacuation evac.Knowledge
+	verdict    evac.Verdict  // the verdict of evacuation that is in effect
+	asked      chan struct{} // closed when the last question to keepers has ended
+
 	reportChanged chan struct{} // closed when the target opens or closes, or its capacity changes
 	targetArrived chan struct{} // closed when a new target instance is in use
 }
@@ -143,7 +152,11 @@
 	if opts.MaxTargetLease == 0 {
 		opts.MaxTargetLease = opts.TargetLease
 	}
+	asked := make(chan struct{})
+	close(asked)
+	knowledge := evac.NewKnowledge(opts.Evacuation, opts.Clock.Now())
 	return &Runner{
+		evacuation: knowledge, verdict: knowledge.Verdict(opts.Clock.Now()), asked: asked,
 		opts: opts, scheduler: sched.New(), runs: map[uint64]*run{}, byKey: map[RunKey]*run{}, entryLeases: map[string]time.Time{},
 		home: map[string]bool{}, senders: map[string]sender{},
 		reportChanged: make(chan struct{}), targetArrived: make(chan struct{}),
@@ -155,7 +168,7 @@
 
 // Start implements kernel.Starter.
 func (p *Runner) Start(k *kernel.Kernel) (err error) {
-	if err := p.opts.Timing.Validate(); err != nil {
+	if err := trace.NewAggregate(p.opts.Timing.Validate(), p.opts.Evacuation.Validate()); err != nil {
 		return err
 	}
 	if p.node, err = kernel.Find[*link.Node](k, link.ServiceName); err != nil {
@@ -174,6 +187,7 @@
 	wg.Go(func() { p.reportLoop(ctx) })
 	wg.Go(func() { p.renewalLoop(ctx) })
 	wg.Go(func() { p.expiryLoop(ctx) })
+	wg.Go(func() { p.evacuationLoop(ctx) })
 	wg.Wait()
 	return nil
 }
@@ -231,7 +245,7 @@
 // updateScheduler updates the capacity, and whether tasks may start, from the state of the
 // target. The caller holds mu.
 func (p *Runner) updateScheduler() {
-	open := p.target != nil && p.target.Open && p.target.reconciled && p.target.reachable && !p.target.retired && !p.draining
+	open := p.target != nil && p.target.Open && p.target.reconciled && p.target.reachable && !p.target.retired && !p.draining && !p.closedByEvacuation()
 	p.scheduler.SetOpen(open)
 	if p.target != nil {
 		p.scheduler.Resize(p.target.Capacity)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/poll"
 
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
@@ -196,6 +197,7 @@
 	target *fakeTarget
 	runner *runner.Runner
 	entry  *link.Node
+	keeper *link.Node
 	agent  *link.Node
 
 	mu             sync.Mutex
@@ -206,6 +208,10 @@
 	refusesRenewals bool
 	gaveUp          bool // the entry confirms no runs
 	confirmations   []wire.ConfirmRun
+	// byEntry and byKeeper are what the entry and the keeper say of the agent's data centre,
+	// nil for nothing. questions counts the agent's questions to the keeper.
+	byEntry, byKeeper *wire.EvacuationState
+	questions         int
 }
 
 // longLease is long enough that no lease expires on a busy machine, for tests that are
@@ -231,12 +237,29 @@
 }
 
 func newTestbedWith(t *testing.T, x *fakeTarget, d runner.Driver, entryLease time.Duration) *testbed {
+	return newTestbedWithEvacuation(t, x, d, entryLease, evac.Timing{})
+}
+
+// newTestbedWithEvacuation returns a testbed whose agent learns of evacuations with the timing.
+func newTestbedWithEvacuation(t *testing.T, x *fakeTarget, d runner.Driver, entryLease time.Duration, timingOfEvacuation evac.Timing) *testbed {
 	b := &testbed{t: t, target: x}
 	clock := clockwork.NewRealClock()
 	b.entry = b.node("entry-1", keys.Entry)
+	b.keeper = b.node("keeper-1", keys.Keeper)
+	link.Handle(b.keeper.Mux(), func(_ context.Context, _ link.Peer, m wire.GetEvacuation) wire.Message {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.questions++
+		if b.byKeeper == nil || m.DataCentre != "dc" {
+			return wire.Refused{Reason: "test"}
+		}
+		return *b.byKeeper
+	}, keys.Agent)
+	b.serve(b.keeper)
 	link.Handle(b.entry.Mux(), func(context.Context, link.Peer, wire.FindNodes) wire.Message {
 		return wire.Nodes{Digest: 1, Nodes: []wire.Node{
 			{Name: "entry-1", Address: b.entry.Address(), DataCentre: "dc", Roles: []string{"entry"}, Incarnation: 1},
+			{Name: "keeper-1", Address: b.keeper.Address(), DataCentre: "dc", Roles: []string{"keeper"}, Incarnation: 1},
 		}}
 	}, keys.Agent)
 	link.Handle(b.entry.Mux(), func(_ context.Context, _ link.Peer, m wire.LoadReport) wire.Message {
@@ -246,7 +269,7 @@
 		if b.refusesReports || b.refusesRenewals {
 			return wire.Refused{Reason: "test"}
 		}
-		return wire.Done{}
+		return wire.Done{Evacuation: b.byEntry}
 	}, keys.Agent)
 	link.Handle(b.entry.Mux(), func(_ context.Context, _ link.Peer, m wire.ConfirmRun) wire.Message {
 		b.mu.Lock()
@@ -255,7 +278,7 @@
 		if b.refusesReports || b.gaveUp {
 			return wire.Refused{Reason: "test"}
 		}
-		return wire.Done{}
+		return wire.Done{Evacuation: b.byEntry}
 	}, keys.Agent)
 	b.serve(b.entry)
 	agent := b.node("agent-1", keys.Agent)
@@ -263,7 +286,7 @@
 		wire.Node{Name: "agent-1", DataCentre: "dc", Roles: []string{"agent"}, Incarnation: 3}, []string{b.entry.Address()})
 	b.agent = agent
 	b.runner = runner.New(runner.Options{
-		Driver: d, TargetLease: time.Second, Timing: timing(entryLease), DrainTimeout: time.Second,
+		Driver: d, TargetLease: time.Second, Timing: timing(entryLease), Evacuation: timingOfEvacuation, DrainTimeout: time.Second,
 		Clock: clock, Log: zap.NewNop(),
 	})
 	run(t, finder, b.runner, agent)
--- a/runner/runs.go
+++ b/runner/runs.go
@@ -63,6 +63,7 @@
 
 // execute sends the start order and waits for the end of the run.
 func (p *Runner) execute(ctx context.Context, r *run) runEnd {
+	p.refreshEvacuation(ctx, r)
 	o, reason := p.startOrder(ctx, r)
 	if reason != "" {
 		return runEnd{batch.NotStarted, reason, batch.ProofNotSent}
@@ -117,6 +118,9 @@
 	case len(r.ended) > 0 || r.giveUpReason != "":
 		return o, "the run was given up"
 	}
+	if reason := p.startRefusal(); reason != "" {
+		return o, reason
+	}
 	o = Order{Task: r.key.Task, Run: r.key.Run, Spec: r.request.Spec, LeaseEnd: p.nextLeaseEnd(r.target), Fence: r.target.fence}
 	if o.LeaseEnd == 0 {
 		return o, "the target's lease cannot be renewed"
--- a/watch/view.go
+++ b/watch/view.go
@@ -69,6 +69,17 @@
 	return v.cfg
 }
 
+// Confirmed returns the newest configuration received, and the time since a quorum has
+// confirmed it as the newest, negative when none has.
+func (v *View) Confirmed() (c model.Config, age time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.confirmedAt.IsZero() {
+		return v.cfg, -1
+	}
+	return v.cfg, v.clock.Since(v.confirmedAt)
+}
+
 // Changed returns a channel that is closed at the next change of configuration.
 func (v *View) Changed() <-chan struct{} {
 	v.mu.Lock()
--- a/wire/common.go
+++ b/wire/common.go
@@ -26,7 +26,11 @@
 }
 
 // Done acknowledges a message that needs no other answer.
-type Done struct{}
+type Done struct {
+	// Evacuation says whether the agent's data centre is evacuated, nil in answers to
+	// other messages than an agent's, and from older builds.
+	Evacuation *EvacuationState `cbor:"1,keyasint,omitempty"`
+}
 
 // WatchConfig asks a keeper for the configuration changes since Version. It is a
 // long poll: the answer, a ConfigUpdate, comes after a short wait when there are
