--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/wire"
@@ -54,6 +55,7 @@
 	// placement is deterministic.
 	sortedTargets []*TargetView
 	comparedAt    time.Time // when the targets' speeds were last compared
+	evacuations   evac.Set
 }
 
 // New returns a Fleet without targets for an entry and its data centre.
@@ -61,6 +63,9 @@
 	return &Fleet{Name: name, DataCentre: dataCentre, timing: timing, targets: map[string]*TargetView{}}
 }
 
+// SetEvacuations sets the evacuations in force. Targets in their data centres get no tasks.
+func (f *Fleet) SetEvacuations(s evac.Set) { f.evacuations = s }
+
 // HandleReport processes the report of an agent with the link address. Reports that are not
 // newer than the last one are ignored. HandleReport returns whether the report is from a new
 // incarnation of a known agent.
@@ -271,10 +276,11 @@
 }
 
 // canTake reports whether the target can get the task: it accepts work, has a recent
-// report, and satisfies the task's requirements.
+// report, satisfies the task's requirements, and its data centre is not evacuated.
 func (f *Fleet) canTake(v *TargetView, t Task, now time.Time) bool {
 	return v.Open && v.Pool == t.Pool && t.Need.Fits(v.Capacity) && now.Sub(v.updatedAt) <= f.timing.MaxReportAge &&
-		(t.Label == "" || slices.Contains(v.Labels, t.Label)) && !slices.Contains(t.Exclude, v.Agent)
+		(t.Label == "" || slices.Contains(v.Labels, t.Label)) && !slices.Contains(t.Exclude, v.Agent) &&
+		!f.evacuations.Has(v.DataCentre)
 }
 
 // totalUse returns the total need of all entries' tasks on the target: those of other
--- a/conf/platform.go
+++ b/conf/platform.go
@@ -23,6 +23,13 @@
 	// GracePeriod is the time from the platform's request to stop until it kills the
 	// process.
 	GracePeriod Duration `json:"gracePeriod"`
+	// EvacuationLimit is the time after the acknowledgement of an evacuation from which no
+	// task may start in the data centre. With 0, agents obey evacuations but never wait for
+	// information on them.
+	EvacuationLimit Duration `json:"evacuationLimit"`
+	// DataCentres are the names of all data centres. An evacuation of another one is
+	// refused as unknown; with an empty list, any name is taken.
+	DataCentres []string `json:"dataCentres,omitempty"`
 }
 
 func defaultPlatform() Platform {
@@ -40,7 +47,13 @@
 	if n.Has(keys.Keeper) || n.Has(keys.Agent) {
 		c.listen("platform.control", p.Control)
 	}
+	for i, name := range p.DataCentres {
+		c.name(indexPath("platform.dataCentres", i), name, keys.ValidName)
+	}
 	c.duration("platform.holdLimit", p.HoldLimit, millis(100), seconds(60))
 	c.duration("platform.resendAfter", p.ResendAfter, millis(100), seconds(60))
+	if p.EvacuationLimit != 0 {
+		c.duration("platform.evacuationLimit", p.EvacuationLimit, seconds(2), seconds(600))
+	}
 	c.duration("platform.gracePeriod", p.GracePeriod, seconds(1), seconds(600))
 }
