broker, runner, platform: a stopping entry answers every request that it has read

Ruled out: refusing whatever waits by the entry's own knowledge. It does not know which tasks have started, so that a refusal as not run could be wrong.

On a stop, the entry withdraws the runs of jobs of which nothing has run (wire.WithdrawRun, 78) and answers them with 429 and Retry-After. Jobs that run go on; at 7/8 of the grace period all that are left get a complete answer, 504 where a part may have run. Jobs that come during the drain delay are refused at once when they could not end before that. A stopping agent returns the tasks that wait, which it held for half of the grace period.

Red before: TestStopAnswersAllRequests, "Post ...: EOF: the connection of a waiting job was closed"; TestStoppingAgentReturnsWaitingTasks, "the waiting task was held for as long as the agent drained".

go test -race ./broker ./runner ./platform ./wire beside other work (load 23 to 50): broker and wire pass. TestRunsLeaveASlowTarget (./runner) timed out after 20 s in the run of the package and in 1 of 3 alone, 0 of 3 on; nothing of this change is on its path; not traced yet. TestDisconnectedCallerStartsNoTask (./platform) timed out once at "configuration accepted", before any job, 0 of 3 alone, 0 of 3 on.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -81,6 +81,7 @@
 	// searches has the searches for other entries' targets by pool: the one in progress or
 	// the last one.
 	searches map[string]*search
+	shutdown shutdown
 }
 
 // Caller waits for a job's outcome.
@@ -124,7 +125,7 @@
 	return &Broker{
 		opts: opts, fleet: assign.New(opts.Name, opts.DataCentre, opts.Timing), learner: assign.NewLearner(),
 		activeJobs: map[string]*activeJob{}, answers: map[string]cachedAnswer{}, mayRunUntil: map[string]time.Time{}, calls: map[uint64]call{},
-		searches: map[string]*search{},
+		searches: map[string]*search{}, shutdown: newShutdown(),
 	}
 }
 
@@ -301,7 +302,7 @@
 // runJob runs a job, logs its end and caches its outcome.
 func (b *Broker) runJob(ctx context.Context, inProgress *activeJob, q policy.Queue, j batch.Job, submittedAt, limit time.Time) {
 	defer inProgress.cancel()
-	w := &jobRun{broker: b, active: inProgress, queue: q, job: j, submittedAt: submittedAt, limit: limit}
+	w := &jobRun{broker: b, active: inProgress, queue: q, job: j, submittedAt: submittedAt, limit: limit, returnPhase: b.returnPhase()}
 	outcome := w.runGuarded(ctx)
 	took := b.opts.Clock.Since(submittedAt)
 	name, reason := outcomeName(outcome)
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -98,7 +98,13 @@
 // agent adds an agent that answers each start with the result of f, and returns a
 // function that stops the agent.
 func (b *testbed) agent(name string, cpu int64, f func(context.Context, wire.StartRun) wire.RunEnded) (stop func()) {
+	return b.agentWith(name, cpu, f, func(*link.Node) {})
+}
+
+// agentWith is agent with further handlers.
+func (b *testbed) agentWith(name string, cpu int64, f func(context.Context, wire.StartRun) wire.RunEnded, handle func(*link.Node)) (stop func()) {
 	n := b.node(name, keys.Agent)
+	handle(n)
 	b.agentNode = n
 	link.Handle(n.Mux(), func(ctx context.Context, _ link.Peer, m wire.StartRun) wire.Message {
 		b.mu.Lock()
@@ -206,6 +212,15 @@
 	}
 }
 
+func (b *testbed) await(what string, f func() bool) {
+	poll.WaitOn(b.t, func(poll.LogT) poll.Result {
+		if f() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
 func outcomeKind(o broker.Outcome) string {
 	switch o.(type) {
 	case broker.Complete:
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -57,6 +57,14 @@
 	remaining    []int // number of tasks that are not done, by step
 	startedSteps []bool
 	results      chan result
+	open         map[*task]bool // the tasks whose runs are in progress
+	// returnPhase is the next phase of a shutdown in which the job is returned if nothing of
+	// it has run; nil for none.
+	returnPhase <-chan struct{}
+	askAgain    <-chan time.Time // when to try again to withdraw the runs; nil for never
+	withdrawals int              // number of attempts to withdraw the runs
+	// returning is set once all agents have agreed to withdraw the job's runs.
+	returning bool
 }
 
 // task is one task of the job.
@@ -74,6 +82,7 @@
 	expectedWait, expectedRun time.Duration
 	avoid                     []string // agents to avoid if there are others
 	excluded                  []string // agents that did not start the task
+	withdrawn                 bool     // the agent has agreed not to start the current run
 }
 
 // result is the end of one run of a task.
@@ -98,7 +107,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, w.limit)
 	defer cancel()
-	w.results = make(chan result, w.job.Tasks())
+	w.results, w.open = make(chan result, w.job.Tasks()), map[*task]bool{}
 	w.remaining = make([]int, len(w.job.Steps))
 	w.startedSteps = make([]bool, len(w.job.Steps))
 	for i, s := range w.job.Steps {
@@ -111,6 +120,17 @@
 		select {
 		case <-ctx.Done():
 			return w.giveUp("the caller left or its time was up")
+		case <-w.returnPhase:
+			w.returnWaiting(ctx)
+		case <-w.askAgain:
+			w.returnWaiting(ctx)
+		case <-w.broker.shutdown.over:
+			if len(w.results) == 0 {
+				return w.giveUp(stoppingReason)
+			}
+			if o := w.processResult(ctx, <-w.results); o != nil {
+				return o
+			}
 		case r := <-w.results:
 			if o := w.processResult(ctx, r); o != nil {
 				return o
@@ -140,8 +160,12 @@
 	if tooLate := w.submittedAt.Add(w.objective * lateFactor); tooLate.Before(w.limit) {
 		w.limit = tooLate
 	}
+	reason := "the deadline is too short for the work"
+	if end, stopping := w.broker.stopLimit(); stopping && end.Before(w.limit) {
+		w.limit, reason = end, stoppingReason
+	}
 	if w.broker.opts.Clock.Now().Add(w.criticalPath + overhead).After(w.limit) {
-		return Refused{Reason: "the deadline is too short for the work", Overload: true, After: retryAfter}
+		return Refused{Reason: reason, Overload: true, After: retryAfter}
 	}
 	return nil
 }
@@ -190,6 +214,9 @@
 // startStep places all tasks of a step and sends them to their agents. It refuses the
 // job when they cannot end in time and no part of the job has run.
 func (w *jobRun) startStep(ctx context.Context, step int) Outcome {
+	if isClosed(w.broker.shutdown.over) {
+		return w.giveUp(stoppingReason)
+	}
 	s := w.job.Steps[step]
 	est, slack := w.estimate(s), w.slack()
 	tasks := make([]*task, s.Count)
@@ -248,8 +275,10 @@
 func (w *jobRun) startRun(ctx context.Context, t *task) {
 	s := w.job.Steps[t.step]
 	t.run++
+	t.withdrawn = false
 	w.runs++
 	w.openRuns++
+	w.open[t] = true
 	est := w.estimate(s)
 	m := wire.StartRun{
 		Job: w.job.ID, Task: t.name, Run: t.run, Spec: w.job.Spec, Need: s.Need, Estimate: est, Priority: w.queue.Priority,
@@ -317,6 +346,7 @@
 	now := w.broker.opts.Clock.Now()
 	agent := t.agent
 	w.openRuns--
+	delete(w.open, t)
 	w.ran = w.ran || e.End != batch.NotStarted
 	w.lost = w.lost || e.End == batch.Lost
 	w.broker.mu.Lock()
@@ -345,7 +375,13 @@
 			return Failed{Reason: "a task used up its permitted attempts"}
 		}
 	case batch.NotStarted:
-		if e.Returned {
+		if w.returning {
+			if w.openRuns > 0 {
+				return nil
+			}
+			return w.giveUp(stoppingReason)
+		}
+		if e.Returned || t.withdrawn {
 			t.returns++
 			meter.ReturnedTasks().Inc()
 			break
@@ -368,6 +404,9 @@
 	if ctx.Err() != nil {
 		return w.giveUp("the caller left or its time was up")
 	}
+	if isClosed(w.broker.shutdown.over) {
+		return w.giveUp(stoppingReason)
+	}
 	if t.placements >= maxPlacements+t.failures+t.returns {
 		return w.giveUp("no target started the work after the permitted number of placements")
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -165,6 +165,7 @@
 		return err
 	}
 	link.Handle(p.node.Mux(), p.handleStart, keys.Entry)
+	link.Handle(p.node.Mux(), p.handleWithdraw, keys.Entry)
 	return nil
 }
 
@@ -178,12 +179,13 @@
 	return nil
 }
 
-// Drain implements kernel.Drainer: no new tasks are accepted, and runs in progress
-// may finish within DrainTimeout.
+// Drain implements kernel.Drainer: no new tasks are accepted, those that have not started
+// are returned, and runs in progress may finish within DrainTimeout.
 func (p *Runner) Drain(ctx context.Context) {
 	p.mu.Lock()
 	p.draining = true
 	p.scheduler.SetOpen(false)
+	p.giveUpWaiting("the agent is shutting down")
 	p.wakeReporters()
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DrainTimeout)
