merge: a stopping entry answers every request that it has read

At the begin of a stop only those waiting jobs are returned that may not end before its end: a refusal costs the callers of the others their job.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -92,6 +92,7 @@
 	// when a report arrives while the broker warms up.
 	startedAt time.Time
 	reported  chan struct{}
+	shutdown  shutdown
 }
 
 // Caller waits for a job's outcome.
@@ -135,7 +136,7 @@
 	return &Broker{
 		opts: opts, fleet: assign.New(opts.Name, opts.DataCentre, opts.Timing), learner: assign.NewLearner(),
 		activeJobs: map[string]*activeJob{}, answers: map[string]cachedAnswer{}, mayRunUntil: map[string]time.Time{}, calls: map[uint64]call{},
-		searches: map[string]*search{}, startedAt: opts.Clock.Now(), reported: make(chan struct{}),
+		searches: map[string]*search{}, startedAt: opts.Clock.Now(), reported: make(chan struct{}), shutdown: newShutdown(),
 	}
 }
 
@@ -319,7 +320,7 @@
 // runJob runs a job, logs its end and caches its outcome.
 func (b *Broker) runJob(ctx context.Context, inProgress *activeJob, q policy.Queue, j batch.Job, submittedAt, limit time.Time) {
 	defer inProgress.cancel()
-	w := &jobRun{broker: b, active: inProgress, queue: q, job: j, submittedAt: submittedAt, limit: limit}
+	w := &jobRun{broker: b, active: inProgress, queue: q, job: j, submittedAt: submittedAt, limit: limit, returnPhase: b.returnPhase()}
 	outcome := w.runGuarded(ctx)
 	took := b.opts.Clock.Since(submittedAt)
 	name, reason := outcomeName(outcome)
--- a/broker/warmup.go
+++ b/broker/warmup.go
@@ -42,6 +42,8 @@
 		case <-b.opts.Clock.After(left):
 		case <-ctx.Done():
 			return a
+		case <-b.shutdown.begun:
+			return a
 		}
 		now = b.opts.Clock.Now()
 		a = w.admitStep(tasks, w.slack(), w.maxStartDelay(now, w.criticalPath))
