sched: agents forecast what their running tasks will release

Entries expected a wait from the mean interval between completions, which knows neither how far the runs are nor which ends next. The agent's load now carries the share of its used capacity that will have been released in 25, 50, 100, 200 and 400 ms, from start times, estimates and progress, with the chance of each run by a log-logistic distribution: a run beyond its estimate is expected to last longer, not to end. An entry uses it for tasks due within 100 ms, and the later of the two estimates for others, which are overtaken by what arrives while they wait.

Without the field, or with one of another length, the wait is as before.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -26,6 +26,10 @@
 	// the same targets between two reports (TestManyEntriesSpreadLoad).
 	maxLoadCost   = 50 * time.Millisecond
 	maxSpreadCost = 30 * time.Millisecond
+	// overtakenSlack is the slack beyond which a task is probably overtaken by tasks that
+	// arrive while it waits. A forecast does not know these, so that it alone admits too
+	// much of the less urgent work in an overload (TestForecastUnderOverload).
+	overtakenSlack = 100 * time.Millisecond
 )
 
 // TargetView is the state of one target as seen by an entry: the last report of its
@@ -274,13 +278,27 @@
 }
 
 // expectedWait returns the expected wait of one more task: 0 when there is free
-// capacity, otherwise the time until the tasks that are queued before it have started.
+// capacity, otherwise the time until the tasks that are queued before it have started:
+// by the agent's forecast, and by the mean interval between completions beyond its last
+// horizon or when there is none. The age of the report is not subtracted: what has been
+// released since then has probably been taken by tasks that this entry does not know.
 func (v *TargetView) expectedWait(t Task) time.Duration {
 	need := v.Used.Plus(v.Backlog.DueBefore(t.Slack)).Minus(v.ReceiverUsed).Plus(v.assigned).Plus(t.Need)
 	if need.Fits(v.Capacity) {
 		return 0
 	}
-	return time.Duration(need.Minus(v.Capacity).Share(t.Need) * max(1, v.Slowdown) * float64(v.CompletionInterval))
+	missing := need.Minus(v.Capacity)
+	byInterval := missing.Share(t.Need) * max(1, v.Slowdown) * float64(v.CompletionInterval)
+	fraction := missing.Share(v.Used)
+	after, beyond, ok := v.Forecast.TimeUntil(fraction)
+	if !ok || fraction == 0 {
+		return time.Duration(byInterval)
+	}
+	wait := after + time.Duration(beyond/fraction*byInterval)
+	if t.Slack > overtakenSlack {
+		return max(wait, time.Duration(byInterval))
+	}
+	return wait
 }
 
 // expectedRun returns the expected run time of a task on the target: by the Slowdown
--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -49,6 +49,11 @@
 	neighbours      int           // entries that a full entry asks for targets
 	maxReturns      int           // how often a task is returned by full targets
 	until           time.Duration // time of the last arrivals, 0 for lastArrival
+	// noForecast leaves the forecast out of reports, noProgress the progress of runs out of
+	// the forecast.
+	noForecast, noProgress bool
+	longTails              bool    // three tasks in a hundred take seven times as long
+	estimateFactor         float64 // factor on all estimates, 0 for 1
 }
 
 // currentSize returns the size of the users' present deployments.
@@ -171,7 +176,8 @@
 	target int           // index in simulation.targets
 	need   batch.Resources
 	// returns counts how often a target has returned the task for lack of free capacity.
-	returns int
+	returns   int
+	startedAt time.Duration // start of the run, 0 before
 }
 
 type simJob struct {
@@ -337,10 +343,26 @@
 // loadOf returns the capacity use of a target as it is sent to an entry.
 func (w *simulation) loadOf(h *simTarget, entry int) wire.TargetLoad {
 	h.seq++
-	return wire.TargetLoad{
+	r := wire.TargetLoad{
 		Incarnation: 1, Seq: h.seq, Used: h.scheduler.Used(), ReceiverUsed: h.scheduler.OwnerUse(fmt.Sprint(entry)), CompletionInterval: h.scheduler.CompletionInterval(),
 		Backlog: h.scheduler.Backlog(w.time()),
 	}
+	if !w.noForecast {
+		w.updateProgress(h)
+		r.Forecast = h.scheduler.Forecast(w.time())
+	}
+	return r
+}
+
+// updateProgress tells the scheduler of a target the run times of those tasks that have run
+// long enough to show their progress.
+func (w *simulation) updateProgress(h *simTarget) {
+	const shown = 25 * time.Millisecond
+	for id, t := range h.tasks {
+		if t.startedAt > 0 && w.now-t.startedAt >= shown && !w.noProgress {
+			h.scheduler.SetRunTime(id, time.Duration(float64(t.work)*h.speed))
+		}
+	}
 }
 
 // lognormal draws from a log-normal distribution with the mean and sigma = spread.
@@ -354,6 +376,9 @@
 	base := lognormal(w.rng, float64(k.work), 0.4)
 	j := &simJob{kind: k, entry: e, submittedAt: w.now, remaining: n}
 	j.estimate = w.learners[e].Estimate(k.name, time.Duration(base*(0.6+0.8*w.rng.Float64())))
+	if w.estimateFactor > 0 {
+		j.estimate = time.Duration(float64(j.estimate) * w.estimateFactor)
+	}
 	need := batch.Resources{CPU: int64(w.cpu * (0.8 + 0.4*w.rng.Float64())), Memory: 64}
 	tasks := make([]assign.Task, n)
 	works := make([]time.Duration, n)
@@ -361,6 +386,9 @@
 	for i := range tasks {
 		tasks[i] = assign.Task{Pool: "p", Need: need, Estimate: j.estimate}
 		works[i] = time.Duration(base * (1 + 0.15*(2*w.rng.Float64()-1)))
+		if w.longTails && w.rng.Float64() < 0.03 {
+			works[i] *= 7
+		}
 		j.longestWork = max(j.longestWork, works[i])
 		work += float64(works[i])
 	}
@@ -479,11 +507,12 @@
 // startTasks starts the tasks of a target that can start, and schedules their ends.
 func (w *simulation) startTasks(h *simTarget) {
 	for {
-		x, ok := h.scheduler.Next()
+		x, ok := h.scheduler.Next(w.time())
 		if !ok {
 			return
 		}
 		t := h.tasks[x.ID]
+		t.startedAt = w.now
 		ran := time.Duration(float64(t.work) * h.speed)
 		w.schedule(ran, func() {
 			h.scheduler.Release(x.ID)
--- a/runner/loops.go
+++ b/runner/loops.go
@@ -209,6 +209,7 @@
 			own = append(own, r)
 			if total, ok := r.progress.TotalRunTime(); ok && r.request.Estimate > 0 {
 				ratios = append(ratios, float64(total)/float64(r.request.Estimate))
+				p.scheduler.SetRunTime(r.id, total)
 			}
 		}
 	}
--- a/runner/report.go
+++ b/runner/report.go
@@ -231,6 +231,7 @@
 		m.Used, m.ReceiverUsed, m.CompletionInterval = p.scheduler.Used(), p.scheduler.OwnerUse(entry), p.scheduler.CompletionInterval()
 		now := p.opts.Clock.Now()
 		m.Backlog, m.Slowdown = p.scheduler.Backlog(now), ts.slowness.Reported(now)
+		m.Forecast = p.scheduler.Forecast(now)
 	}
 	return m
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -275,7 +275,7 @@
 // holds mu.
 func (p *Runner) grantCapacity() {
 	for {
-		t, ok := p.scheduler.Next()
+		t, ok := p.scheduler.Next(p.opts.Clock.Now())
 		if !ok {
 			return
 		}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -33,12 +33,12 @@
 	capacity batch.Resources
 	closed   bool      // no waiting task may start
 	waiting  []Request // in the order of compareByDue
-	running  map[uint64]Request
+	running  map[uint64]runningTask
 	used     batch.Resources
 }
 
 // New returns a Scheduler without capacity.
-func New() *Scheduler { return &Scheduler{running: map[uint64]Request{}} }
+func New() *Scheduler { return &Scheduler{running: map[uint64]runningTask{}} }
 
 // Resize sets the capacity. Running tasks stay, even when they exceed it.
 func (s *Scheduler) Resize(c batch.Resources) { s.capacity = c }
@@ -75,7 +75,7 @@
 // or false when there is none. A request that is too large for the free capacity
 // blocks those behind it, so that large tasks do not starve, unless it exceeds the
 // whole capacity.
-func (s *Scheduler) Next() (Request, bool) {
+func (s *Scheduler) Next(now time.Time) (Request, bool) {
 	if s.closed {
 		return Request{}, false
 	}
@@ -83,7 +83,7 @@
 	for i, t := range s.waiting {
 		if t.Need.Fits(free) {
 			s.waiting = slices.Delete(s.waiting, i, i+1)
-			s.running[t.ID] = t
+			s.running[t.ID] = runningTask{Request: t, startedAt: now}
 			s.used = s.used.Plus(t.Need)
 			return t, true
 		}
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -21,7 +21,7 @@
 }
 
 func nextID(r *sched.Scheduler) uint64 {
-	t, ok := r.Next()
+	t, ok := r.Next(start)
 	if !ok {
 		return 0
 	}
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -35,6 +35,9 @@
 	// Slowdown is the ratio of actual to estimated run time at the target now, 0 while
 	// the target is not clearly slow.
 	Slowdown float64 `cbor:"14,keyasint,omitempty"`
+	// Forecast is the capacity that the running tasks will probably release, empty when
+	// nothing runs and from agents that do not forecast.
+	Forecast sched.Forecast `cbor:"15,keyasint,omitempty"`
 }
 
 // LoadReport reports the capacity and load of an agent's target to an entry. The
