agent, rules, relctl: evacuations on the native path, relctl evacuate, status, docs

Targets of an evacuated data centre count as drained; an agent returns the starts that wait for a slot, and checks the configuration's freshness and the evacuation again when a start gets its slot. relctl evacuate [--end] DATACENTRE; relctl status shows requester, address, time and version, which the operators' server fills in itself.

--- a/admin/check.go
+++ b/admin/check.go
@@ -93,6 +93,8 @@
 	overlay struct{ model.Overlay }
 	drain   struct{ model.Drain }
 	team    struct{ model.Team }
+	// The server fills in an evacuation itself.
+	evacuation struct{}
 )
 
 func newItemValue(s model.Section) (itemValue, error) {
@@ -105,8 +107,10 @@
 		return &drain{}, nil
 	case model.SectionTeam:
 		return &team{}, nil
+	case model.SectionEvacuation:
+		return &evacuation{}, nil
 	}
-	return nil, newFieldError("section", "must be rule, overlay, drain or team")
+	return nil, newFieldError("section", "must be rule, overlay, drain, evacuation or team")
 }
 
 func checkSelector(field, text string) error {
@@ -172,6 +176,8 @@
 	)
 }
 
+func (*evacuation) check() error { return nil }
+
 func (t *team) check() error {
 	return firstError(
 		checkField("value.quota", t.Quota >= 0 && t.Quota <= maxQuota, "0 to 10000000"),
--- a/admin/serve.go
+++ b/admin/serve.go
@@ -158,6 +158,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if ch.Key.Section == model.SectionEvacuation && ch.Value != nil {
+		if ch.Value, err = json.Marshal(model.Evacuation{Address: c.r.RemoteAddr, At: s.clock.Now().UTC()}); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
 	res, err := s.Change(c, ch)
 	return s.answerChange(c, ch.ID, ch.Key, res, err)
 }
--- a/admin/status.go
+++ b/admin/status.go
@@ -21,12 +21,25 @@
 	Agents  NodeCounts    `json:"agents"`
 	Targets TargetCounts  `json:"targets"`
 	Queue   QueueCounts   `json:"queue"`
+	// Evacuations are the evacuations in force, in the order of the data centres' names.
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
 	// CertificateEnds is when the entry's own certificate expires.
 	CertificateEnds time.Time `json:"certificateEnds"`
 	// Problems lists the severe problems first.
 	Problems []Problem `json:"problems"`
 }
 
+// Evacuation is an evacuated data centre.
+type Evacuation struct {
+	DataCentre string `json:"dataCentre"`
+	// Operator requested the evacuation from Address at Requested, and it has been in force
+	// since the configuration's version Version.
+	Operator  string    `json:"operator"`
+	Address   string    `json:"address,omitempty"`
+	Requested time.Time `json:"requested"`
+	Version   uint64    `json:"version"`
+}
+
 // NodeCounts counts the nodes of a role.
 type NodeCounts struct {
 	Known int `json:"known"`
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -48,6 +48,7 @@
 	announcements chan wire.Announce
 	listen        string
 	platform      fakePlatform
+	view          *watch.View
 	stop          context.CancelFunc
 	ended         chan error
 }
@@ -103,15 +104,17 @@
 }
 
 func (h *harness) agentKernel(id *keys.Identity, clock clockwork.Clock) *kernel.Kernel {
-	view := watch.NewView(clock, time.Hour)
-	view.Apply(wire.ConfigUpdate{}, clock.Now())
+	h.view = watch.NewView(clock, time.Hour)
+	h.view.Apply(wire.ConfigUpdate{}, clock.Now())
+	scheduler := share.DefaultSettings(0)
+	scheduler.Buffer = 16
 	node := link.New(link.Options{Address: "127.0.0.1:0", Keys: id, Log: zap.NewNop(), Clock: clock})
-	self := wire.Node{Name: "agent-1", Roles: []string{string(keys.Agent)}, Incarnation: incarnation}
+	self := wire.Node{Name: "agent-1", DataCentre: "dc", Roles: []string{string(keys.Agent)}, Incarnation: incarnation}
 	k := kernel.New(zap.NewNop())
 	k.Add(member.NewFinder(node, clock, zap.NewNop(), self, []string{h.entry.Address()}))
 	k.Add(agent.New(agent.Options{
-		Listen: h.listen, TargetLease: time.Minute, Clock: clock, Log: zap.NewNop(), View: view,
-		Platform: h.platform, Scheduler: share.DefaultSettings(0),
+		Listen: h.listen, TargetLease: time.Minute, Clock: clock, Log: zap.NewNop(), View: h.view,
+		Platform: h.platform, Scheduler: scheduler,
 	}))
 	k.Add(node)
 	return k
--- a/agent/run.go
+++ b/agent/run.go
@@ -64,6 +64,9 @@
 	}
 	t := m.Task
 	defer a.step(share.Finished{ID: t.ID})
+	if refusal = a.lateRefusal(l); refusal != nil {
+		return *refusal
+	}
 	ctx, cancel := context.WithTimeout(ctx, t.TimeLeft)
 	defer cancel()
 	ctx, span := spans.Start(ctx, "target", attribute.String("target", l.target.Name))
--- a/agent/slots.go
+++ b/agent/slots.go
@@ -111,6 +111,7 @@
 	changed := a.opts.View.Changed()
 	for ctx.Err() == nil {
 		a.updateSlots()
+		a.withdrawIfEvacuated()
 		select {
 		case <-ctx.Done():
 		case <-a.coreStepped:
--- a/opsvc/status.go
+++ b/opsvc/status.go
@@ -7,6 +7,7 @@
 
 	"cyclamenrelay.example/admin"
 	"cyclamenrelay.example/conf"
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/model"
@@ -84,6 +85,11 @@
 		Age:             conf.Duration(min(fresh.Age, s.opts.Clock.Since(s.started)).Round(time.Millisecond)),
 		CertificateEnds: s.opts.Identity.NotAfter(),
 	}
+	for _, o := range evac.FromConfig(s.opts.View.Config()).Orders() {
+		st.Evacuations = append(st.Evacuations, admin.Evacuation{
+			DataCentre: o.DataCentre, Operator: o.Operator, Address: o.Address, Requested: o.At, Version: o.Version,
+		})
+	}
 	st.Queue.Refused = int(s.recordSamples())
 	s.countNodes(ctx, &st)
 	for _, t := range s.Targets() {
--- a/relctl/change.go
+++ b/relctl/change.go
@@ -73,6 +73,9 @@
 	}
 	defer cancel()
 	answer, err := c.Change(ctx, r)
+	if s == model.SectionEvacuation && err == nil && !answer.Accepted && (len(answer.Item.Value) > 0) == (value != nil) {
+		return a.printUnchanged(answer.Item) // another operator was faster
+	}
 	return a.printChange(answer, r.Expected, err)
 }
 
--- a/relctl/relctl_test.go
+++ b/relctl/relctl_test.go
@@ -102,7 +102,10 @@
 }
 
 func (b *backend) Status(context.Context) admin.Status {
-	return admin.Status{Entry: "e1", Fresh: true, Keepers: admin.NodeCounts{Known: 3, Up: 1}, Targets: admin.TargetCounts{Up: 1}}
+	return admin.Status{
+		Entry: "e1", Fresh: true, Keepers: admin.NodeCounts{Known: 3, Up: 1}, Targets: admin.TargetCounts{Up: 1},
+		Evacuations: []admin.Evacuation{{DataCentre: "dc9", Operator: "ann", Version: 4}},
+	}
 }
 
 // testDeployment is a test deployment: its certificates, a backend, and servers for it.
@@ -181,6 +184,40 @@
 	assert.Equal(t, d.cfg.Version(), uint64(9))
 }
 
+// Guards against an evacuation that is started or ended twice, and against one that names
+// another requester than the server has seen.
+func TestEvacuate(t *testing.T) {
+	d := newDeployment(t, 1)
+	key := model.ItemKey{Section: model.SectionEvacuation, Name: "dc1"}
+	for i, x := range []struct {
+		line, output string
+		count        uint64
+		active       bool
+	}{
+		{"evacuate --end dc1", "not evacuated", 0, false},
+		{"evacuate dc1", "accepted", 1, true},
+		{"evacuate dc1", "already evacuated", 1, true},
+		{"evacuate --end dc1", "accepted", 2, false},
+		{"evacuate --end dc1", "not evacuated", 2, false},
+	} {
+		code, out := d.run(x.line)
+		assert.Assert(t, code == exitDone && strings.Contains(out, x.output), "%d: %d %s", i, code, out)
+		item := d.cfg.Item(key)
+		assert.Assert(t, item.Count == x.count && (item.Value != nil) == x.active, "%d: %+v", i, item)
+		if x.active {
+			var e model.Evacuation
+			assert.NilError(t, json.Unmarshal(item.Value, &e))
+			assert.Assert(t, strings.HasPrefix(e.Address, "127.0.0.1:") && !e.At.IsZero(), "%+v", e)
+		}
+	}
+	code, _ := d.run("evacuate dc1 --expect 0")
+	assert.Equal(t, code, exitConflict)
+	code, _ = d.run("evacuate")
+	assert.Equal(t, code, exitUsage)
+	code, out := d.run("status")
+	assert.Assert(t, code == exitDone && strings.Contains(out, "dc9 since version 4, requested by ann"), out)
+}
+
 func TestLostAnswerIsResentWithItsID(t *testing.T) {
 	d := newDeployment(t, 2)
 	d.answersToDrop.Store(1)
--- a/relctl/status.go
+++ b/relctl/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"cyclamenrelay.example/admin"
 )
@@ -40,6 +41,10 @@
 	row(w, "slots", fmt.Sprintf("%d, %d free", t.Slots, t.Free))
 	row(w, "queue here", fmt.Sprintf("%d tasks, the oldest for %v; %d refused in the last minute", q.Tasks, q.Oldest, q.Refused))
 	row(w, "jobs here", q.Jobs)
+	for _, e := range s.Evacuations {
+		row(w, "evacuated", fmt.Sprintf("%s since version %d, requested by %s from %s at %s",
+			e.DataCentre, e.Version, e.Operator, e.Address, e.Requested.Format(time.RFC3339)))
+	}
 	row(w)
 	if len(s.Problems) == 0 {
 		row(w, "No problems.")
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/label"
 	"cyclamenrelay.example/model"
 
@@ -64,13 +65,14 @@
 	teams       map[string]model.Team
 	overlays    []overlay
 	drains      []label.Selector
+	evacuations evac.Set
 	defaultRule *Rule
 }
 
 // Compile compiles c. Invalid items are left out and reported as errors
 // (trace.BadParameter), so that one invalid item does not disable the others.
 func Compile(c model.Config) (*Set, []error) {
-	s := &Set{version: c.Version(), teams: map[string]model.Team{}, defaultRule: withDefaults(&Rule{Name: Default})}
+	s := &Set{version: c.Version(), teams: map[string]model.Team{}, evacuations: evac.FromConfig(c), defaultRule: withDefaults(&Rule{Name: Default})}
 	var errs []error
 	eachItem(c, model.SectionRule, &errs, func(name string, v model.Rule) error {
 		r := withDefaults(&Rule{Rule: v, Name: name})
@@ -172,7 +174,11 @@
 	return t
 }
 
-// ApplyOverlays returns t with the overlays applied, and whether it is drained.
+// IsEvacuated reports whether the data centre is evacuated.
+func (s *Set) IsEvacuated(dataCentre string) bool { return s.evacuations.Has(dataCentre) }
+
+// ApplyOverlays returns t with the overlays applied, and whether it is drained, by itself
+// or with its data centre.
 func (s *Set) ApplyOverlays(t model.Target) (model.Target, bool) {
 	l := maps.Clone(t.Labels)
 	if l == nil {
@@ -188,5 +194,5 @@
 		}
 	}
 	drained := slices.ContainsFunc(s.drains, func(d label.Selector) bool { return d.Matches(l) })
-	return t.WithLabels(l), drained
+	return t.WithLabels(l), drained || s.IsEvacuated(t.DataCentre)
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -50,3 +50,15 @@
 	}
 	assert.Equal(t, len(names), 1024)
 }
+
+// Guards against targets of an evacuated data centre that take new work.
+func TestEvacuationDrainsTargets(t *testing.T) {
+	i := model.Item{Key: model.ItemKey{Section: model.SectionEvacuation, Name: "dc1"}, Version: 1, Value: []byte("{}")}
+	cfg, _ := model.Config{}.Apply(model.Delta{To: 1, Items: []model.Item{i}})
+	s, errs := rules.Compile(cfg)
+	assert.Equal(t, len(errs), 0)
+	for dataCentre, want := range map[string]bool{"dc1": true, "dc2": false, "": false} {
+		_, drained := s.ApplyOverlays(model.Target{DataCentre: dataCentre})
+		assert.Equal(t, drained, want, dataCentre)
+	}
+}
--- a/share/core.go
+++ b/share/core.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/queue"
 	"cyclamenrelay.example/rules"
@@ -128,6 +129,8 @@
 		c.settings.Slots = in.Slots
 	case Drain:
 		c.onLeave()
+	case Withdraw:
+		c.onWithdraw()
 	case Tick:
 	default:
 		panic(fmt.Sprintf("share: unknown input %T", in))
@@ -293,6 +296,15 @@
 	}
 }
 
+func (c *Core) onWithdraw() {
+	for _, w := range c.buffer {
+		c.emit(Refuse{Entry: w.start.Entry, ID: w.start.Start.Task.ID, NotRun: model.NotRun{
+			Reason: evac.Evacuated.String(), Code: model.CodeLeaving,
+		}})
+	}
+	c.buffer = nil
+}
+
 // onConfigured applies the weights of a newer configuration, and removes the shares
 // that have neither demand nor a start time ahead of the virtual time.
 func (c *Core) onConfigured(r *rules.Set) {
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -182,3 +182,25 @@
 	out := c.Step(now, share.Start{Entry: "x", Start: wire.Start{Task: task("1", "a")}})
 	assert.Equal(t, out[0].(share.Refuse).NotRun.Code, model.CodeLeaving)
 }
+
+// Guards against starts that wait at an agent whose data centre is evacuated, and against the
+// loss of a running task's slot.
+func TestWithdrawReturnsWaitingStarts(t *testing.T) {
+	settings := share.DefaultSettings(1)
+	settings.Buffer = 2
+	c := share.New(settings, compile(t, 1, nil))
+	now := time.Unix(1000, 0)
+	for _, id := range []string{"1", "2", "3"} {
+		c.Step(now, share.Start{Entry: "x", Start: wire.Start{Task: task(id, "a")}})
+	}
+	out := c.Step(now, share.Withdraw{})
+	assert.Equal(t, len(out), 2)
+	for i, id := range []string{"2", "3"} {
+		r := out[i].(share.Refuse)
+		assert.Assert(t, r.ID == id && r.NotRun.Code == model.CodeLeaving, "%+v", r)
+	}
+	assert.Equal(t, len(c.Step(now, share.Withdraw{})), 0)
+	assert.Equal(t, c.Running(), 1)
+	assert.Equal(t, len(c.Step(now, share.Finished{ID: "1"})), 0)
+	assert.Equal(t, c.Free(), 1)
+}
--- a/share/types.go
+++ b/share/types.go
@@ -74,6 +74,10 @@
 // Drain makes the agent refuse new work.
 type Drain struct{}
 
+// Withdraw refuses the starts that wait for a slot, because the target's data centre is
+// evacuated. Running tasks keep their slots.
+type Withdraw struct{}
+
 // Tick reports that the time of Core.NextTick has been reached.
 type Tick struct{}
 
@@ -86,6 +90,7 @@
 func (Configured) input() {}
 func (Resized) input()    {}
 func (Drain) input()      {}
+func (Withdraw) input()   {}
 func (Tick) input()       {}
 
 // Effect is an action that Core.Step asks its caller to carry out.
