assign, broker, conf: expected run time away from the rack of the data

Half an estimate was added to the cost of a target away from the data, and the plain run time was expected there, so that admission took jobs that would end late. With platform.farFactor, the estimate is multiplied by it there, and run times are divided by it before they are learned.

Numbers of settings that a platform may not have are strings, which may be empty.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -48,8 +48,12 @@
 type Fleet struct {
 	// Name is the entry's name, DataCentre its data centre.
 	Name, DataCentre string
-	timing           peers.Timing
-	targets          map[string]*TargetView // by agent name
+	// FarFactor is the run time of a task away from the rack of its data, as a multiple of the
+	// one at that rack. 0 stands for unset: half an estimate is added to the cost then, and the
+	// expected run time is the same everywhere.
+	FarFactor float64
+	timing    peers.Timing
+	targets   map[string]*TargetView // by agent name
 	// sortedTargets holds the targets in the order of their agents' names, so that
 	// placement is deterministic.
 	sortedTargets []*TargetView
@@ -139,6 +143,9 @@
 	// Relative is the usual run time on the target as a multiple of that on other targets of
 	// the pool, 0 when it is not known or is about the same.
 	Relative float64
+	// Far is by how many times the task takes longer as the target is away from the rack of
+	// its data, 1 where it is not.
+	Far float64
 }
 
 // Place chooses the agent with the lowest cost for a task, which is about the time at
@@ -153,16 +160,14 @@
 			continue
 		}
 		wait := v.expectedWait(t)
-		run := v.expectedRun(t.Estimate)
-		cost := wait + run + f.distanceCost(v) + v.spreadCost + v.loadCost(t.Need) + v.healthCost(now, t.Estimate)
-		if t.Rack != "" && !slices.Contains(v.Labels, t.Rack) {
-			cost += t.Estimate / 2
-		}
+		far, farCost := f.distanceToData(v, t)
+		run := v.expectedRun(time.Duration(far * float64(t.Estimate)))
+		cost := wait + run + f.distanceCost(v) + v.spreadCost + v.loadCost(t.Need) + v.healthCost(now, t.Estimate) + farCost
 		if slices.Contains(t.Avoid, v.Agent) {
 			cost += time.Hour
 		}
 		if best == "" || cost < lowest {
-			best, lowest, choice = v.Agent, cost, Placement{Agent: v.Agent, Wait: wait, Run: run, Relative: v.speed.toMedian}
+			best, lowest, choice = v.Agent, cost, Placement{Agent: v.Agent, Wait: wait, Run: run, Relative: v.speed.toMedian, Far: far}
 		}
 	}
 	if best == "" {
@@ -266,6 +271,18 @@
 	return remoteCost
 }
 
+// distanceToData returns the factor on the task's run time at the target for the distance to
+// its data, and the placement cost of that distance beside the run time.
+func (f *Fleet) distanceToData(v *TargetView, t Task) (factor float64, cost time.Duration) {
+	switch {
+	case t.Rack == "" || slices.Contains(v.Labels, t.Rack):
+		return 1, 0
+	case f.FarFactor == 0:
+		return 1, t.Estimate / 2
+	}
+	return f.FarFactor, 0
+}
+
 // canTake reports whether the target can get the task: it accepts work, has a recent
 // report, and satisfies the task's requirements.
 func (f *Fleet) canTake(v *TargetView, t Task, now time.Time) bool {
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -51,6 +51,8 @@
 	// Timing is the timing of reports that the agents use too.
 	Timing    peers.Timing
 	Admission assign.Settings
+	// FarFactor is assign.Fleet.FarFactor.
+	FarFactor float64
 	// Entries returns the known entries; nil for an entry that asks no others for targets.
 	Entries func() []wire.Node
 	// MaxOrphanRunTime bounds how long runs may continue after their entry has given them up,
@@ -121,8 +123,10 @@
 
 // New returns a broker that knows no agents.
 func New(opts Options) *Broker {
+	fleet := assign.New(opts.Name, opts.DataCentre, opts.Timing)
+	fleet.FarFactor = opts.FarFactor
 	return &Broker{
-		opts: opts, fleet: assign.New(opts.Name, opts.DataCentre, opts.Timing), learner: assign.NewLearner(),
+		opts: opts, fleet: fleet, learner: assign.NewLearner(),
 		activeJobs: map[string]*activeJob{}, answers: map[string]cachedAnswer{}, mayRunUntil: map[string]time.Time{}, calls: map[uint64]call{},
 		searches: map[string]*search{},
 	}
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -73,7 +73,7 @@
 	// expectedWait and expectedRun are the expected waiting time and run time on the
 	// chosen target.
 	expectedWait, expectedRun time.Duration
-	relative                  float64  // assign.Placement.Relative of the chosen target
+	relative, far             float64  // assign.Placement.Relative and Far of the chosen target
 	avoid                     []string // agents to avoid if there are others
 	excluded                  []string // agents that did not start the task
 }
@@ -252,7 +252,7 @@
 	t.run++
 	w.runs++
 	w.openRuns++
-	est := w.estimate(s)
+	est := time.Duration(t.far * float64(w.estimate(s)))
 	m := wire.StartRun{
 		Job: w.job.ID, Task: t.name, Run: t.run, Spec: w.job.Spec, Need: s.Need, Estimate: est, Priority: w.queue.Priority,
 		Slack: w.slack(), MaxStartDelay: w.maxStartDelay(w.broker.opts.Clock.Now(), est),
@@ -326,8 +326,9 @@
 	w.broker.mu.Lock()
 	w.broker.fleet.RecordEnd(agent, e.End, now)
 	if e.End == batch.Done {
-		w.broker.fleet.RecordRunTime(agent, e.Ran, w.broker.learner.Estimate(w.queue.Name, w.job.Steps[t.step].Estimate))
-		w.broker.learner.RecordRunTime(w.queue.Name, e.Ran)
+		ran := time.Duration(float64(e.Ran) / t.far) // as it would have been at the rack of the data
+		w.broker.fleet.RecordRunTime(agent, ran, w.broker.learner.Estimate(w.queue.Name, w.job.Steps[t.step].Estimate))
+		w.broker.learner.RecordRunTime(w.queue.Name, ran)
 	}
 	w.broker.mu.Unlock()
 	if e.End != batch.Done {
--- a/broker/placing.go
+++ b/broker/placing.go
@@ -20,7 +20,7 @@
 
 // recordPlacement records where the task was placed.
 func (t *task) recordPlacement(c assign.Placement) {
-	t.agent, t.expectedWait, t.expectedRun, t.relative = c.Agent, c.Wait, c.Run, c.Relative
+	t.agent, t.expectedWait, t.expectedRun, t.relative, t.far = c.Agent, c.Wait, c.Run, c.Relative, c.Far
 	t.placements++
 }
 
--- a/conf/check.go
+++ b/conf/check.go
@@ -158,6 +158,13 @@
 	}
 }
 
+// optional checks a number that may be unset.
+func (c *checker) optional(path string, v Number, low, high float64) {
+	if v != 0 && (float64(v) < low || float64(v) > high) {
+		c.add(path, v, fmt.Sprintf("%g to %g, or empty", low, high))
+	}
+}
+
 func (c *checker) oneOf(path, v string, allowed ...string) {
 	if !slices.Contains(allowed, v) {
 		c.add(path, v, "one of "+strings.Join(allowed, ", "))
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -60,7 +60,7 @@
 		"agent": {"targets": "127.0.0.1:7401", "platform": "ftp://x", "refuseAfter": "1h"},
 		"freshness": {"lease": "1s", "heartbeat": "500ms", "serveStale": "no"},
 		"log": {"level": "loud"}, "spans": {"share": 2}, "metrics": [],
-		"extra": {}
+		"platform": {"farFactor": "NaN"}, "extra": {}
 	}`)
 	assert.DeepEqual(t, got, map[string]string{
 		"node.name": `"a/1"`, "node.dataCentre": "", "node.roles[2]": `"king"`, "node.roles[3]": `"agent"`,
@@ -72,7 +72,7 @@
 		"entry.operators": `"127.0.0.1:8080"`, "entry.maxBody": "1.5", "entry.policy": `"best"`,
 		"agent.platform": `"ftp://x"`, "agent.refuseAfter": `"1h0m0s"`,
 		"freshness.heartbeat": `"500ms"`, "freshness.serveStale": `"no"`,
-		"log.level": `"loud"`, "spans.share": "2", "metrics": "[]", "extra": "",
+		"log.level": `"loud"`, "spans.share": "2", "metrics": "[]", "platform.farFactor": `"NaN"`, "extra": "",
 	})
 }
 
@@ -161,6 +161,20 @@
 	}
 }
 
+// A template renders a field that the platform does not have as an empty string, which must
+// not keep the process from starting.
+func TestNumbersMayBeEmpty(t *testing.T) {
+	for text, want := range map[string]conf.Number{`""`: 0, `"1.5"`: 1.5, `"3"`: 3} {
+		s, err := conf.Parse([]byte(strings.Replace(minimalSettings, `"agent":`, `"platform": {"farFactor": `+text+`}, "agent":`, 1)))
+		assert.NilError(t, err)
+		assert.Equal(t, s.Platform.FarFactor, want)
+	}
+	for _, text := range []string{`"0.5"`, `"11"`, `"x"`, "1.5", "null", `"-1"`} {
+		_, err := conf.Parse([]byte(strings.Replace(minimalSettings, `"agent":`, `"platform": {"farFactor": `+text+`}, "agent":`, 1)))
+		assert.ErrorContains(t, err, "platform.farFactor")
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	page, err := os.ReadFile("../docs/SETTINGS.md")
 	assert.NilError(f, err)
--- a/conf/decode.go
+++ b/conf/decode.go
@@ -39,7 +39,7 @@
 	if t, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
 		s, isString := value.(string)
 		if !isString || t.UnmarshalText([]byte(s)) != nil {
-			c.add(path, value, `a duration with units in a string, such as "500ms" or "4s"`)
+			c.add(path, value, textForm(t))
 		}
 		return
 	}
@@ -75,6 +75,14 @@
 	}
 }
 
+// textForm describes the valid values of a type that is decoded from a string.
+func textForm(t encoding.TextUnmarshaler) string {
+	if _, ok := t.(*Number); ok {
+		return `a number in a string, such as "1.5"`
+	}
+	return `a duration with units in a string, such as "500ms" or "4s"`
+}
+
 func (c *checker) assignInt(path string, v reflect.Value, value any) {
 	n, ok := value.(json.Number)
 	i, err := n.Int64()
--- a/conf/platform.go
+++ b/conf/platform.go
@@ -23,6 +23,10 @@
 	// GracePeriod is the time from the platform's request to stop until it kills the
 	// process.
 	GracePeriod Duration `json:"gracePeriod"`
+	// FarFactor is the run time of a task away from the rack of its data, as a multiple of the
+	// one at that rack. Unset, half an estimate is added to the cost of a placement there, and
+	// the expected run time is the same everywhere.
+	FarFactor Number `json:"farFactor"`
 }
 
 func defaultPlatform() Platform {
@@ -30,6 +34,7 @@
 }
 
 func (p Platform) check(c *checker, n Node) {
+	c.optional("platform.farFactor", p.FarFactor, 1, 10)
 	if !p.Enabled {
 		return
 	}
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -86,6 +86,7 @@
 	br := broker.New(broker.Options{
 		Name: b.settings.Node.Name, DataCentre: b.settings.Node.DataCentre, Admission: assign.DefaultSettings(), Clock: b.clock, Log: b.log,
 		Timing: peers.NewTiming(entryLease(p)), Entries: func() []wire.Node { return b.finder.Nodes(keys.Entry) },
+		FarFactor:        float64(p.FarFactor),
 		MaxOrphanRunTime: time.Duration(runsEndFraction * float64(p.ResendAfter)),
 	})
 	b.services.Add(br)
