--- a/meter/meter.go
+++ b/meter/meter.go
@@ -67,6 +67,11 @@
 	return metrics.GetOrCreateFloatCounter("relay_discarded_core_seconds_total")
 }
 
+// TargetConnections counts the connections that an agent has opened to its target.
+func TargetConnections() *metrics.Counter {
+	return metrics.GetOrCreateCounter("relay_target_connections_total")
+}
+
 // Gauge registers f as the value of the gauge with the name, unless the process has
 // registered the name before.
 func Gauge(name string, f func() float64) { metrics.GetOrCreateGauge(name, f) }
