--- a/conf/platform.go
+++ b/conf/platform.go
@@ -30,6 +30,10 @@
 	// DataCentres are the names of all data centres. An evacuation of another one is
 	// refused as unknown; with an empty list, any name is taken.
 	DataCentres []string `json:"dataCentres,omitempty"`
+	// FarFactor is the run time of a task away from the rack of its data, as a multiple of the
+	// one at that rack. Unset, half an estimate is added to the cost of a placement there, and
+	// the expected run time is the same everywhere.
+	FarFactor Number `json:"farFactor"`
 }
 
 func defaultPlatform() Platform {
@@ -37,6 +41,7 @@
 }
 
 func (p Platform) check(c *checker, n Node) {
+	c.optional("platform.farFactor", p.FarFactor, 1, 10)
 	if !p.Enabled {
 		return
 	}
