evac: an unconfirmed configuration tells a restarted agent whether tasks may start

TestStartingAgentWaitsForABound asserts the new rule: an empty or an old notice still permits nothing.

--- a/evac/knowledge.go
+++ b/evac/knowledge.go
@@ -42,7 +42,8 @@
 	startedAt time.Time
 	version   uint64
 	evacuated bool
-	// told is set once a notice was recent enough to start tasks by it.
+	// told is set once a notice was recent enough to start tasks by it, or came from a
+	// configuration that no quorum has confirmed since its sender started.
 	told bool
 	// confirmedAt is the last time at which no quorum knew a newer version, the zero time
 	// when unknown.
@@ -63,6 +64,9 @@
 		k.version, k.evacuated = n.Version, n.Evacuated
 	}
 	if n.Age < 0 {
+		// Entries too act by a configuration from a keeper's disk until a quorum has confirmed
+		// one. Waiting for a quorum would add a second to the outage after each power loss.
+		k.told = k.told || n.Version > 0
 		return k
 	}
 	if at := sent.Add(-n.Age); at.After(k.confirmedAt) {
