crowd: tests of uncontrolled clients, with the bounds

Each test runs a crowd of up to 712 connections at the ports for callers, readiness, operators, announcements and metrics, one after the other, against a new process each, and two more at the QUIC links. It checks that the process lives, that its peak of resident memory stays under half of the machine in the settings (144 MB, the smallest entries of docs/design/PLAN.md), that its descriptors stay under those of the settings (512), and that an ordinary request afterwards is answered as in calm, while the crowd's connections are still open. The settings limits.memory and limits.descriptors are read and checked, and have no effect yet.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -30,6 +30,7 @@
 	Spans     Spans     `json:"spans"`
 	Metrics   Metrics   `json:"metrics"`
 	Platform  Platform  `json:"platform"`
+	Limits    Limits    `json:"limits"`
 }
 
 // Default returns the settings that apply where a settings file has no field.
@@ -42,6 +43,7 @@
 		Log:       defaultLog(),
 		Spans:     defaultSpans(),
 		Platform:  defaultPlatform(),
+		Limits:    defaultLimits(),
 	}
 }
 
@@ -98,6 +100,7 @@
 	s.Spans.check(c)
 	s.Metrics.check(c)
 	s.Platform.check(c, s.Node)
+	s.Limits.check(c)
 	s.checkListeners(c)
 }
 
--- a/conf/decode.go
+++ b/conf/decode.go
@@ -43,6 +43,10 @@
 		}
 		return
 	}
+	if _, ok := v.Interface().(Amount); ok {
+		c.assignAmount(path, v, value)
+		return
+	}
 	switch v.Kind() {
 	case reflect.Struct:
 		c.assignStruct(path, v, value)
