guard: limits on connections, heads, bodies, decoded forms and unread answers

Cause: nothing bounded connections, the bytes of a head below net/http's default of 1 MB, the sum of bodies in progress, or what they decode to (a document of 900 KiB decoded to about 130 MB). Change: each port gets a share of the machine's memory and descriptors. Heads are counted line by line before net/http gets them, as a header map costs hundreds of bytes for a line of four. Bodies, their decoded forms and answers of keepers reserve memory before it is used. When memory or places are exhausted, the slowest clients lose theirs. Pipelined requests and chunked bodies end their connection with the answer, so that no head is read uncounted.

Ruled out: a budget for all heads at their largest size (20 KB of short lines take 1.3 MB), and a deadline for bodies, which legal slow callers would pass.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -43,7 +43,6 @@
 		Log:       defaultLog(),
 		Spans:     defaultSpans(),
 		Platform:  defaultPlatform(),
-		Limits:    defaultLimits(),
 	}
 }
 
--- a/conf/limits.go
+++ b/conf/limits.go
@@ -14,30 +14,27 @@
 // Limits holds the size of the machine that the process may use. Package guard derives
 // from it how much clients may occupy.
 type Limits struct {
-	// Memory is the machine's memory in MB (2^20 bytes).
+	// Memory is the machine's memory in MB (2^20 bytes), 0 if it is unknown.
 	Memory Amount `json:"memory"`
-	// Descriptors is the number of files and connections that the process may have open.
+	// Descriptors is the number of files and connections that the process may have open, 0
+	// if it is unknown.
 	Descriptors Amount `json:"descriptors"`
 }
 
 const (
-	// The defaults are those of a machine set aside for the process. The native path
-	// bounds its bodies by entry.maxBytes beside them.
-	defaultMemory      = 1024
-	defaultDescriptors = 16_384
-	minMemory          = 64
-	minDescriptors     = 256
-	maxMemory          = 1 << 20
-	maxDescriptors     = 1 << 24
+	minMemory      = 64
+	minDescriptors = 256
+	maxMemory      = 1 << 20
+	maxDescriptors = 1 << 24
 )
 
-func defaultLimits() Limits {
-	return Limits{Memory: defaultMemory, Descriptors: defaultDescriptors}
-}
-
 func (l Limits) check(c *checker) {
-	c.number("limits.memory", int(l.Memory), minMemory, maxMemory)
-	c.number("limits.descriptors", int(l.Descriptors), minDescriptors, maxDescriptors)
+	if l.Memory != 0 {
+		c.number("limits.memory", int(l.Memory), minMemory, maxMemory)
+	}
+	if l.Descriptors != 0 {
+		c.number("limits.descriptors", int(l.Descriptors), minDescriptors, maxDescriptors)
+	}
 }
 
 // assignAmount sets v, an Amount, to the decoded JSON value, or adds a problem at the path.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -10,6 +10,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"cyclamenrelay.example/guard"
 )
 
 // ServiceName is the service name of the server.
@@ -17,6 +20,8 @@
 
 const (
 	headerTimeout = 5 * time.Second
+	// metricsBytes is the memory for the text of the metrics, about twice its size.
+	metricsBytes = 64 << 10
 	// shutdownTimeout bounds how long Serve waits for responses in progress.
 	shutdownTimeout = 2 * time.Second
 )
@@ -78,6 +83,9 @@
 	Profiles bool
 	// Ready reports whether the process accepts new work.
 	Ready func() bool
+	// Plan is the memory plan of the process.
+	Plan guard.Plan
+	Log  *zap.Logger
 }
 
 // Name implements kernel.Service.
@@ -90,7 +98,15 @@
 		return nil
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	port := s.Plan.Port("metrics", guard.Side, s.Log)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		if !port.Reserve(r, metricsBytes) {
+			guard.Busy(w)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		metrics.WritePrometheus(w, true)
+	})
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !s.Ready() {
@@ -101,12 +117,20 @@
 		mux.HandleFunc("/debug/pprof/", pprof.Index)
 		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	}
-	return Serve(ctx, &http.Server{Addr: s.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout})
+	return ServeGuarded(ctx, port, &http.Server{Addr: s.Listen, Handler: mux, ReadHeaderTimeout: headerTimeout})
+}
+
+// ServeGuarded is Serve with the limits of a port.
+func ServeGuarded(ctx context.Context, port *guard.Port, srv *http.Server) error {
+	port.Configure(srv)
+	return serve(ctx, srv, func() error { return port.Serve(srv) })
 }
 
 // Serve runs an HTTP server until ctx ends, and then returns nil. Before it returns,
 // responses in progress are completed, for at most shutdownTimeout.
-func Serve(ctx context.Context, srv *http.Server) error {
+func Serve(ctx context.Context, srv *http.Server) error { return serve(ctx, srv, srv.ListenAndServe) }
+
+func serve(ctx context.Context, srv *http.Server, run func() error) error {
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
@@ -116,7 +140,7 @@
 			_ = srv.Close()
 		}
 	})
-	err := srv.ListenAndServe()
+	err := run()
 	if !stop() {
 		<-ended
 		return nil
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -11,6 +11,7 @@
 	"cyclamenrelay.example/claims"
 	"cyclamenrelay.example/conf"
 	"cyclamenrelay.example/entry"
+	"cyclamenrelay.example/guard"
 	"cyclamenrelay.example/jobs"
 	"cyclamenrelay.example/keeper"
 	"cyclamenrelay.example/kernel"
@@ -33,6 +34,7 @@
 type builder struct {
 	settings conf.Settings
 	id       *keys.Identity
+	plan     guard.Plan
 	clock    clockwork.Clock
 	log      *zap.Logger
 	services *kernel.Kernel
@@ -61,9 +63,9 @@
 }
 
 // build returns a builder whose kernel holds all services that the settings enable.
-func build(s conf.Settings, id *keys.Identity, log *zap.Logger) *builder {
+func build(s conf.Settings, id *keys.Identity, plan guard.Plan, log *zap.Logger) *builder {
 	clock := clockwork.NewRealClock()
-	b := &builder{settings: s, id: id, clock: clock, log: log, services: kernel.New(log)}
+	b := &builder{settings: s, id: id, plan: plan, clock: clock, log: log, services: kernel.New(log)}
 	b.node = link.New(link.Options{Address: s.Node.Listen, Keys: id, CloseWait: closeWait(s), Log: log, Clock: clock})
 	self := wire.Node{
 		Name: s.Node.Name, Address: s.Node.Advertise, DataCentre: s.Node.DataCentre, Roles: s.Node.Roles,
@@ -83,7 +85,7 @@
 	} else {
 		b.nativeServices()
 	}
-	b.services.Add(&meter.Server{Listen: s.Metrics.Listen, Profiles: s.Metrics.Profiles, Ready: b.isReady})
+	b.services.Add(&meter.Server{Listen: s.Metrics.Listen, Profiles: s.Metrics.Profiles, Ready: b.isReady, Plan: plan, Log: log})
 	// The link starts last, when all handlers are registered.
 	b.services.Add(b.node)
 	return b
--- a/relayd/main.go
+++ b/relayd/main.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/conf"
+	"cyclamenrelay.example/guard"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/logs"
 	"cyclamenrelay.example/platform"
@@ -96,7 +97,11 @@
 	if id.Self().Name != s.Node.Name {
 		return trace.BadParameter("node.name %q is not the certificate's name %q", s.Node.Name, id.Self().Name)
 	}
-	b := build(s, id, log)
+	plan, err := memoryPlan(s, log)
+	if err != nil {
+		return err
+	}
+	b := build(s, id, plan, log)
 	go reload(ctx, hangups, path, b)
 	log.Info("starting", zap.Strings("roles", s.Node.Roles), zap.String("dataCentre", s.Node.DataCentre))
 	err = b.services.Run(ctx, time.Duration(s.Entry.DrainTimeout))
@@ -108,6 +113,12 @@
 	return nil
 }
 
+// memoryPlan returns the plan of what the clients of the process may occupy.
+func memoryPlan(s conf.Settings, log *zap.Logger) (guard.Plan, error) {
+	p := guard.Plan{Memory: int64(s.Limits.Memory) << 20, Descriptors: int(s.Limits.Descriptors), Clock: clockwork.NewRealClock()}
+	return p.Apply(log)
+}
+
 // identity loads the node's certificate, or makes a self-signed one if the
 // settings ask for that.
 func identity(s conf.Settings) (*keys.Identity, error) {
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -61,11 +61,11 @@
 			DrainTimeout: time.Duration(p.GracePeriod) / 2, Clock: b.clock, Log: b.log,
 		})
 		b.services.Add(po)
-		b.services.Add(&platform.ControlServer{Listen: p.Control, Log: b.log})
+		b.services.Add(&platform.ControlServer{Listen: p.Control, Log: b.log, Plan: b.plan})
 	}
 	if b.settings.Node.Has(keys.Keeper) {
 		b.services.Add(&platform.ControlServer{
-			Listen: p.Control, Log: b.log,
+			Listen: p.Control, Log: b.log, Plan: b.plan,
 			Keepers: &leader.Client{
 				Node: b.node, Finder: b.finder, Clock: b.clock, Log: b.log, Groups: b.settings.Keeper.Groups,
 				LocalKeeper: b.settings.Node.Advertise, TryTimeout: operatorCallTimeout,
@@ -91,6 +91,7 @@
 	meter.Gauge("relay_jobs_in_progress", func() float64 { return float64(br.InProgress()) })
 	b.services.Add(&platform.CallerServer{
 		Callers: p.Callers, Ready: p.Ready, GracePeriod: time.Duration(p.GracePeriod), View: b.view, Clock: b.clock, Log: b.log,
+		Plan: b.plan,
 	})
 }
 
