guard, link: a bound on messages that are being received

Cause: a link read each message into a growing buffer of up to 20 MiB, for up to 16,384 streams of a connection, and between self-signed nodes any peer's. Change: where limits.memory is set, the messages of all links together get a thirty-second of it; the slowest loses its memory first, a refused one is answered as refused, so not handled. A message that is alone may be larger. A connection's window is at most half of that bound.

--- a/guard/plan.go
+++ b/guard/plan.go
@@ -123,8 +123,7 @@
 // is known and the environment does not say otherwise (GOMEMLIMIT). It returns the plan with
 // the descriptors that the operating system grants, if they are fewer.
 func (p Plan) Apply(log *zap.Logger) (Plan, error) {
-	known := p.Memory > 0
-	p = p.withDefaults()
+	p.Descriptors = p.withDefaults().Descriptors
 	var lim syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err == nil && lim.Cur < uint64(p.Descriptors) {
 		log.Warn("the operating system grants fewer descriptors than the settings", zap.Uint64("granted", lim.Cur), zap.Int("settings", p.Descriptors))
@@ -133,7 +132,7 @@
 	if err := p.Check(); err != nil {
 		return p, err
 	}
-	if known && os.Getenv("GOMEMLIMIT") == "" {
+	if p.Memory > 0 && os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(p.Memory / 100 * memoryLimitPercent)
 	}
 	return p, nil
--- a/link/call.go
+++ b/link/call.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 	"github.com/quic-go/quic-go"
 
+	"cyclamenrelay.example/guard"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/wire"
 )
@@ -42,7 +43,7 @@
 		return nil, notSentError{err}
 	}
 	defer n.countCall(c)()
-	return call(ctx, c, m)
+	return n.call(ctx, c, m)
 }
 
 // CallPeer is Call over the connection that the named peer has opened to this node.
@@ -54,7 +55,7 @@
 		return nil, notSentError{trace.NotFound("peer %s is not connected", name)}
 	}
 	defer n.countCall(c)()
-	return call(ctx, c, m)
+	return n.call(ctx, c, m)
 }
 
 // CallNode is CallPeer when the named peer has a connection open to this node, and Call
@@ -103,7 +104,7 @@
 }
 
 // call sends m on a new stream of the connection and reads the answer from it.
-func call(ctx context.Context, c *quic.Conn, m wire.Message) (wire.Message, error) {
+func (n *Node) call(ctx context.Context, c *quic.Conn, m wire.Message) (wire.Message, error) {
 	b, err := encode(m)
 	if err != nil {
 		return nil, notSentError{err}
@@ -121,7 +122,7 @@
 		s.CancelRead(0)
 		return nil, trace.Wrap(err)
 	}
-	a, err := readMessage(s)
+	a, err := readMessage(s, n.opts.Messages, func() { s.CancelRead(0) })
 	if err != nil {
 		s.CancelRead(0)
 		return nil, trace.Wrap(err)
@@ -150,12 +151,13 @@
 	return trace.Wrap(s.Close())
 }
 
-func readMessage(r io.Reader) (wire.Message, error) {
-	b, err := io.ReadAll(io.LimitReader(r, wire.MaxMessage+1))
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return wire.Decode(b)
+// readMessage reads the only message of a stream. cancel makes a read in progress fail.
+func readMessage(r io.Reader, bound *guard.Messages, cancel func()) (m wire.Message, err error) {
+	err = bound.Read(r, wire.MaxMessage, cancel, func(b []byte) error {
+		m, err = wire.Decode(b)
+		return err
+	})
+	return m, err
 }
 
 // dial returns the open connection to an address. When there is none, it starts a dial, or
@@ -231,7 +233,7 @@
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, dialTimeout)
 	defer cancel()
-	c, err := n.tr.Dial(ctx, addr, n.opts.Keys.ClientConfig(), quicConfig())
+	c, err := n.tr.Dial(ctx, addr, n.opts.Keys.ClientConfig(), n.quicConfig())
 	if err != nil {
 		return nil, Peer{}, trace.ConnectionProblem(err, "dialling %s", to.Address)
 	}
--- a/link/close.go
+++ b/link/close.go
@@ -72,7 +72,7 @@
 // ctx ends. Until then, answers that this node has written may still be in transit.
 func (n *Node) awaitArrival(ctx context.Context, c *quic.Conn) {
 	for ctx.Err() == nil {
-		m, err := call(ctx, c, wire.GetPendingCalls{})
+		m, err := n.call(ctx, c, wire.GetPendingCalls{})
 		a, ok := m.(wire.PendingCalls)
 		if err != nil || !ok || a.Calls == 0 {
 			return
--- a/link/node.go
+++ b/link/node.go
@@ -16,6 +16,7 @@
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
 
+	"cyclamenrelay.example/guard"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/wire"
@@ -58,8 +59,10 @@
 	// CloseWait bounds how long Close waits until the answers in progress are sent and
 	// have arrived, 0 for 2 s.
 	CloseWait time.Duration
-	Log       *zap.Logger
-	Clock     clockwork.Clock
+	// Messages bounds the memory of messages that are being received, nil for no bound.
+	Messages *guard.Messages
+	Log      *zap.Logger
+	Clock    clockwork.Clock
 }
 
 // Node is a process's endpoint for messages to and from its peers. It listens and
@@ -127,7 +130,7 @@
 	}
 	reset := quic.StatelessResetKey(n.opts.Keys.ResetKey())
 	n.tr = &quic.Transport{Conn: pc, StatelessResetKey: &reset}
-	n.ln, err = n.tr.Listen(n.opts.Keys.ServerConfig(), quicConfig())
+	n.ln, err = n.tr.Listen(n.opts.Keys.ServerConfig(), n.quicConfig())
 	if err != nil {
 		_ = pc.Close()
 		return trace.Wrap(err)
@@ -142,7 +145,7 @@
 	return n.Close()
 }
 
-func quicConfig() *quic.Config {
+func (n *Node) quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:       dialTimeout,
 		MaxIdleTimeout:             idleTimeout,
@@ -150,7 +153,7 @@
 		MaxIncomingStreams:         maxStreams,
 		MaxIncomingUniStreams:      maxStreams,
 		InitialStreamReceiveWindow: streamWindow,
-		MaxConnectionReceiveWindow: connWindow,
+		MaxConnectionReceiveWindow: uint64(n.opts.Messages.Window(connWindow)),
 	}
 }
 
@@ -250,7 +253,7 @@
 	if err := s.SetReadDeadline(n.opts.Clock.Now().Add(receiveTimeout)); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return readMessage(s)
+	return readMessage(s, n.opts.Messages, func() { s.CancelRead(0) })
 }
 
 // serveCall handles one call of a peer.
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -66,7 +66,7 @@
 func build(s conf.Settings, id *keys.Identity, plan guard.Plan, log *zap.Logger) *builder {
 	clock := clockwork.NewRealClock()
 	b := &builder{settings: s, id: id, plan: plan, clock: clock, log: log, services: kernel.New(log)}
-	b.node = link.New(link.Options{Address: s.Node.Listen, Keys: id, CloseWait: closeWait(s), Log: log, Clock: clock})
+	b.node = link.New(link.Options{Address: s.Node.Listen, Keys: id, CloseWait: closeWait(s), Messages: plan.Messages(log), Log: log, Clock: clock})
 	self := wire.Node{
 		Name: s.Node.Name, Address: s.Node.Advertise, DataCentre: s.Node.DataCentre, Roles: s.Node.Roles,
 		Incarnation: uint64(clock.Now().UnixNano()),
