guard, entry, agent, opsvc: limits at the ports of the native path, tests, the template

The native ports for callers, targets and operators get connection limits and, where they are not encrypted, head limits.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"cyclamenrelay.example/guard"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
@@ -40,6 +41,8 @@
 	Log         *zap.Logger
 	View        *watch.View
 	Platform    worker.Platform
+	// Plan is the memory plan of the process.
+	Plan guard.Plan
 	// Scheduler are the settings of the slot scheduler. Its number of slots comes from
 	// the target's announcements.
 	Scheduler share.Settings
--- a/agent/target.go
+++ b/agent/target.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"cyclamenrelay.example/guard"
 	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/target"
@@ -32,7 +33,7 @@
 	mux.HandleFunc("PUT /v1/target", a.putTarget)
 	mux.HandleFunc("DELETE /v1/target", a.deleteTarget)
 	srv := &http.Server{Addr: a.opts.Listen, Handler: mux, ReadTimeout: readTimeout}
-	return meter.Serve(ctx, srv)
+	return meter.ServeGuarded(ctx, a.opts.Plan.Port("targets", guard.Main, a.opts.Log), srv)
 }
 
 // putTarget handles PUT /v1/target, a target's announcement. The announcement is refused
--- /dev/null
+++ b/conf/limits_test.go
@@ -0,0 +1,53 @@
+package conf_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/conf"
+)
+
+func withLimits(limits string) string {
+	return strings.Replace(minimalSettings, `"join":`, `"limits": `+limits+`, "join":`, 1)
+}
+
+// A template fills in numbers as text, fractions, or nothing at all; a process that does not
+// start for that would leave its machine without service.
+func TestLimits(t *testing.T) {
+	for text, want := range map[string]conf.Limits{
+		`{}`:                                   {},
+		`{"memory": "", "descriptors": ""}`:    {},
+		`{"memory": 184, "descriptors": 4100}`: {Memory: 184, Descriptors: 4100},
+		`{"memory": "184.9"}`:                  {Memory: 184},
+	} {
+		s, err := conf.Parse([]byte(withLimits(text)))
+		assert.NilError(t, err, text)
+		assert.Equal(t, s.Limits, want, text)
+	}
+	for _, text := range []string{`{"memory": "x"}`, `{"memory": -1}`, `{"memory": 63}`, `{"memory": true}`, `{"memory": null}`, `{"memory": "1e99"}`} {
+		_, ok := problems(t, withLimits(text))["limits.memory"]
+		assert.Assert(t, ok, text)
+	}
+	_, ok := problems(t, withLimits(`{"descriptors": 10}`))["limits.descriptors"]
+	assert.Assert(t, ok)
+}
+
+// The limits in the platform's template must be valid with and without the machine's values.
+func TestLimitsInTemplate(t *testing.T) {
+	b, err := os.ReadFile(filepath.Join("..", "deploy", "settings.json.tmpl"))
+	assert.NilError(t, err)
+	limits := regexp.MustCompile(`"limits": (\{ .* \}),`).FindSubmatch(b)
+	assert.Equal(t, len(limits), 2, "no limits")
+	for text, want := range map[string]int{"": 0, "184": 184, "144.0": 144} {
+		filled := strings.ReplaceAll(string(limits[1]), "{{limits.memory_mb}}", text)
+		filled = strings.ReplaceAll(filled, "{{limits.file_descriptors}}", "4096")
+		s, err := conf.Parse([]byte(withLimits(filled)))
+		assert.NilError(t, err, filled)
+		assert.Equal(t, s.Limits, conf.Limits{Memory: conf.Amount(want), Descriptors: 4096})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/claims"
+	"cyclamenrelay.example/guard"
 	"cyclamenrelay.example/jobs"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/member"
@@ -46,6 +47,8 @@
 	Clock          clockwork.Clock
 	Log            *zap.Logger
 	View           *watch.View
+	// Plan is the memory plan of the process.
+	Plan guard.Plan
 }
 
 // Entry is the service that accepts the callers' requests and jobs.
@@ -90,9 +93,11 @@
 func (e *Entry) Run(ctx context.Context) error {
 	srv := &http.Server{
 		Addr: e.opts.Listen, Handler: e.Handler(), MaxHeaderBytes: maxHeaders,
-		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, WriteTimeout: waitTimeout,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, WriteTimeout: waitTimeout, IdleTimeout: bodyTimeout,
 	}
-	return meter.Serve(ctx, srv)
+	port := e.opts.Plan.Port("callers", guard.Main, e.opts.Log)
+	port.SetMaxHead(maxHeaders)
+	return meter.ServeGuarded(ctx, port, srv)
 }
 
 // Handler returns the callers' HTTP interface.
--- a/opsvc/opsvc.go
+++ b/opsvc/opsvc.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/admin"
+	"cyclamenrelay.example/guard"
 	"cyclamenrelay.example/jobs"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
@@ -41,6 +42,8 @@
 	Clock    clockwork.Clock
 	Log      *zap.Logger
 	View     *watch.View
+	// Plan is the memory plan of the process.
+	Plan guard.Plan
 }
 
 // Service serves operators in an entry. It implements admin.Backend.
@@ -89,6 +92,8 @@
 func (s *Service) Run(ctx context.Context) error {
 	srv := admin.NewServer(s, s.opts.Identity, s.opts.Clock, s.opts.Log)
 	srv.Addr = s.opts.Listen
+	port := s.opts.Plan.Port("operators", guard.Side, s.opts.Log)
+	port.Configure(srv)
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	var wg sync.WaitGroup
@@ -96,7 +101,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wg.Go(func() { s.sampleRegularly(ctx) })
-	err := srv.ListenAndServeTLS("", "")
+	l, err := port.Listen(s.opts.Listen)
+	if err != nil {
+		return err
+	}
+	err = srv.ServeTLS(l, "", "")
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -145,17 +145,17 @@
 	b.services.Add(entry.New(entry.Options{
 		Listen: b.settings.Entry.Callers, MaxBody: int64(b.settings.Entry.MaxBody), MaxBytes: int64(b.settings.Entry.MaxBytes),
 		RequestTimeout: time.Duration(b.settings.Entry.RequestTimeout),
-		Clock:          b.clock, Log: b.log, View: b.view,
+		Clock:          b.clock, Log: b.log, View: b.view, Plan: b.plan,
 	}))
 	b.services.Add(opsvc.New(opsvc.Options{
-		Listen: b.settings.Entry.Operators, Identity: b.id, Keepers: client, Clock: b.clock, Log: b.log, View: b.view,
+		Listen: b.settings.Entry.Operators, Identity: b.id, Keepers: client, Clock: b.clock, Log: b.log, View: b.view, Plan: b.plan,
 	}))
 }
 
 func (b *builder) agent() {
 	b.monitorView()
 	a := agent.New(agent.Options{
-		Listen: b.settings.Agent.Targets, TargetLease: time.Duration(b.settings.Agent.TargetLease), Clock: b.clock, Log: b.log, View: b.view,
+		Listen: b.settings.Agent.Targets, TargetLease: time.Duration(b.settings.Agent.TargetLease), Plan: b.plan, Clock: b.clock, Log: b.log, View: b.view,
 		Platform: worker.New(b.settings.Agent.Platform), Scheduler: shareSettings(b.settings.Agent.Policy),
 	})
 	b.services.Add(a)
