sched, runner: backfill at agents, off by default

A head of the queue that does not fit left its gap empty until enough runs had ended. With platform.backfill, a waiting task that fits starts before it if it will probably end before the head could start: the running tasks are taken to end early (0.3), the task late (0.8). No waiting task is passed over for longer than the setting, which bounds the expected run time of what starts so, too. Metrics: relay_backfills_total, relay_head_delay_seconds and relay_capacity_unused_core_seconds_total.

--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -54,6 +54,9 @@
 	noForecast, noProgress bool
 	longTails              bool    // three tasks in a hundred take seven times as long
 	estimateFactor         float64 // factor on all estimates, 0 for 1
+	backfill               sched.Backfill
+	// largeFactor is the factor on the need of the kind that takes longest, 0 for 1.
+	largeFactor float64
 }
 
 // currentSize returns the size of the users' present deployments.
@@ -231,6 +234,7 @@
 			h.speed, c.CPU = 1.3, w.cores*3/2
 		}
 		h.scheduler.Resize(c)
+		h.scheduler.SetBackfill(w.backfill)
 		w.targets = append(w.targets, h)
 		w.targetIndex[h.name] = a
 		w.reportsTo = append(w.reportsTo, w.choose(h.name, w.dataCentre(a)))
@@ -380,6 +384,9 @@
 		j.estimate = time.Duration(float64(j.estimate) * w.estimateFactor)
 	}
 	need := batch.Resources{CPU: int64(w.cpu * (0.8 + 0.4*w.rng.Float64())), Memory: 64}
+	if w.largeFactor > 0 && k.name == "claim" {
+		need.CPU = int64(w.largeFactor * float64(need.CPU))
+	}
 	tasks := make([]assign.Task, n)
 	works := make([]time.Duration, n)
 	var work float64
--- a/conf/platform.go
+++ b/conf/platform.go
@@ -23,6 +23,9 @@
 	// GracePeriod is the time from the platform's request to stop until it kills the
 	// process.
 	GracePeriod Duration `json:"gracePeriod"`
+	// Backfill is the longest time for which an agent may start other tasks before a waiting
+	// one that does not fit into the free capacity of its target, 0 for never.
+	Backfill Duration `json:"backfill"`
 }
 
 func defaultPlatform() Platform {
@@ -43,4 +46,5 @@
 	c.duration("platform.holdLimit", p.HoldLimit, millis(100), seconds(60))
 	c.duration("platform.resendAfter", p.ResendAfter, millis(100), seconds(60))
 	c.duration("platform.gracePeriod", p.GracePeriod, seconds(1), seconds(600))
+	c.duration("platform.backfill", p.Backfill, 0, seconds(1))
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -56,6 +56,22 @@
 	return metrics.GetOrCreateCounter(`relay_announcements_ignored_total{reason="` + reason + `"}`)
 }
 
+// Backfills counts the tasks that an agent started before others that were due earlier but did
+// not fit into the free capacity.
+func Backfills() *metrics.Counter { return metrics.GetOrCreateCounter("relay_backfills_total") }
+
+// ObserveHeadDelay records the time from the first start of another task before a waiting one,
+// by backfill, until the start of the waiting one.
+func ObserveHeadDelay(d time.Duration) {
+	metrics.GetOrCreateHistogram("relay_head_delay_seconds").Update(d.Seconds())
+}
+
+// UnusedCapacity is the capacity of the target that was free while tasks waited for it, in
+// core-seconds.
+func UnusedCapacity() *metrics.FloatCounter {
+	return metrics.GetOrCreateFloatCounter("relay_capacity_unused_core_seconds_total")
+}
+
 // Gauge registers f as the value of the gauge with the name, unless the process has
 // registered the name before.
 func Gauge(name string, f func() float64) { metrics.GetOrCreateGauge(name, f) }
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -12,6 +12,7 @@
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/platform"
 	"cyclamenrelay.example/runner"
+	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/watch"
 	"cyclamenrelay.example/wire"
 )
@@ -58,7 +59,7 @@
 		lease := entryLease(p)
 		po := runner.New(runner.Options{
 			Driver: platform.NewTarget(), TargetLease: min(lease, time.Duration(p.HoldLimit)), MaxTargetLease: time.Duration(p.HoldLimit), Timing: peers.NewTiming(lease),
-			DrainTimeout: time.Duration(p.GracePeriod) / 2, Clock: b.clock, Log: b.log,
+			DrainTimeout: time.Duration(p.GracePeriod) / 2, Backfill: sched.Backfill{MaxDelay: time.Duration(p.Backfill)}, Clock: b.clock, Log: b.log,
 		})
 		b.services.Add(po)
 		b.services.Add(&platform.ControlServer{Listen: p.Control, Log: b.log})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -14,6 +14,7 @@
 	"cyclamenrelay.example/lease"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/pace"
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/sched"
@@ -45,8 +46,10 @@
 	Timing peers.Timing
 	// DrainTimeout bounds the wait at a shutdown for runs in progress.
 	DrainTimeout time.Duration
-	Clock        clockwork.Clock
-	Log          *zap.Logger
+	// Backfill are the scheduler's settings of backfill, the zero value for none.
+	Backfill sched.Backfill
+	Clock    clockwork.Clock
+	Log      *zap.Logger
 }
 
 // Runner is the service of an agent that runs tasks on its target.
@@ -143,8 +146,10 @@
 	if opts.MaxTargetLease == 0 {
 		opts.MaxTargetLease = opts.TargetLease
 	}
+	scheduler := sched.New()
+	scheduler.SetBackfill(opts.Backfill)
 	return &Runner{
-		opts: opts, scheduler: sched.New(), runs: map[uint64]*run{}, byKey: map[RunKey]*run{}, entryLeases: map[string]time.Time{},
+		opts: opts, scheduler: scheduler, runs: map[uint64]*run{}, byKey: map[RunKey]*run{}, entryLeases: map[string]time.Time{},
 		home: map[string]bool{}, senders: map[string]sender{},
 		reportChanged: make(chan struct{}), targetArrived: make(chan struct{}),
 	}
@@ -275,10 +280,18 @@
 // holds mu.
 func (p *Runner) grantCapacity() {
 	for {
-		t, ok := p.scheduler.Next(p.opts.Clock.Now())
+		now := p.opts.Clock.Now()
+		t, ok := p.scheduler.Next(now)
 		if !ok {
+			meter.UnusedCapacity().Set(p.scheduler.UnusedCoreSeconds())
 			return
 		}
+		if t.Backfilled() {
+			meter.Backfills().Inc()
+		}
+		if d := t.HeadDelay(now); d > 0 {
+			meter.ObserveHeadDelay(d)
+		}
 		r := p.runs[t.ID]
 		r.target = p.target
 		if r.request.MaxRunTime > 0 {
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -67,18 +67,32 @@
 // still running. The distribution of its run time is log-logistic: beyond the estimate,
 // the expected remaining time grows with the age of the run, as for runs with long tails.
 func (t runningTask) endProbability(now time.Time, d time.Duration) float64 {
-	median, shape := t.Estimate, estimateShape
-	if t.total > 0 {
-		median, shape = t.total, progressShape
-	}
+	median, shape := t.expected()
 	if median <= 0 {
 		return 0
 	}
-	age := max(0, now.Sub(t.startedAt))
+	age := t.age(now)
 	survival := func(at time.Duration) float64 { return 1 / (1 + math.Pow(float64(at)/float64(median), shape)) }
 	return 1 - survival(age+d)/survival(age)
 }
 
+// expected returns the median of the task's run time, 0 when nothing is known, and the shape
+// of its distribution.
+func (t runningTask) expected() (median time.Duration, shape float64) {
+	if t.total > 0 {
+		return t.total, progressShape
+	}
+	return t.Estimate, estimateShape
+}
+
+// age returns how long the task has run, 0 for one that has not started.
+func (t runningTask) age(now time.Time) time.Duration {
+	if t.startedAt.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(t.startedAt))
+}
+
 // TimeUntil returns the time from the forecast until the fraction of the used capacity has
 // probably been released, and the part of the fraction that lies beyond the last
 // horizon. It returns false when the forecast is not usable.
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -25,6 +25,9 @@
 	Due time.Time
 	// StartBy is the time after which the task must not be started any more.
 	StartBy time.Time
+
+	backfilled  bool
+	passedSince time.Time // first start of another task before this one by backfill
 }
 
 // Scheduler is the scheduler of one target. The zero value has no capacity; New returns a
@@ -35,6 +38,8 @@
 	waiting  []Request // in the order of compareByDue
 	running  map[uint64]runningTask
 	used     batch.Resources
+	backfill Backfill
+	gap      gap
 }
 
 // New returns a Scheduler without capacity.
@@ -74,24 +79,41 @@
 // Next allocates capacity to the first waiting request that can start and returns it,
 // or false when there is none. A request that is too large for the free capacity
 // blocks those behind it, so that large tasks do not starve, unless it exceeds the
-// whole capacity.
+// whole capacity, or one of them may start by backfill. Next must be called after each
+// change.
 func (s *Scheduler) Next(now time.Time) (Request, bool) {
-	if s.closed {
+	i, ok := s.nextIndex(now)
+	s.gap = s.gap.with(s.unusedCPU(ok), now)
+	if !ok {
 		return Request{}, false
 	}
+	t := s.waiting[i]
+	s.waiting = slices.Delete(s.waiting, i, i+1)
+	s.running[t.ID] = runningTask{Request: t, startedAt: now}
+	s.used = s.used.Plus(t.Need)
+	return t, true
+}
+
+// nextIndex returns the index of the waiting request that Next starts.
+func (s *Scheduler) nextIndex(now time.Time) (int, bool) {
+	if s.closed {
+		return 0, false
+	}
 	free := s.capacity.Minus(s.used)
 	for i, t := range s.waiting {
 		if t.Need.Fits(free) {
-			s.waiting = slices.Delete(s.waiting, i, i+1)
-			s.running[t.ID] = runningTask{Request: t, startedAt: now}
-			s.used = s.used.Plus(t.Need)
-			return t, true
+			return i, true
 		}
 		if t.Need.Fits(s.capacity) {
-			return Request{}, false
+			j, ok := s.backfillIndex(i, free, now)
+			if ok {
+				s.waiting[j].backfilled = true
+				s.markPassed(j, now)
+			}
+			return j, ok
 		}
 	}
-	return Request{}, false
+	return 0, false
 }
 
 // CanStart reports whether a request for the resources would start at once.
