--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -358,13 +358,17 @@
 	return r
 }
 
-// updateProgress tells the scheduler of a target the run times of those tasks that have run
-// long enough to show their progress.
+// updateProgress tells the scheduler of a target the run times that the progress of its tasks
+// shows, in whole percent and as soon as a busy target has listed them.
 func (w *simulation) updateProgress(h *simTarget) {
-	const shown = 25 * time.Millisecond
+	const listed, minPercent = 50 * time.Millisecond, 2 // as in packages runner and pace
 	for id, t := range h.tasks {
-		if t.startedAt > 0 && w.now-t.startedAt >= shown && !w.noProgress {
-			h.scheduler.SetRunTime(id, time.Duration(float64(t.work)*h.speed))
+		ran := w.now - t.startedAt
+		if t.startedAt == 0 || ran < listed || w.noProgress {
+			continue
+		}
+		if percent := time.Duration(100 * float64(ran) / (float64(t.work) * h.speed)); percent >= minPercent {
+			h.scheduler.SetRunTime(id, ran*100/percent)
 		}
 	}
 }
