--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -61,6 +61,9 @@
 	// the forecast.
 	noForecast, noProgress bool
 	estimateFactor         float64 // factor on all estimates, 0 for 1
+	backfill               sched.Backfill
+	// largeFactor is the factor on the need of the kind that takes longest, 0 for 1.
+	largeFactor float64
 }
 
 // currentSize returns the size of the users' present deployments.
@@ -241,6 +244,7 @@
 			h.speed, c.CPU = 1.3, w.cores*3/2
 		}
 		h.scheduler.Resize(c)
+		h.scheduler.SetBackfill(w.backfill)
 		w.targets = append(w.targets, h)
 		w.targetIndex[h.name] = a
 		w.reportsTo = append(w.reportsTo, w.choose(h.name, w.dataCentre(a)))
@@ -368,13 +372,17 @@
 	return r
 }
 
-// updateProgress tells the scheduler of a target the run times of those tasks that have run
-// long enough to show their progress.
+// updateProgress tells the scheduler of a target the run times that the progress of its tasks
+// shows, in whole percent and as soon as a busy target has listed them.
 func (w *simulation) updateProgress(h *simTarget) {
-	const shown = 25 * time.Millisecond
+	const listed, minPercent = 50 * time.Millisecond, 2 // as in packages runner and pace
 	for id, t := range h.tasks {
-		if t.startedAt > 0 && w.now-t.startedAt >= shown && !w.noProgress {
-			h.scheduler.SetRunTime(id, time.Duration(float64(t.work)*h.speed))
+		ran := w.now - t.startedAt
+		if t.startedAt == 0 || ran < listed || w.noProgress {
+			continue
+		}
+		if percent := time.Duration(100 * float64(ran) / (float64(t.work) * h.speed)); percent >= minPercent {
+			h.scheduler.SetRunTime(id, ran*100/percent)
 		}
 	}
 }
@@ -394,6 +402,9 @@
 		j.estimate = time.Duration(float64(j.estimate) * w.estimateFactor)
 	}
 	need := batch.Resources{CPU: int64(w.cpu * (0.8 + 0.4*w.rng.Float64())), Memory: 64}
+	if w.largeFactor > 0 && k.name == "claim" {
+		need.CPU = int64(w.largeFactor * float64(need.CPU))
+	}
 	tasks := make([]assign.Task, n)
 	works := make([]time.Duration, n)
 	var work float64
--- a/conf/platform.go
+++ b/conf/platform.go
@@ -34,6 +34,9 @@
 	// one at that rack. Unset, half an estimate is added to the cost of a placement there, and
 	// the expected run time is the same everywhere.
 	FarFactor Number `json:"farFactor"`
+	// Backfill is the longest time for which an agent may start other tasks before a waiting
+	// one that does not fit into the free capacity of its target, 0 for never.
+	Backfill Duration `json:"backfill"`
 }
 
 func defaultPlatform() Platform {
@@ -61,4 +64,5 @@
 		c.duration("platform.evacuationLimit", p.EvacuationLimit, seconds(2), seconds(600))
 	}
 	c.duration("platform.gracePeriod", p.GracePeriod, seconds(1), seconds(600))
+	c.duration("platform.backfill", p.Backfill, 0, seconds(1))
 }
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -13,6 +13,7 @@
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/platform"
 	"cyclamenrelay.example/runner"
+	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/watch"
 	"cyclamenrelay.example/wire"
 )
@@ -60,7 +61,7 @@
 		po := runner.New(runner.Options{
 			Driver: platform.NewTarget(), TargetLease: min(lease, time.Duration(p.HoldLimit)), MaxTargetLease: time.Duration(p.HoldLimit), Timing: peers.NewTiming(lease),
 			Evacuation:   evac.NewTiming(time.Duration(p.EvacuationLimit)),
-			DrainTimeout: time.Duration(p.GracePeriod) / 2, Clock: b.clock, Log: b.log,
+			DrainTimeout: time.Duration(p.GracePeriod) / 2, Backfill: sched.Backfill{MaxDelay: time.Duration(p.Backfill)}, Clock: b.clock, Log: b.log,
 		})
 		b.services.Add(po)
 		meter.Gauge("relay_target_run_ratio", po.RunRatio)
