leader: evacuations are refused while a keeper of an older build is live

An older state machine refuses the section that newer ones apply, so that the replicas' versions would differ.

--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -146,7 +146,7 @@
 // keeperState handles GetKeeperState: it returns the replica ID and the state of each
 // group's replica.
 func (k *Keeper) keeperState(_ context.Context, _ link.Peer, _ wire.GetKeeperState) wire.Message {
-	s := wire.KeeperState{Self: k.self}
+	s := wire.KeeperState{Self: k.self, Evacuations: true}
 	k.runInLoop(func() {
 		for g := range uint64(k.opts.Groups + 1) {
 			st := k.groups[g].node.Status()
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -49,6 +49,8 @@
 
 	mu      sync.Mutex
 	leaders map[uint32]string // the leaders' addresses by group, as far as known
+	// builds has the incarnations, by name, of the keepers that know evacuations.
+	builds map[string]uint64
 }
 
 // GroupOf returns the ledger group that a key belongs to.
--- a/opsvc/change.go
+++ b/opsvc/change.go
@@ -24,6 +24,11 @@
 func (s *Service) Change(ctx context.Context, c model.Change) (model.ChangeResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	if c.Key.Section == model.SectionEvacuation {
+		if err := s.opts.Keepers.CheckEvacuations(ctx); err != nil {
+			return model.ChangeResult{}, trace.LimitExceeded("the change was not made: %v", err)
+		}
+	}
 	b, err := state.ConfigCommands.Encode(state.Change{Change: c})
 	if err != nil {
 		return model.ChangeResult{}, trace.BadParameter("change: %v", err)
--- a/opsvc/opsvc.go
+++ b/opsvc/opsvc.go
@@ -30,6 +30,7 @@
 type ReplicatedLog interface {
 	Propose(ctx context.Context, group uint32, command []byte) ([]byte, error)
 	Query(ctx context.Context, group uint32, query []byte) ([]byte, error)
+	CheckEvacuations(ctx context.Context) error
 }
 
 // Options configure a Service.
--- a/opsvc/opsvc_test.go
+++ b/opsvc/opsvc_test.go
@@ -48,6 +48,8 @@
 	return k.cfg.Query(query), nil
 }
 
+func (k *fakeKeepers) CheckEvacuations(context.Context) error { return k.err }
+
 func newService(k *fakeKeepers) *opsvc.Service {
 	clock := clockwork.NewFakeClock()
 	return opsvc.New(opsvc.Options{Keepers: k, Clock: clock, Log: zap.NewNop(), View: watch.NewView(clock, time.Second)})
--- a/wire/keeper.go
+++ b/wire/keeper.go
@@ -13,6 +13,8 @@
 type KeeperState struct {
 	Self   ReplicaID    `cbor:"1,keyasint"`
 	Groups []GroupState `cbor:"2,keyasint"`
+	// Evacuations is set by keepers whose state machine knows evacuations of data centres.
+	Evacuations bool `cbor:"3,keyasint,omitempty"`
 }
 
 // GroupState is the state of a keeper's replica of one group.
