--- a/runner/announce.go
+++ b/runner/announce.go
@@ -82,7 +82,7 @@
 // apply puts an announcement of the target in use into effect. The caller holds mu.
 func (p *Runner) apply(ts *targetState, t Target) {
 	openChanged := ts.Open != t.Open
-	ts.Target, ts.announcedPool = t, ""
+	ts.Target, ts.announcedPool, ts.warmAt = t, "", p.opts.Clock.Now().Add(t.Cold)
 	if t.Open { // the leave that retired the target was not its own
 		ts.retired = false
 	}
@@ -168,7 +168,7 @@
 	p.opts.Log.Info("target arrived", zap.String("target", t.ID), zap.String("pool", t.Pool), zap.String("address", t.Address),
 		zap.Int64("cpu", t.Capacity.CPU), zap.Int64("memory", t.Capacity.Memory), zap.Bool("open", t.Open))
 	p.target = &targetState{
-		Target: t, lease: lease.Lease{}.WithClock(clock, p.opts.Clock.Now()), fence: max(c.fence, initialFence(clock)), reachable: true,
+		Target: t, warmAt: p.opts.Clock.Now().Add(t.Cold), lease: lease.Lease{}.WithClock(clock, p.opts.Clock.Now()), fence: max(c.fence, initialFence(clock)), reachable: true,
 	}
 	p.updateScheduler()
 	close(p.targetArrived)
--- a/runner/driver.go
+++ b/runner/driver.go
@@ -27,6 +27,8 @@
 	Open     bool
 	Capacity batch.Resources
 	Labels   []string
+	// Cold is how long the target will still be slow, as it says.
+	Cold time.Duration
 	// Clock is the reading of the target's monotonic clock at the announcement.
 	Clock time.Duration
 }
--- a/runner/evacuation.go
+++ b/runner/evacuation.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
@@ -42,6 +43,9 @@
 	if v == p.verdict {
 		return false
 	}
+	if p.verdict == evac.Evacuated {
+		p.recovery = evac.Recovery{Ended: p.opts.Clock.Now()}
+	}
 	p.verdict = v
 	if v == evac.Evacuated {
 		for _, r := range p.runs {
@@ -55,6 +59,27 @@
 	return true
 }
 
+// offeredCapacity returns the target's capacity, less while the target is cold after an
+// evacuation. The caller holds mu, and there is a target.
+func (p *Runner) offeredCapacity() batch.Resources {
+	c := p.target.Capacity
+	c.CPU = int64(p.recovery.Share(p.target.warmAt, p.opts.Clock.Now()) * float64(c.CPU))
+	return c
+}
+
+// updateRecovery offers more of a cold target's capacity as time goes on. The caller holds mu.
+func (p *Runner) updateRecovery() {
+	if p.recovery.Ended.IsZero() || p.target == nil {
+		return
+	}
+	if p.offeredCapacity() != p.scheduler.Capacity() {
+		p.updateScheduler()
+	}
+	if p.recovery.IsOver(p.opts.Clock.Now()) {
+		p.recovery = evac.Recovery{}
+	}
+}
+
 // closedByEvacuation reports whether the target takes no tasks because its data centre is
 // evacuated, or because the agent has not been told yet. The caller holds mu.
 func (p *Runner) closedByEvacuation() bool {
@@ -74,6 +99,7 @@
 	for t.Limit > 0 && ctx.Err() == nil {
 		p.mu.Lock()
 		p.checkEvacuation()
+		p.updateRecovery()
 		mustAsk := p.evacuation.MustAsk(p.opts.Clock.Now())
 		p.mu.Unlock()
 		pause := t.CheckInterval
--- a/runner/evacuation_test.go
+++ b/runner/evacuation_test.go
@@ -113,3 +113,48 @@
 	defer b.mu.Unlock()
 	assert.Assert(t, b.questions > asked)
 }
+
+// Guards against a cold data centre that takes its whole load at once after an evacuation, or
+// never again.
+func TestColdTargetTakesLoadStepByStep(t *testing.T) {
+	b := newEvacuationTestbed(t)
+	b.tell(4, 0, true)
+	cold := b.target.announcement(1, true)
+	cold.Cold = 2 * time.Second
+	b.runner.HandleAnnouncement(cold)
+	b.await("a report of a closed target", func() bool { return b.lastReport().Target != "" && !b.lastReport().Open })
+	b.tell(5, 0, false)
+	b.await("a report of the whole capacity", func() bool { r := b.lastReport(); return r.Open && r.Capacity.CPU == 1000 })
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	last, partial := int64(0), 0
+	for _, r := range b.reports {
+		if !r.Open {
+			continue
+		}
+		assert.Assert(t, r.Capacity.CPU >= last && r.Capacity.CPU >= 250, "%d after %d", r.Capacity.CPU, last)
+		assert.Equal(t, r.Capacity.Memory, int64(1000))
+		if last = r.Capacity.CPU; last < 1000 {
+			partial++
+		}
+	}
+	assert.Assert(t, partial > 0)
+}
+
+// Guards against a run of an entry without a lease that starts because the entry confirms it,
+// though the same answer says that the data centre is evacuated.
+func TestConfirmedRunObeysEvacuation(t *testing.T) {
+	b := newEvacuationTestbed(t)
+	b.mu.Lock()
+	b.byKeeper, b.refusesRenewals = &wire.EvacuationState{Version: 4}, true
+	b.mu.Unlock()
+	b.openTarget()
+	b.tell(5, 0, true)
+	b.checkRefused("t1")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	assert.Assert(t, len(b.confirmations) > 0)
+	b.target.mu.Lock()
+	defer b.target.mu.Unlock()
+	assert.Equal(t, len(b.target.startedAt), 0)
+}
--- a/runner/report.go
+++ b/runner/report.go
@@ -219,7 +219,7 @@
 	if ts == nil || !ts.reconciled {
 		return m, p.reconciled
 	}
-	m.Target, m.Pool, m.Capacity, m.Labels = ts.ID, ts.Pool, ts.Capacity, ts.Labels
+	m.Target, m.Pool, m.Capacity, m.Labels = ts.ID, ts.Pool, p.scheduler.Capacity(), ts.Labels
 	m.Open = ts.Open && ts.reachable && !p.draining && !p.closedByEvacuation()
 	return m, true
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -76,6 +76,7 @@
 	// started.
 	reconciled bool
 	evacuation evac.Knowledge
+	recovery   evac.Recovery // the return of load after the last evacuation
 	verdict    evac.Verdict  // the verdict of evacuation that is in effect
 	asked      chan struct{} // closed when the last question to keepers has ended
 
@@ -86,8 +87,9 @@
 // targetState is the state of one target instance.
 type targetState struct {
 	Target
-	fence     uint64 // the agent's fencing token
-	lastEnded int64  // number of the last ended run that was processed
+	fence     uint64    // the agent's fencing token
+	warmAt    time.Time // when the target is warm, by its last announcement
+	lastEnded int64     // number of the last ended run that was processed
 	lease     lease.Lease
 	// reconciled is set once the target has listed no run that this process did not start.
 	reconciled bool
@@ -248,7 +250,7 @@
 	open := p.target != nil && p.target.Open && p.target.reconciled && p.target.reachable && !p.target.retired && !p.draining && !p.closedByEvacuation()
 	p.scheduler.SetOpen(open)
 	if p.target != nil {
-		p.scheduler.Resize(p.target.Capacity)
+		p.scheduler.Resize(p.offeredCapacity())
 	}
 	p.grantCapacity()
 	p.wakeReporters()
