--- a/guard/plan.go
+++ b/guard/plan.go
@@ -34,7 +34,7 @@
 	// takes twice of what is live, and an idle process 30 MB of the smallest machine of 144 MB.
 	heldFraction = 8
 	// minHeld leaves room for the largest legal request on the smallest machine.
-	minHeld = 8 << 20
+	minHeld = 12 << 20
 	// connFraction is the part of the memory for the connections themselves, and connBytes
 	// what one takes: two goroutines and the buffers of net/http.
 	connFraction = 6
--- a/guard/port.go
+++ b/guard/port.go
@@ -76,19 +76,18 @@
 func NewPort(o Options) *Port {
 	p := &Port{opts: o, conns: map[*conn]struct{}{}, byAddr: map[netip.Addr]int{}, notes: map[string]*note{}}
 	p.maxHead.Store(DefaultMaxHead)
-	metrics.GetOrCreateGauge(`relay_guard_bytes{port="`+o.Name+`"}`, func() float64 {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return float64(p.held)
-	})
-	metrics.GetOrCreateGauge(`relay_guard_connections{port="`+o.Name+`"}`, func() float64 {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return float64(len(p.conns))
-	})
+	metrics.GetOrCreateGauge(`relay_guard_bytes{port="`+o.Name+`"}`, func() float64 { return float64(p.Usage().Bytes) })
+	metrics.GetOrCreateGauge(`relay_guard_connections{port="`+o.Name+`"}`, func() float64 { return float64(p.Usage().Connections) })
 	return p
 }
 
+// Usage returns what the clients of the port occupy now.
+func (p *Port) Usage() Limits {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Limits{Connections: len(p.conns), Bytes: p.held}
+}
+
 // SetMaxHead sets the limit of a request's head in bytes; 0 restores the default.
 func (p *Port) SetMaxHead(n int) {
 	if n <= 0 {
