peers, model, conf: larger entries serve more agents

Agents chose their home entries evenly, so that an entry with a third of the processors of another one had as many reports to answer. With equal or unknown sizes the choice is the same.

Tests: peers (TestLargerEntriesServeMoreAgents, TestEqualSizesKeepTheChoice, TestWrongSizeIsBounded).

--- a/conf/node.go
+++ b/conf/node.go
@@ -22,6 +22,9 @@
 	Listen string `json:"listen"`
 	// Advertise is the address that other nodes connect to, Listen by default.
 	Advertise string `json:"advertise"`
+	// Size is the process's share of processors in cores. Agents prefer larger entries. Unset,
+	// an entry counts as the mean of the others.
+	Size Number `json:"size"`
 }
 
 // Has reports whether the process has the role.
@@ -51,6 +54,7 @@
 		c.file("node.dataFolder", n.DataFolder)
 	}
 	c.listen("node.listen", n.Listen)
+	c.optional("node.size", n.Size, 0.001, 1024)
 	if a, err := netip.ParseAddrPort(n.Listen); n.Advertise != n.Listen || (err == nil && a.Addr().IsUnspecified()) {
 		c.address("node.advertise", n.Advertise)
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -108,3 +109,61 @@
 		}
 	}
 }
+
+// uses returns how many of the agents use each entry.
+func uses(entries []wire.Node, agents int) map[string]int {
+	out := map[string]int{}
+	for a := range agents {
+		for _, e := range peers.Choose(fmt.Sprint("a", a), fmt.Sprint("dc", a%3), entries, peers.HomeEntries) {
+			out[e.Name]++
+		}
+	}
+	return out
+}
+
+// Pattern: an entry has three times the processors of the others, and smaller ones ran out of
+// theirs with as many agents.
+func TestLargerEntriesServeMoreAgents(t *testing.T) {
+	const agents = 3000
+	all := entries(30, 3)
+	for i := range all {
+		all[i].Size = 0.15
+	}
+	all[4].Size, all[5].Size = 0.45, 0
+	used := uses(all, agents)
+	mean := float64(agents*peers.HomeEntries) / float64(len(all))
+	assert.Assert(t, float64(used["e4"]) > 2.2*mean && float64(used["e4"]) < 3.2*mean, "%d, the mean is %v", used["e4"], mean)
+	assert.Assert(t, float64(used["e5"]) > 0.8*mean && float64(used["e5"]) < 1.3*mean, "an entry that does not state its size has %d agents, the mean is %v", used["e5"], mean)
+}
+
+// Entries of equal or unknown sizes are chosen as before, or an upgrade would move all agents.
+func TestEqualSizesKeepTheChoice(t *testing.T) {
+	plain := entries(30, 3)
+	for _, size := range []float64{0.19, -1, math.NaN(), math.Inf(1)} {
+		sized := entries(30, 3)
+		for i := range sized {
+			sized[i].Size = size
+		}
+		sized[3].Size = 0
+		for a := range 1000 {
+			agent, dc := fmt.Sprint("a", a), fmt.Sprint("dc", a%3)
+			for i, e := range peers.Choose(agent, dc, sized, peers.HomeEntries) {
+				assert.Equal(t, e.Name, peers.Choose(agent, dc, plain, peers.HomeEntries)[i].Name)
+			}
+		}
+	}
+}
+
+// A size that is wrong by a factor of a hundred must not send all agents to one entry.
+func TestWrongSizeIsBounded(t *testing.T) {
+	const agents = 900
+	all := entries(30, 3)
+	for i := range all {
+		all[i].Size = 0.2
+	}
+	all[0].Size = 20
+	used := uses(all, agents)
+	for _, e := range all {
+		assert.Assert(t, used[e.Name] > 0, "%s has no agents", e.Name)
+	}
+}
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -67,7 +67,7 @@
 	b.node = link.New(link.Options{Address: s.Node.Listen, Keys: id, CloseWait: closeWait(s), Log: log, Clock: clock})
 	self := wire.Node{
 		Name: s.Node.Name, Address: s.Node.Advertise, DataCentre: s.Node.DataCentre, Roles: s.Node.Roles,
-		Incarnation: uint64(clock.Now().UnixNano()),
+		Incarnation: uint64(clock.Now().UnixNano()), Size: float64(s.Node.Size),
 	}
 	b.finder = member.NewFinder(b.node, clock, log, self, s.Join.Addresses)
 	b.view = watch.NewView(clock, time.Duration(s.Freshness.Lease))
--- a/wire/common.go
+++ b/wire/common.go
@@ -57,6 +57,8 @@
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// Replica is the random number of a keeper's data folder, 0 for no keeper.
 	Replica uint64 `cbor:"7,keyasint,omitempty"`
+	// Size is the process's share of processors in cores, 0 when it does not state it.
+	Size float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // FindNodes asks for the live entries and keepers; it also announces the sender.
