--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -47,7 +47,7 @@
 func newTestbedWithClock(t testing.TB, name string, others func() []wire.Node, clock clockwork.Clock) *testbed {
 	b := &testbed{t: t}
 	b.entry = b.node(name, keys.Entry)
-	b.broker = broker.New(broker.Options{Name: name, Entries: others, DataCentre: "dc", Timing: peers.NewTiming(500 * time.Millisecond), Admission: assign.DefaultSettings(), MaxOrphanRunTime: time.Minute, Clock: clock, Log: zap.NewNop()})
+	b.broker = broker.New(broker.Options{Name: name, Entries: others, DataCentre: "dc", Timing: peers.NewTiming(500 * time.Millisecond), Admission: assign.DefaultSettings(), FarFactor: 1.5, MaxOrphanRunTime: time.Minute, Clock: clock, Log: zap.NewNop()})
 	k := kernel.New(zap.NewNop())
 	k.Add(b.broker)
 	k.Add(b.entry)
