assign: model of admission at the first deployment of the plan

The model gets targets of uneven size and speed, uneven entries, the time that orders hold capacity, and shares by kind, width and data centre.

--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -49,6 +49,12 @@
 	neighbours      int           // entries that a full entry asks for targets
 	maxReturns      int           // how often a task is returned by full targets
 	until           time.Duration // time of the last arrivals, 0 for lastArrival
+	// mix returns the factors on the capacity and on the run times of a target; nil for
+	// every third target larger and slower.
+	mix func(a int) (capacity, runTime float64)
+	// order is how much longer a run uses its capacity than it runs, for the orders to its
+	// target.
+	order time.Duration
 }
 
 // currentSize returns the size of the users' present deployments.
@@ -148,7 +154,7 @@
 	reportsTo   [][]int
 	searchAt    []time.Duration // when each entry may ask its neighbours again
 	lastID      uint64
-	byKind      map[string]*tally // by kind name, and "all"
+	byKind      map[string]*tally // by kind name, group of groups, and "all"
 	windows     map[int]*tally    // by two-second window of the jobs' submission
 }
 
@@ -182,6 +188,7 @@
 	remaining   int           // number of tasks that are not done
 	value       float64
 	estimate    time.Duration // of each task
+	width       int           // number of tasks
 }
 
 // tally sums the results of a group of jobs: the value of all jobs, the value that was
@@ -221,7 +228,10 @@
 	for a := range w.agents {
 		h := &simTarget{name: fmt.Sprintf("a%02d", a), scheduler: sched.New(), speed: 1, open: true, tasks: map[uint64]*simTask{}, guests: map[int]time.Duration{}}
 		c := batch.Resources{CPU: w.cores, Memory: 262_144}
-		if a%3 == 2 {
+		if w.mix != nil {
+			larger, slower := w.mix(a)
+			h.speed, c.CPU = slower, int64(float64(w.cores)*larger)
+		} else if a%3 == 2 {
 			h.speed, c.CPU = 1.3, w.cores*3/2
 		}
 		h.scheduler.Resize(c)
@@ -352,7 +362,7 @@
 func (w *simulation) submit(k kind, e int) {
 	n := min(max(int(math.Round(lognormal(w.rng, k.width, 0.4))), 1), k.maxWidth)
 	base := lognormal(w.rng, float64(k.work), 0.4)
-	j := &simJob{kind: k, entry: e, submittedAt: w.now, remaining: n}
+	j := &simJob{kind: k, entry: e, submittedAt: w.now, remaining: n, width: n}
 	j.estimate = w.learners[e].Estimate(k.name, time.Duration(base*(0.6+0.8*w.rng.Float64())))
 	need := batch.Resources{CPU: int64(w.cpu * (0.8 + 0.4*w.rng.Float64())), Memory: 64}
 	tasks := make([]assign.Task, n)
@@ -422,15 +432,17 @@
 // tallies returns the tallies in which the job is counted.
 func (w *simulation) tallies(j *simJob) []*tally {
 	win := int(j.submittedAt / (2 * time.Second))
-	for _, k := range []string{j.kind.name, "all"} {
+	if w.windows[win] == nil {
+		w.windows[win] = &tally{}
+	}
+	out := []*tally{w.windows[win]}
+	for _, k := range append(w.groups(j), j.kind.name, "all") {
 		if w.byKind[k] == nil {
 			w.byKind[k] = &tally{}
 		}
+		out = append(out, w.byKind[k])
 	}
-	if w.windows[win] == nil {
-		w.windows[win] = &tally{}
-	}
-	return []*tally{w.byKind[j.kind.name], w.byKind["all"], w.windows[win]}
+	return out
 }
 
 // enqueue queues a task at its target.
@@ -484,7 +496,7 @@
 			return
 		}
 		t := h.tasks[x.ID]
-		ran := time.Duration(float64(t.work) * h.speed)
+		ran := time.Duration(float64(t.work)*h.speed) + w.order
 		w.schedule(ran, func() {
 			h.scheduler.Release(x.ID)
 			delete(h.tasks, x.ID)
