admit, broker: admission by shares of the queues

Two fractions of the slack decided who is refused in overload: jobs of many tasks first, and the queues of the least slack. With platform.fairAdmission an entry keeps the demand and the service of each queue and divides the capacity by weighted max-min fairness; the load of the targets decides on a job by its first task, so that wide jobs are not refused before narrow ones; capacity is held back for urgent queues only while they are in demand. Refused callers are spread over the time in which the refused work could be done. A job waits for the next search for lent targets if the last one found some and the slack leaves time.

Off by default.

--- a/assign/admission_test.go
+++ b/assign/admission_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cyclamenrelay.example/admit"
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/peers"
 )
@@ -82,19 +83,43 @@
 	return 0.4*w.byKind["all"].share() + 0.3*w.worstKind() + 0.2*w.worstGroup("dc0", "dc1", "dc2") + 0.1*w.worstWindows()
 }
 
+// admitJob returns the job as its admission by shares sees it.
+func (j *simJob) admitJob(job assign.Job) admit.Job {
+	return admit.Job{
+		Pool: "p", Queue: j.kind.name, Priority: j.kind.priority, Slack: job.Slack, Work: admit.Work(j.width, job.Tasks[0].Need, j.estimate),
+	}
+}
+
+// limit sets the limits of the expected waits of a job, if they are by shares.
+func (w *simulation) limit(j *simJob, job *assign.Job) {
+	if w.fair {
+		l := w.admission[j.entry].Limits(j.admitJob(*job), w.time())
+		job.Limits = &l
+	}
+}
+
+// recordAdmission records the decision on a job.
+func (w *simulation) recordAdmission(j *simJob, job assign.Job, a assign.Admission) {
+	if w.fair {
+		w.admission[j.entry].Record(j.admitJob(job), a.Placements != nil, w.time())
+	}
+}
+
 // way is a way of admission to compare.
 type way struct {
 	name     string
 	settings assign.Settings
+	fair     bool // by shares in place of settings
 }
 
 // ways returns the ways of admission to compare; the first one is that of the defaults.
 func ways() []way {
 	return []way{
-		{"0.8, 0.45", assign.DefaultSettings()},
-		{"1, 1", assign.Settings{Urgent: 1, Other: 1}},
-		{"0.5, 0.45", assign.Settings{Urgent: 0.5, Other: 0.45}},
-		{"0.8, 0.2", assign.Settings{Urgent: 0.8, Other: 0.2}},
+		{"0.8, 0.45", assign.DefaultSettings(), false},
+		{"shares", assign.Settings{}, true},
+		{"1, 1", assign.Settings{Urgent: 1, Other: 1}, false},
+		{"0.5, 0.45", assign.Settings{Urgent: 0.5, Other: 0.45}, false},
+		{"0.8, 0.2", assign.Settings{Urgent: 0.8, Other: 0.2}, false},
 	}
 }
 
@@ -104,6 +129,7 @@
 // admissionLine simulates a pattern with a way of admission and returns the simulation and a
 // table line: the score, and by kind and width the per cent of the jobs in time, refused and late.
 func admissionLine(n size, p pattern, c way) (*simulation, string) {
+	n.fair = c.fair
 	w := simulate(n, p, c.settings, 7)
 	var b strings.Builder
 	fmt.Fprintf(&b, "| %s | %s | %.3f |", p.name, c.name, w.firstScore())
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -209,6 +209,15 @@
 	// PartlyRun is set when a part of the job may have run: its tasks are placed no matter
 	// how late they would end.
 	PartlyRun bool
+	// Limits are the limits of the expected waits; nil for those of the Settings.
+	Limits *Limits
+}
+
+// Limits are the limits of the expected waits of a job's tasks.
+type Limits struct {
+	// First is the limit for the task that is placed first, which depends on the load of
+	// the targets and not on the number of the job's tasks. Any is the limit for each task.
+	First, Any time.Duration
 }
 
 // Admit places all tasks of a job, or none when one of them would probably end too late
@@ -216,14 +225,18 @@
 func (f *Fleet) Admit(s Settings, j Job, now time.Time) Admission {
 	maxWait := s.maxWait(j.Priority, j.Slack)
 	var admission Admission
-	for _, t := range j.Tasks {
+	for i, t := range j.Tasks {
 		t.Slack = j.Slack + sched.PriorityDelay(j.Priority)
 		choice, ok := f.Place(t, now)
 		if ok {
 			admission.Placements = append(admission.Placements, choice)
 			admission.Wait = max(admission.Wait, choice.Wait+choice.Run-t.Estimate)
 		}
-		if ok && (j.PartlyRun || admission.Wait <= maxWait || choice.Wait == 0 && admission.Wait <= j.Slack) {
+		fits := admission.Wait <= maxWait
+		if j.Limits != nil {
+			fits = admission.Wait <= j.Limits.Any && (i > 0 || admission.Wait <= j.Limits.First)
+		}
+		if ok && (j.PartlyRun || fits || choice.Wait == 0 && admission.Wait <= j.Slack) {
 			continue
 		}
 		for i, c := range admission.Placements {
--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cyclamenrelay.example/admit"
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/peers"
@@ -55,6 +56,8 @@
 	// order is how much longer a run uses its capacity than it runs, for the orders to its
 	// target.
 	order time.Duration
+	// fair makes the entries admit by shares.
+	fair bool
 }
 
 // currentSize returns the size of the users' present deployments.
@@ -154,8 +157,10 @@
 	reportsTo   [][]int
 	searchAt    []time.Duration // when each entry may ask its neighbours again
 	lastID      uint64
-	byKind      map[string]*tally // by kind name, group of groups, and "all"
-	windows     map[int]*tally    // by two-second window of the jobs' submission
+	// admission has the admission by shares of each entry, if it is used.
+	admission []*admit.Core
+	byKind    map[string]*tally // by kind name, group of groups, and "all"
+	windows   map[int]*tally    // by two-second window of the jobs' submission
 }
 
 // simTarget is a simulated agent with its target.
@@ -224,6 +229,9 @@
 		w.fleets = append(w.fleets, assign.New(fmt.Sprint("e", e), w.dataCentre(e), timing()))
 		w.learners = append(w.learners, assign.NewLearner())
 		w.searchAt = append(w.searchAt, 0)
+		if w.fair {
+			w.admission = append(w.admission, admit.New())
+		}
 	}
 	for a := range w.agents {
 		h := &simTarget{name: fmt.Sprintf("a%02d", a), scheduler: sched.New(), speed: 1, open: true, tasks: map[uint64]*simTask{}, guests: map[int]time.Duration{}}
@@ -383,10 +391,12 @@
 	}
 	slack := time.Duration((stretch-1)*float64(j.estimate)) + objectiveSlack - overhead
 	job := assign.Job{Tasks: tasks, Priority: k.priority, Slack: slack}
+	w.limit(j, &job)
 	a := w.fleets[e].Admit(w.settings, job, w.time())
 	if a.Placements == nil && w.neighbours > 0 {
 		w.borrow(e, tasks[0], func() {
 			job.Slack -= 2 * networkDelay
+			w.limit(j, &job)
 			w.send(j, job, works, w.fleets[e].Admit(w.settings, job, w.time()))
 		})
 		return
@@ -414,6 +424,7 @@
 // send sends the tasks of an admitted job to their targets.
 func (w *simulation) send(j *simJob, job assign.Job, works []time.Duration, a assign.Admission) {
 	need, slack := job.Tasks[0].Need, job.Slack
+	w.recordAdmission(j, job, a)
 	if a.Placements == nil {
 		if w.now > warmUp {
 			for _, t := range w.tallies(j) {
--- a/broker/borrow.go
+++ b/broker/borrow.go
@@ -42,6 +42,8 @@
 // borrow asks other entries for targets with free capacity for a task, and reports whether
 // the fleet has got any. Jobs that need targets of one pool share a search. It returns
 // false at once when the last search was a moment ago, or the slack does not leave the time.
+// With admission by shares it waits for the next search if the last one has found targets and
+// the slack leaves the time.
 func (b *Broker) borrow(ctx context.Context, t assign.Task, impossible bool, slack time.Duration) bool {
 	if b.opts.Entries == nil || slack < searchTimeout && !impossible {
 		return false
@@ -54,8 +56,17 @@
 		b.searches[t.Pool] = s
 		b.node.Go(func() { b.runSearch(s, t, impossible) })
 	case s.isDone():
+		wait, found := searchInterval-b.opts.Clock.Since(s.endedAt), s.found
 		b.mu.Unlock()
-		return false
+		if !found || b.shares == nil || slack < wait+searchTimeout {
+			return false
+		}
+		select {
+		case <-b.opts.Clock.After(wait):
+			return b.borrow(ctx, t, impossible, slack-wait)
+		case <-ctx.Done():
+			return false
+		}
 	}
 	b.mu.Unlock()
 	select {
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"cyclamenrelay.example/admit"
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/kernel"
@@ -51,6 +52,9 @@
 	// Timing is the timing of reports that the agents use too.
 	Timing    peers.Timing
 	Admission assign.Settings
+	// FairAdmission divides the capacity among the queues by shares (package admit) in place
+	// of Admission when demand exceeds it.
+	FairAdmission bool
 	// Entries returns the known entries; nil for an entry that asks no others for targets.
 	Entries func() []wire.Node
 	// MaxOrphanRunTime bounds how long runs may continue after their entry has given them up,
@@ -68,6 +72,7 @@
 	mu         sync.Mutex
 	fleet      *assign.Fleet
 	learner    *assign.Learner
+	shares     *admit.Core // nil without FairAdmission
 	activeJobs map[string]*activeJob
 	// answers caches the outcomes of finished jobs by job ID; answerIDs has the IDs,
 	// oldest first.
@@ -81,6 +86,8 @@
 	// searches has the searches for other entries' targets by pool: the one in progress or
 	// the last one.
 	searches map[string]*search
+	// sharesLoggedAt is the time at which the shares of the queues were last logged.
+	sharesLoggedAt time.Time
 }
 
 // Caller waits for a job's outcome.
@@ -121,11 +128,15 @@
 
 // New returns a broker that knows no agents.
 func New(opts Options) *Broker {
-	return &Broker{
+	b := &Broker{
 		opts: opts, fleet: assign.New(opts.Name, opts.DataCentre, opts.Timing), learner: assign.NewLearner(),
 		activeJobs: map[string]*activeJob{}, answers: map[string]cachedAnswer{}, mayRunUntil: map[string]time.Time{}, calls: map[uint64]call{},
 		searches: map[string]*search{},
 	}
+	if opts.FairAdmission {
+		b.shares = admit.New()
+	}
+	return b
 }
 
 // Name implements kernel.Service.
@@ -156,6 +167,7 @@
 			return nil
 		case <-tick.Chan():
 			b.checkAgents()
+			b.logShares()
 		}
 	}
 }
@@ -307,6 +319,7 @@
 	name, reason := outcomeName(outcome)
 	meter.Answers(name).Inc()
 	meter.ObserveResponse(name, took)
+	w.countOutcome(outcome, took)
 	b.opts.Log.Info("job ended", zap.String("job", j.ID), zap.String("queue", q.Name), zap.Int("tasks", j.Tasks()),
 		zap.String("outcome", name), zap.String("reason", reason), zap.Duration("took", took),
 		zap.Duration("estimate", w.criticalPath), zap.Duration("wait", w.longestWait), zap.Duration("objective", w.objective), zap.Int("runs", w.runs))
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -44,10 +44,14 @@
 	return newTestbedWithClock(t, name, others, clockwork.NewRealClock())
 }
 
-func newTestbedWithClock(t testing.TB, name string, others func() []wire.Node, clock clockwork.Clock) *testbed {
+func newTestbedWithClock(t testing.TB, name string, others func() []wire.Node, clock clockwork.Clock, change ...func(*broker.Options)) *testbed {
 	b := &testbed{t: t}
 	b.entry = b.node(name, keys.Entry)
-	b.broker = broker.New(broker.Options{Name: name, Entries: others, DataCentre: "dc", Timing: peers.NewTiming(500 * time.Millisecond), Admission: assign.DefaultSettings(), MaxOrphanRunTime: time.Minute, Clock: clock, Log: zap.NewNop()})
+	opts := broker.Options{Name: name, Entries: others, DataCentre: "dc", Timing: peers.NewTiming(500 * time.Millisecond), Admission: assign.DefaultSettings(), MaxOrphanRunTime: time.Minute, Clock: clock, Log: zap.NewNop()}
+	for _, f := range change {
+		f(&opts)
+	}
+	b.broker = broker.New(opts)
 	k := kernel.New(zap.NewNop())
 	k.Add(b.broker)
 	k.Add(b.entry)
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -141,7 +141,7 @@
 		w.limit = tooLate
 	}
 	if w.broker.opts.Clock.Now().Add(w.criticalPath + overhead).After(w.limit) {
-		return Refused{Reason: "the deadline is too short for the work", Overload: true, After: retryAfter}
+		return Refused{Reason: reasonDeadline, Overload: true, After: w.retryAfter(0)}
 	}
 	return nil
 }
@@ -199,16 +199,13 @@
 		reqs[i] = w.requirements(tasks[i], est)
 	}
 	b := w.broker
-	admission := w.admitStep(reqs, slack)
-	if admission.Placements == nil && b.borrow(ctx, reqs[0], admission.Impossible, slack) {
-		admission = w.admitStep(reqs, w.slack())
-	}
+	admission := w.admitOrBorrow(ctx, reqs, slack)
 	w.longestWait = max(w.longestWait, admission.Wait)
 	if admission.Impossible {
-		return w.giveUp("no target can take the work")
+		return w.giveUp(reasonNoTarget)
 	}
 	if admission.Placements == nil {
-		return Refused{Reason: "it would end too late", Overload: true, After: max(admission.Wait, retryAfter)}
+		return Refused{Reason: reasonTooLate, Overload: true, After: w.retryAfter(admission.Wait)}
 	}
 	if !b.hasCaller(w.active) {
 		b.mu.Lock()
@@ -234,7 +231,7 @@
 	if w.mayHaveRun() {
 		return Interrupted{Reason: reason}
 	}
-	return Refused{Reason: reason, Overload: true, After: retryAfter}
+	return Refused{Reason: reason, Overload: true, After: w.retryAfter(0)}
 }
 
 // abandoned returns the outcome of a job that is given up before a start because none
--- a/broker/placing.go
+++ b/broker/placing.go
@@ -13,9 +13,13 @@
 	b := w.broker
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.fleet.Admit(b.opts.Admission, assign.Job{
-		Tasks: tasks, Priority: w.queue.Priority, Slack: slack, PartlyRun: w.mayHaveRun(),
-	}, b.opts.Clock.Now())
+	now := b.opts.Clock.Now()
+	j := assign.Job{Tasks: tasks, Priority: w.queue.Priority, Slack: slack, PartlyRun: w.mayHaveRun()}
+	if b.shares != nil {
+		limits := b.shares.Limits(w.shareJob(tasks, slack), now)
+		j.Limits = &limits
+	}
+	return b.fleet.Admit(b.opts.Admission, j, now)
 }
 
 // recordPlacement records where the task was placed.
--- a/conf/platform.go
+++ b/conf/platform.go
@@ -23,6 +23,9 @@
 	// GracePeriod is the time from the platform's request to stop until it kills the
 	// process.
 	GracePeriod Duration `json:"gracePeriod"`
+	// FairAdmission makes an entry divide the capacity among the queues by shares when
+	// demand exceeds it.
+	FairAdmission bool `json:"fairAdmission"`
 }
 
 func defaultPlatform() Platform {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -50,6 +51,23 @@
 // callers had disconnected.
 func AbandonedJobs() *metrics.Counter { return metrics.GetOrCreateCounter("relay_jobs_deserted_total") }
 
+// Refusals counts the refused jobs of a queue by cause: late, deadline, target, unsupported or
+// other.
+func Refusals(queue, cause string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("relay_refusals_total{queue=%q,cause=%q}", queue, cause))
+}
+
+// LateJobs counts the jobs of a queue that were complete after their objective.
+func LateJobs(queue string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("relay_jobs_late_total{queue=%q}", queue))
+}
+
+// QueueWork is the work of a queue in the last second or two, in seconds of a core or an
+// accelerator: the demand, what was served, or the share that the queue is entitled to.
+func QueueWork(queue, what string) *metrics.Gauge {
+	return metrics.GetOrCreateGauge(fmt.Sprintf("relay_queue_work{queue=%q,what=%q}", queue, what), nil)
+}
+
 // IgnoredAnnouncements counts the announcements of targets that had no effect, by reason: late,
 // contradicted or unconfirmed.
 func IgnoredAnnouncements(reason string) *metrics.Counter {
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -83,7 +83,7 @@
 	}
 	b.services.Add(b.follower())
 	br := broker.New(broker.Options{
-		Name: b.settings.Node.Name, DataCentre: b.settings.Node.DataCentre, Admission: assign.DefaultSettings(), Clock: b.clock, Log: b.log,
+		Name: b.settings.Node.Name, DataCentre: b.settings.Node.DataCentre, Admission: assign.DefaultSettings(), FairAdmission: p.FairAdmission, Clock: b.clock, Log: b.log,
 		Timing: peers.NewTiming(entryLease(p)), Entries: func() []wire.Node { return b.finder.Nodes(keys.Entry) },
 		MaxOrphanRunTime: time.Duration(runsEndFraction * float64(p.ResendAfter)),
 	})
