--- a/assign/admission_test.go
+++ b/assign/admission_test.go
@@ -105,21 +105,63 @@
 	}
 }
 
+// simSearch is the last search of an entry for targets of others.
+type simSearch struct {
+	endedAt time.Duration
+	found   bool
+}
+
+// searchInterval is the minimum interval between two searches, as in package broker.
+const searchInterval = 50 * time.Millisecond
+
+// search handles a job that does not fit on the known targets as package broker does: the job
+// joins a search in progress or begins one. If the last one has just ended, it is refused, or
+// waits for the next one when the entries admit by shares and the last one was successful.
+func (w *simulation) search(j *simJob, job assign.Job, works []time.Duration, refused assign.Admission) {
+	last := w.searches[j.entry]
+	left := job.Slack - (w.now - j.submittedAt)
+	again := func() {
+		job := job
+		job.Slack -= w.now - j.submittedAt
+		w.limit(j, &job)
+		a := w.fleets[j.entry].Admit(w.settings, job, w.time())
+		w.send(j, job, works, a)
+	}
+	wait := last.endedAt + searchInterval - w.now
+	switch {
+	case w.now < last.endedAt:
+		w.schedule(last.endedAt-w.now, again)
+	case wait <= 0:
+		w.borrow(j.entry, job.Tasks[0], again)
+	case w.fair && last.found && left > wait+40*time.Millisecond:
+		w.schedule(wait, func() { w.search(j, job, works, refused) })
+	default:
+		w.send(j, job, works, refused)
+	}
+}
+
 // way is a way of admission to compare.
 type way struct {
 	name     string
 	settings assign.Settings
 	fair     bool // by shares in place of settings
+	// change changes the deployment, unless it is nil.
+	change func(*size)
 }
 
-// ways returns the ways of admission to compare; the first one is that of the defaults.
+// ways returns the ways of admission to compare; the first one is that of the defaults, the
+// second one that by shares.
 func ways() []way {
+	limited := func(n *size) { n.limitSearches = true }
 	return []way{
-		{"0.8, 0.45", assign.DefaultSettings(), false},
-		{"shares", assign.Settings{}, true},
-		{"1, 1", assign.Settings{Urgent: 1, Other: 1}, false},
-		{"0.5, 0.45", assign.Settings{Urgent: 0.5, Other: 0.45}, false},
-		{"0.8, 0.2", assign.Settings{Urgent: 0.8, Other: 0.2}, false},
+		{name: "0.8, 0.45", settings: assign.DefaultSettings()},
+		{name: "shares", fair: true},
+		{name: "0.8, 0.45, rare searches", settings: assign.DefaultSettings(), change: limited},
+		{name: "shares, rare searches", fair: true, change: limited},
+		{name: "shares, demand of all known", fair: true, change: func(n *size) { n.sharedDemand = true }},
+		{name: "1, 1", settings: assign.Settings{Urgent: 1, Other: 1}},
+		{name: "0.5, 0.45", settings: assign.Settings{Urgent: 0.5, Other: 0.45}},
+		{name: "0.8, 0.2", settings: assign.Settings{Urgent: 0.8, Other: 0.2}},
 	}
 }
 
@@ -130,6 +172,9 @@
 // table line: the score, and by kind and width the per cent of the jobs in time, refused and late.
 func admissionLine(n size, p pattern, c way) (*simulation, string) {
 	n.fair = c.fair
+	if c.change != nil {
+		c.change(&n)
+	}
 	w := simulate(n, p, c.settings, 7)
 	var b strings.Builder
 	fmt.Fprintf(&b, "| %s | %s | %.3f |", p.name, c.name, w.firstScore())
@@ -142,8 +187,9 @@
 }
 
 // TestCompareAdmission guards against default limits that lose jobs while the load is 70 % of
-// the capacity. With ADMISSION_TABLE set it logs the table of docs/design/admission.md: all
-// ways of admission under all load patterns of the first deployment.
+// the capacity. With ADMISSION_TABLE set it logs the tables of docs/design/admission.md: all
+// ways of admission under all load patterns of the first deployment, and two of them at
+// other sizes and with failures.
 func TestCompareAdmission(t *testing.T) {
 	w, line := admissionLine(firstSize(), firstPatterns()[0], ways()[0])
 	t.Log(line)
@@ -157,4 +203,77 @@
 			t.Log(line)
 		}
 	}
+	for _, entries := range []int{3, 55, 300} {
+		n := firstSize()
+		n.entries, n.agents, n.until = entries, entries*6, burstEnd
+		p := firstPatterns()[1]
+		p.name = fmt.Sprintf("%s, %d x %d", p.name, n.entries, n.agents)
+		for _, c := range ways()[:2] {
+			_, line := admissionLine(n, p, c)
+			t.Log(line)
+		}
+	}
+}
+
+// failures returns load patterns with failures of entries, and the size with which each is
+// simulated.
+func failures() map[string]struct {
+	size
+	pattern
+} {
+	out := map[string]struct {
+		size
+		pattern
+	}{}
+	add := func(name string, n size, entryFactor func(e int, at time.Duration) float64) {
+		p := firstPatterns()[1]
+		p.name = name
+		if entryFactor != nil {
+			uneven := p.entryFactor
+			p.entryFactor = func(e int, at time.Duration) float64 { return uneven(e, at) * entryFactor(e, at) }
+		}
+		out[name] = struct {
+			size
+			pattern
+		}{n, p}
+	}
+	const nearlyNone = 0.05 // arrivals at other times begin at the next one
+	add("an entry is paused, then gets its jobs at once", firstSize(), func(e int, at time.Duration) float64 {
+		switch {
+		case e == 7 && between(at, 6*time.Second, 8*time.Second):
+			return nearlyNone
+		case e == 7 && between(at, 8*time.Second, 9*time.Second):
+			return 3
+		}
+		return 1
+	})
+	add("half of the entries are cut off", firstSize(), func(e int, at time.Duration) float64 {
+		switch {
+		case !between(at, 6*time.Second, 11*time.Second):
+			return 1
+		case e < 5:
+			return nearlyNone
+		}
+		return 2
+	})
+	for _, factor := range []float64{0.1, 10} {
+		n := firstSize()
+		n.wrongLoad = factor
+		add(fmt.Sprintf("a third of the targets report waits %g times as long", factor), n, nil)
+	}
+	return out
+}
+
+// Failure: in a burst of all kinds an entry is paused and goes on, half of the entries are
+// cut off, or the reports of a third of the targets are wrong by ten times. Admission by
+// shares must not serve the worst-served kind worse than admission by the expected wait.
+func TestSharesWithFailures(t *testing.T) {
+	for name, f := range failures() {
+		before, line := admissionLine(f.size, f.pattern, ways()[0])
+		t.Log(line)
+		shares, line := admissionLine(f.size, f.pattern, ways()[1])
+		t.Log(line)
+		assert.Assert(t, shares.worstKind() > before.worstKind()-0.02, "%s: %.3f, without shares %.3f", name, shares.worstKind(), before.worstKind())
+		assert.Assert(t, shares.firstScore() > before.firstScore()-0.02, "%s: %.3f, without shares %.3f", name, shares.firstScore(), before.firstScore())
+	}
 }
--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -56,8 +56,15 @@
 	// order is how much longer a run uses its capacity than it runs, for the orders to its
 	// target.
 	order time.Duration
-	// fair makes the entries admit by shares.
-	fair bool
+	// fair makes the entries admit by shares. sharedDemand makes each know at once what all
+	// others admit and refuse.
+	fair, sharedDemand bool
+	// limitSearches makes the entries search for lent targets as rarely as package broker
+	// does, in place of once for each job.
+	limitSearches bool
+	// wrongLoad is the factor on the interval between two completions that a third of the
+	// targets report, 0 for 1.
+	wrongLoad float64
 }
 
 // currentSize returns the size of the users' present deployments.
@@ -159,6 +166,7 @@
 	lastID      uint64
 	// admission has the admission by shares of each entry, if it is used.
 	admission []*admit.Core
+	searches  []simSearch       // by entry
 	byKind    map[string]*tally // by kind name, group of groups, and "all"
 	windows   map[int]*tally    // by two-second window of the jobs' submission
 }
@@ -229,9 +237,11 @@
 		w.fleets = append(w.fleets, assign.New(fmt.Sprint("e", e), w.dataCentre(e), timing()))
 		w.learners = append(w.learners, assign.NewLearner())
 		w.searchAt = append(w.searchAt, 0)
-		if w.fair {
-			w.admission = append(w.admission, admit.New())
+		w.admission = append(w.admission, admit.New())
+		if w.sharedDemand {
+			w.admission[e] = w.admission[0]
 		}
+		w.searches = append(w.searches, simSearch{endedAt: -time.Hour})
 	}
 	for a := range w.agents {
 		h := &simTarget{name: fmt.Sprintf("a%02d", a), scheduler: sched.New(), speed: 1, open: true, tasks: map[uint64]*simTask{}, guests: map[int]time.Duration{}}
@@ -355,10 +365,14 @@
 // loadOf returns the capacity use of a target as it is sent to an entry.
 func (w *simulation) loadOf(h *simTarget, entry int) wire.TargetLoad {
 	h.seq++
-	return wire.TargetLoad{
+	load := wire.TargetLoad{
 		Incarnation: 1, Seq: h.seq, Used: h.scheduler.Used(), ReceiverUsed: h.scheduler.OwnerUse(fmt.Sprint(entry)), CompletionInterval: h.scheduler.CompletionInterval(),
 		Backlog: h.scheduler.Backlog(w.time()),
 	}
+	if w.wrongLoad > 0 && w.targetIndex[h.name]%3 == 0 {
+		load.CompletionInterval = time.Duration(w.wrongLoad * float64(load.CompletionInterval))
+	}
+	return load
 }
 
 // lognormal draws from a log-normal distribution with the mean and sigma = spread.
@@ -393,6 +407,10 @@
 	job := assign.Job{Tasks: tasks, Priority: k.priority, Slack: slack}
 	w.limit(j, &job)
 	a := w.fleets[e].Admit(w.settings, job, w.time())
+	if a.Placements == nil && w.limitSearches {
+		w.search(j, job, works, a)
+		return
+	}
 	if a.Placements == nil && w.neighbours > 0 {
 		w.borrow(e, tasks[0], func() {
 			job.Slack -= 2 * networkDelay
@@ -407,13 +425,16 @@
 // borrow asks the neighbours of an entry for targets, and calls then after a round trip.
 func (w *simulation) borrow(e int, t assign.Task, then func()) {
 	askedAt := w.time()
+	w.searches[e] = simSearch{endedAt: w.now + 2*networkDelay}
 	for i := 1; i <= w.neighbours; i++ {
 		lender := w.fleets[(e+i*7)%w.entries]
 		w.schedule(networkDelay, func() {
 			lent := lender.Lend(t, 8, w.time())
 			w.schedule(networkDelay, func() {
 				for _, l := range lent {
-					w.fleets[e].Borrow(l, askedAt, w.time())
+					if w.fleets[e].Borrow(l, askedAt, w.time()) {
+						w.searches[e].found = true
+					}
 				}
 			})
 		})
