admit, broker: limits follow the waits of the tasks that ended

The limits of a queue are now less the mean by which its tasks lately started later than expected, and a part of the spread for jobs of several tasks.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -144,6 +144,31 @@
 	assert.Assert(t, c.RetryAfter("x", "p", wait, now) >= wait, "before the work that is queued has started")
 }
 
+// Pattern: reports make waits look shorter than they are, by ten times or more. The limits
+// follow the waits of the tasks that ended, more for wide jobs, as the last of many tasks
+// decides; they return when no tasks end.
+func TestLimitsFollowTheWaitsOfEndedTasks(t *testing.T) {
+	c := admit.New()
+	now := run(c, epoch, time.Second, load{"a", 0, 10, 1})
+	first := func(tasks int, now time.Time) time.Duration {
+		j := job("a", 0, 1)
+		j.Tasks = tasks
+		return c.Limits(j, now).First
+	}
+	before := first(1, now)
+	for i := range 100 {
+		c.RecordDelay("p", "a", time.Duration(i%2)*40*time.Millisecond, now)
+		c.RecordDelay("p", "unknown", time.Hour, now)
+	}
+	assert.Assert(t, first(1, now) < before-10*time.Millisecond, "%v, before %v", first(1, now), before)
+	assert.Assert(t, first(8, now) < first(1, now)-5*time.Millisecond, "%v for eight tasks, %v for one", first(8, now), first(1, now))
+	assert.Assert(t, first(8, now.Add(10*time.Second)) > before*9/10)
+	for range 100 {
+		c.RecordDelay("p", "a", -time.Hour, now)
+	}
+	assert.Assert(t, first(8, now) <= before, "tasks that start early must not raise the limit above its fraction of the slack")
+}
+
 // Work counts cores and accelerators.
 func TestWork(t *testing.T) {
 	assert.Equal(t, admit.Work(4, batch.Resources{CPU: 2500, Accelerators: 1}, 2*time.Second), 28.0)
--- a/admit/core.go
+++ b/admit/core.go
@@ -26,9 +26,8 @@
 	heldPart = 0.1
 	// lastPart is the fraction that the tasks placed after a job's first one may wait,
 	// whatever the share of its queue, so that wide jobs are not refused before narrow
-	// ones. It is below fullPart because the last of several tasks decides when the job
-	// ends, and it is more often late than one task alone.
-	lastPart = 0.65
+	// ones.
+	lastPart = 0.9
 	// minPart bounds the fraction of a queue that got more than its share: a job that does
 	// not need to wait is admitted in any case.
 	minPart = 0.03
@@ -57,6 +56,8 @@
 	Slack time.Duration
 	// Work is the capacity that the tasks use multiplied by the time (Work).
 	Work float64
+	// Tasks is the number of tasks.
+	Tasks int
 }
 
 // Work returns the work of tasks: the cores and accelerators that they use, multiplied by the
@@ -74,22 +75,25 @@
 // it has some.
 func New() *Core { return &Core{pools: map[string]*pool{}} }
 
-// Limits returns the limits of the expected waits of the job's tasks. The limit of the task
-// that is placed first depends on the load of the targets; jobs of the same queue have the
-// same, however many tasks they have. The other tasks may wait as long as the job can probably still
-// be in time.
+// Limits returns the limits of the expected waits of the job's tasks: fractions of the slack
+// less the time by which tasks of the queue lately started later than expected. The limit of
+// the task that is placed first depends on the share of the queue; it is about the same for
+// all jobs of the queue, however many tasks they have. The other tasks may wait as long as the
+// job can probably still be in time.
 func (c *Core) Limits(j Job, now time.Time) assign.Limits {
 	part := fullPart
+	slack := j.Slack
 	if p := c.pools[j.Pool]; p != nil {
 		p.refresh(now)
 		if p.urgent < j.Priority {
 			part = heldPart
 		}
 		if q := p.queues[j.Queue]; q != nil {
+			slack -= q.delay.margin(j.Tasks, now)
 			part = min(max(part*math.Exp(shareGain*q.share.deficit()), minPart), 1)
 		}
 	}
-	return assign.Limits{First: time.Duration(part * float64(j.Slack)), Any: time.Duration(lastPart * float64(j.Slack))}
+	return assign.Limits{First: time.Duration(part * float64(slack)), Any: time.Duration(lastPart * float64(slack))}
 }
 
 // Record records the decision on a job that the targets of its pool can run.
@@ -108,6 +112,16 @@
 	p.record(j.Queue, j.Priority, j.Work, admitted, now)
 }
 
+// RecordDelay records by how much a task of a queue started later than it was expected when
+// it was placed.
+func (c *Core) RecordDelay(poolName, queueName string, excess time.Duration, now time.Time) {
+	if p := c.pools[poolName]; p != nil {
+		if q := p.queues[queueName]; q != nil {
+			q.delay.record(excess, now)
+		}
+	}
+}
+
 // RetryAfter returns the time after which the caller of a refused job may try again. wait is
 // the wait that was expected for the job's tasks. The refused callers are spread over the time in which the pool can do the work that it
 // refused lately, beside what it is asked for. The ID of the job determines its place, so
--- a/admit/shares.go
+++ b/admit/shares.go
@@ -87,6 +87,7 @@
 	priority              int
 	demand, served, usual average
 	share                 Share
+	delay                 delay
 }
 
 // record records a job's work, and whether the job was admitted.
--- a/assign/admission_test.go
+++ b/assign/admission_test.go
@@ -86,7 +86,7 @@
 // admitJob returns the job as its admission by shares sees it.
 func (j *simJob) admitJob(job assign.Job) admit.Job {
 	return admit.Job{
-		Pool: "p", Queue: j.kind.name, Priority: j.kind.priority, Slack: job.Slack, Work: admit.Work(j.width, job.Tasks[0].Need, j.estimate),
+		Pool: "p", Queue: j.kind.name, Priority: j.kind.priority, Slack: job.Slack, Tasks: j.width, Work: admit.Work(j.width, job.Tasks[0].Need, j.estimate),
 	}
 }
 
--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -191,6 +191,8 @@
 	need   batch.Resources
 	// returns counts how often a target has returned the task for lack of free capacity.
 	returns int
+	// sentAt is the time of its placement, expectedWait its expected wait then.
+	sentAt, expectedWait time.Duration
 }
 
 type simJob struct {
@@ -456,7 +458,7 @@
 	}
 	for i, c := range a.Placements {
 		h := w.targetIndex[c.Agent]
-		t := &simTask{job: j, work: works[i], target: h, need: need}
+		t := &simTask{job: j, work: works[i], target: h, need: need, sentAt: w.now, expectedWait: c.Wait}
 		w.schedule(networkDelay, func() { w.enqueue(t, slack) })
 	}
 }
@@ -550,6 +552,7 @@
 	f.RecordEnd(w.targets[t.target].name, batch.Done, w.time())
 	f.RecordRunTime(w.targets[t.target].name, ran, j.estimate)
 	l.RecordRunTime(j.kind.name, ran)
+	w.admission[j.entry].RecordDelay("p", j.kind.name, w.now-t.sentAt-ran-t.expectedWait, w.time())
 	if j.remaining--; j.remaining > 0 || j.submittedAt <= warmUp {
 		return
 	}
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -72,6 +72,7 @@
 	// expectedWait and expectedRun are the expected waiting time and run time on the
 	// chosen target.
 	expectedWait, expectedRun time.Duration
+	placedAt                  time.Time
 	avoid                     []string // agents to avoid if there are others
 	excluded                  []string // agents that did not start the task
 }
@@ -216,7 +217,7 @@
 		return w.abandoned()
 	}
 	for i, t := range tasks {
-		t.recordPlacement(admission.Placements[i])
+		t.recordPlacement(admission.Placements[i], b.opts.Clock.Now())
 		w.startRun(ctx, t)
 	}
 	return nil
@@ -321,6 +322,7 @@
 	if e.End == batch.Done {
 		w.broker.fleet.RecordRunTime(agent, e.Ran, w.broker.learner.Estimate(w.queue.Name, w.job.Steps[t.step].Estimate))
 		w.broker.learner.RecordRunTime(w.queue.Name, e.Ran)
+		w.recordDelay(t, e, now)
 	}
 	w.broker.mu.Unlock()
 	if e.End != batch.Done {
--- a/broker/placing.go
+++ b/broker/placing.go
@@ -23,8 +23,8 @@
 }
 
 // recordPlacement records where the task was placed.
-func (t *task) recordPlacement(c assign.Placement) {
-	t.agent, t.expectedWait, t.expectedRun = c.Agent, c.Wait, c.Run
+func (t *task) recordPlacement(c assign.Placement, now time.Time) {
+	t.agent, t.expectedWait, t.expectedRun, t.placedAt = c.Agent, c.Wait, c.Run, now
 	t.placements++
 }
 
@@ -44,7 +44,7 @@
 	defer w.broker.mu.Unlock()
 	c, ok := w.broker.fleet.Place(w.requirements(t, est), w.broker.opts.Clock.Now())
 	if ok {
-		t.recordPlacement(c)
+		t.recordPlacement(c, w.broker.opts.Clock.Now())
 	}
 	return ok
 }
--- a/broker/shares.go
+++ b/broker/shares.go
@@ -9,6 +9,7 @@
 	"cyclamenrelay.example/admit"
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/meter"
+	"cyclamenrelay.example/wire"
 )
 
 // maxSearches bounds the searches for other entries' targets that one job waits for: the one
@@ -17,7 +18,7 @@
 
 // shareJob returns a step of the job as its admission by shares sees it.
 func (w *jobRun) shareJob(tasks []assign.Task, slack time.Duration) admit.Job {
-	j := admit.Job{Pool: w.queue.Pool, Queue: w.queue.Name, Priority: w.queue.Priority, Slack: slack}
+	j := admit.Job{Pool: w.queue.Pool, Queue: w.queue.Name, Priority: w.queue.Priority, Slack: slack, Tasks: len(tasks)}
 	for _, t := range tasks {
 		j.Work += admit.Work(1, t.Need, t.Estimate)
 	}
@@ -35,6 +36,15 @@
 	b.shares.Record(w.shareJob(tasks, 0), admitted, b.opts.Clock.Now())
 }
 
+// recordDelay records by how much a task that is done started later than expected. The caller
+// holds the broker's mu.
+func (w *jobRun) recordDelay(t *task, ended wire.RunEnded, now time.Time) {
+	if w.broker.shares == nil || ended.Ran <= 0 {
+		return
+	}
+	w.broker.shares.RecordDelay(w.queue.Pool, w.queue.Name, now.Sub(t.placedAt)-ended.Ran-t.expectedWait, now)
+}
+
 // admitOrBorrow places the tasks of a step. When they cannot end in time on the targets that
 // the entry knows, it looks for targets of other entries first. With admission by shares, the
 // job waits for another search if the slack leaves time and the last one has found targets,
