--- a/admit/core.go
+++ b/admit/core.go
@@ -23,7 +23,7 @@
 	// demand: the capacity that it leaves free lets those start at once. With a larger
 	// fraction more jobs end late, with a smaller one more are refused
 	// (docs/design/admission.md).
-	heldPart = 0.1
+	heldPart = 0.2
 	// lastPart is the fraction that the tasks placed after a job's first one may wait,
 	// whatever the share of its queue, so that wide jobs are not refused before narrow
 	// ones.
