--- a/admit/core.go
+++ b/admit/core.go
@@ -20,8 +20,8 @@
 	// back. It is below 1 because waits are often longer than expected.
 	fullPart = 0.8
 	// heldPart is the fraction for jobs while more urgent jobs of the same pool are in
-	// demand: the capacity that it leaves free lets those start at once. With a larger
-	// fraction more jobs end late, with a smaller one more are refused
+	// demand: the capacity that it leaves free lets those start at once. With 0.1 more jobs
+	// are refused, with 0.3 and more the urgent jobs of many tasks are refused instead
 	// (docs/design/admission.md).
 	heldPart = 0.2
 	// lastPart is the fraction that the tasks placed after a job's first one may wait,
@@ -39,8 +39,8 @@
 	// in demand.
 	minDemand = 0.01
 	// minRetry and maxRetry bound the time after which a refused caller may try again. The
-	// tasks of a target are replaced in less than minRetry. Callers of jobs that last
-	// longer than maxRetry are not the ones that wait for an answer.
+	// tasks of a target are replaced in less than minRetry. An overload of more than ten
+	// times, which asks for more than maxRetry, is no measure of when it ends.
 	minRetry = time.Second
 	maxRetry = 10 * time.Second
 	// maxPools bounds the number of pools for which shares are kept.
