--- a/assign/overload_test.go
+++ b/assign/overload_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cyclamenrelay.example/admit"
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/pace"
@@ -64,6 +65,21 @@
 	backfill               sched.Backfill
 	// largeFactor is the factor on the need of the kind that takes longest, 0 for 1.
 	largeFactor float64
+	// mix returns the factors on the capacity and on the run times of a target; nil for
+	// every third target larger and slower.
+	mix func(a int) (capacity, runTime float64)
+	// order is how much longer a run uses its capacity than it runs, for the orders to its
+	// target.
+	order time.Duration
+	// fair makes the entries admit by shares. sharedDemand makes each know at once what all
+	// others admit and refuse.
+	fair, sharedDemand bool
+	// limitSearches makes the entries search for lent targets as rarely as package broker
+	// does, in place of once for each job.
+	limitSearches bool
+	// wrongLoad is the factor on the interval between two completions that a third of the
+	// targets report, 0 for 1.
+	wrongLoad float64
 }
 
 // currentSize returns the size of the users' present deployments.
@@ -163,8 +179,11 @@
 	reportsTo   [][]int
 	searchAt    []time.Duration // when each entry may ask its neighbours again
 	lastID      uint64
-	byKind      map[string]*tally // by kind name, and "all"
-	windows     map[int]*tally    // by two-second window of the jobs' submission
+	// admission has the admission by shares of each entry, if it is used.
+	admission []*admit.Core
+	searches  []simSearch       // by entry
+	byKind    map[string]*tally // by kind name, group of groups, and "all"
+	windows   map[int]*tally    // by two-second window of the jobs' submission
 }
 
 // simTarget is a simulated agent with its target.
@@ -189,6 +208,8 @@
 	// returns counts how often a target has returned the task for lack of free capacity.
 	returns   int
 	startedAt time.Duration // start of the run, 0 before
+	// sentAt is the time of its placement, expectedWait its expected wait then.
+	sentAt, expectedWait time.Duration
 }
 
 type simJob struct {
@@ -199,6 +220,7 @@
 	remaining   int           // number of tasks that are not done
 	value       float64
 	estimate    time.Duration // of each task
+	width       int           // number of tasks
 }
 
 // tally sums the results of a group of jobs: the value of all jobs, the value that was
@@ -234,12 +256,20 @@
 		w.fleets = append(w.fleets, assign.New(fmt.Sprint("e", e), w.dataCentre(e), timing()))
 		w.learners = append(w.learners, assign.NewLearner())
 		w.searchAt = append(w.searchAt, 0)
+		w.admission = append(w.admission, admit.New())
+		if w.sharedDemand {
+			w.admission[e] = w.admission[0]
+		}
+		w.searches = append(w.searches, simSearch{endedAt: -time.Hour})
 	}
 	for a := range w.agents {
 		h := &simTarget{name: fmt.Sprintf("a%02d", a), scheduler: sched.New(), speed: 1, open: true, tasks: map[uint64]*simTask{}, guests: map[int]time.Duration{}}
 		c := batch.Resources{CPU: w.cores, Memory: 262_144}
 		if w.speed != nil {
 			h.speed = w.speed(a)
+		} else if w.mix != nil {
+			larger, slower := w.mix(a)
+			h.speed, c.CPU = slower, int64(float64(w.cores)*larger)
 		} else if a%3 == 2 {
 			h.speed, c.CPU = 1.3, w.cores*3/2
 		}
@@ -361,15 +391,18 @@
 	if !w.tellSpeed {
 		ratio = 0
 	}
-	r := wire.TargetLoad{
+	load := wire.TargetLoad{
 		Incarnation: 1, Seq: h.seq, Used: h.scheduler.Used(), ReceiverUsed: h.scheduler.OwnerUse(fmt.Sprint(entry)), CompletionInterval: h.scheduler.CompletionInterval(),
 		Backlog: h.scheduler.Backlog(w.time()), RunRatio: ratio,
 	}
 	if !w.noForecast {
 		w.updateProgress(h)
-		r.Forecast = h.scheduler.Forecast(w.time())
+		load.Forecast = h.scheduler.Forecast(w.time())
 	}
-	return r
+	if w.wrongLoad > 0 && w.targetIndex[h.name]%3 == 0 {
+		load.CompletionInterval = time.Duration(w.wrongLoad * float64(load.CompletionInterval))
+	}
+	return load
 }
 
 // updateProgress tells the scheduler of a target the run times that the progress of its tasks
@@ -396,7 +429,7 @@
 func (w *simulation) submit(k kind, e int) {
 	n := min(max(int(math.Round(lognormal(w.rng, k.width, 0.4))), 1), k.maxWidth)
 	base := lognormal(w.rng, float64(k.work), 0.4)
-	j := &simJob{kind: k, entry: e, submittedAt: w.now, remaining: n}
+	j := &simJob{kind: k, entry: e, submittedAt: w.now, remaining: n, width: n}
 	j.estimate = w.learners[e].Estimate(k.name, time.Duration(base*(0.6+0.8*w.rng.Float64())))
 	if w.estimateFactor > 0 {
 		j.estimate = time.Duration(float64(j.estimate) * w.estimateFactor)
@@ -426,10 +459,16 @@
 	}
 	slack := time.Duration((stretch-1)*float64(j.estimate)) + objectiveSlack - overhead
 	job := assign.Job{Tasks: tasks, Priority: k.priority, Slack: slack}
+	w.limit(j, &job)
 	a := w.fleets[e].Admit(w.settings, job, w.time())
+	if a.Placements == nil && w.limitSearches {
+		w.search(j, job, works, a)
+		return
+	}
 	if a.Placements == nil && w.neighbours > 0 {
 		w.borrow(e, tasks[0], func() {
 			job.Slack -= 2 * networkDelay
+			w.limit(j, &job)
 			w.send(j, job, works, w.fleets[e].Admit(w.settings, job, w.time()))
 		})
 		return
@@ -440,13 +479,16 @@
 // borrow asks the neighbours of an entry for targets, and calls then after a round trip.
 func (w *simulation) borrow(e int, t assign.Task, then func()) {
 	askedAt := w.time()
+	w.searches[e] = simSearch{endedAt: w.now + 2*networkDelay}
 	for i := 1; i <= w.neighbours; i++ {
 		lender := w.fleets[(e+i*7)%w.entries]
 		w.schedule(networkDelay, func() {
 			lent := lender.Lend(t, 8, w.time())
 			w.schedule(networkDelay, func() {
 				for _, l := range lent {
-					w.fleets[e].Borrow(l, askedAt, w.time())
+					if w.fleets[e].Borrow(l, askedAt, w.time()) {
+						w.searches[e].found = true
+					}
 				}
 			})
 		})
@@ -457,6 +499,7 @@
 // send sends the tasks of an admitted job to their targets.
 func (w *simulation) send(j *simJob, job assign.Job, works []time.Duration, a assign.Admission) {
 	need, slack := job.Tasks[0].Need, job.Slack
+	w.recordAdmission(j, job, a)
 	if a.Placements == nil {
 		if w.now > warmUp {
 			for _, t := range w.tallies(j) {
@@ -467,7 +510,7 @@
 	}
 	for i, c := range a.Placements {
 		h := w.targetIndex[c.Agent]
-		t := &simTask{job: j, work: works[i], target: h, need: need}
+		t := &simTask{job: j, work: works[i], target: h, need: need, sentAt: w.now, expectedWait: c.Wait}
 		w.schedule(networkDelay, func() { w.enqueue(t, slack) })
 	}
 }
@@ -475,15 +518,17 @@
 // tallies returns the tallies in which the job is counted.
 func (w *simulation) tallies(j *simJob) []*tally {
 	win := int(j.submittedAt / (2 * time.Second))
-	for _, k := range []string{j.kind.name, "all"} {
+	if w.windows[win] == nil {
+		w.windows[win] = &tally{}
+	}
+	out := []*tally{w.windows[win]}
+	for _, k := range append(w.groups(j), j.kind.name, "all") {
 		if w.byKind[k] == nil {
 			w.byKind[k] = &tally{}
 		}
+		out = append(out, w.byKind[k])
 	}
-	if w.windows[win] == nil {
-		w.windows[win] = &tally{}
-	}
-	return []*tally{w.byKind[j.kind.name], w.byKind["all"], w.windows[win]}
+	return out
 }
 
 // enqueue queues a task at its target.
@@ -538,7 +583,7 @@
 		}
 		t := h.tasks[x.ID]
 		t.startedAt = w.now
-		ran := time.Duration(float64(t.work) * h.speed)
+		ran := time.Duration(float64(t.work)*h.speed) + w.order
 		w.schedule(ran, func() {
 			h.scheduler.Release(x.ID)
 			delete(h.tasks, x.ID)
@@ -561,6 +606,7 @@
 	f.RecordEnd(w.targets[t.target].name, batch.Done, w.time())
 	f.RecordRunTime(w.targets[t.target].name, ran, j.estimate)
 	l.RecordRunTime(j.kind.name, ran)
+	w.admission[j.entry].RecordDelay("p", j.kind.name, w.now-t.sentAt-ran-t.expectedWait, w.time())
 	if j.remaining--; j.remaining > 0 || j.submittedAt <= warmUp {
 		return
 	}
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"cyclamenrelay.example/admit"
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/batch"
 	"cyclamenrelay.example/evac"
@@ -55,6 +56,9 @@
 	Admission assign.Settings
 	// FarFactor is assign.Fleet.FarFactor.
 	FarFactor float64
+	// FairAdmission divides the capacity among the queues by shares (package admit) in place
+	// of Admission when demand exceeds it.
+	FairAdmission bool
 	// Entries returns the known entries; nil for an entry that asks no others for targets.
 	Entries func() []wire.Node
 	// View is the entry's copy of the configuration, with the evacuations in force; nil for
@@ -77,6 +81,7 @@
 	// evacuations are those that the fleet has got.
 	evacuations evac.Set
 	learner     *assign.Learner
+	shares      *admit.Core // nil without FairAdmission
 	activeJobs  map[string]*activeJob
 	// answers caches the outcomes of finished jobs by job ID; answerIDs has the IDs,
 	// oldest first.
@@ -95,6 +100,8 @@
 	startedAt time.Time
 	reported  chan struct{}
 	shutdown  shutdown
+	// sharesLoggedAt is the time at which the shares of the queues were last logged.
+	sharesLoggedAt time.Time
 }
 
 // Caller waits for a job's outcome.
@@ -137,11 +144,15 @@
 func New(opts Options) *Broker {
 	fleet := assign.New(opts.Name, opts.DataCentre, opts.Timing)
 	fleet.FarFactor = opts.FarFactor
-	return &Broker{
+	b := &Broker{
 		opts: opts, fleet: fleet, learner: assign.NewLearner(),
 		activeJobs: map[string]*activeJob{}, answers: map[string]cachedAnswer{}, mayRunUntil: map[string]time.Time{}, calls: map[uint64]call{},
 		searches: map[string]*search{}, startedAt: opts.Clock.Now(), reported: make(chan struct{}), shutdown: newShutdown(),
 	}
+	if opts.FairAdmission {
+		b.shares = admit.New()
+	}
+	return b
 }
 
 // Name implements kernel.Service.
@@ -172,6 +183,7 @@
 			return nil
 		case <-tick.Chan():
 			b.checkAgents()
+			b.logShares()
 		}
 	}
 }
@@ -330,6 +342,7 @@
 	name, reason := outcomeName(outcome)
 	meter.Answers(name).Inc()
 	meter.ObserveResponse(name, took)
+	w.countOutcome(outcome, took)
 	b.opts.Log.Info("job ended", zap.String("job", j.ID), zap.String("queue", q.Name), zap.Int("tasks", j.Tasks()),
 		zap.String("outcome", name), zap.String("reason", reason), zap.Duration("took", took),
 		zap.Duration("estimate", w.criticalPath), zap.Duration("wait", w.longestWait), zap.Duration("objective", w.objective), zap.Int("runs", w.runs),
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -47,10 +47,14 @@
 	return newTestbedWithClock(t, name, others, clockwork.NewRealClock())
 }
 
-func newTestbedWithClock(t testing.TB, name string, others func() []wire.Node, clock clockwork.Clock) *testbed {
+func newTestbedWithClock(t testing.TB, name string, others func() []wire.Node, clock clockwork.Clock, change ...func(*broker.Options)) *testbed {
 	b := &testbed{t: t, view: watch.NewView(clock, time.Second)}
 	b.entry = b.node(name, keys.Entry)
-	b.broker = broker.New(broker.Options{Name: name, Entries: others, View: b.view, DataCentre: "dc", Timing: peers.NewTiming(500 * time.Millisecond), Admission: assign.DefaultSettings(), FarFactor: 1.5, MaxOrphanRunTime: time.Minute, Clock: clock, Log: zap.NewNop()})
+	opts := broker.Options{Name: name, Entries: others, View: b.view, DataCentre: "dc", Timing: peers.NewTiming(500 * time.Millisecond), Admission: assign.DefaultSettings(), FarFactor: 1.5, MaxOrphanRunTime: time.Minute, Clock: clock, Log: zap.NewNop()}
+	for _, f := range change {
+		f(&opts)
+	}
+	b.broker = broker.New(opts)
 	k := kernel.New(zap.NewNop())
 	k.Add(b.broker)
 	k.Add(b.entry)
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -84,7 +84,8 @@
 	// expectedWait and expectedRun are the expected waiting time and run time on the
 	// chosen target.
 	expectedWait, expectedRun time.Duration
-	relative, far             float64  // assign.Placement.Relative and Far of the chosen target
+	relative, far             float64 // assign.Placement.Relative and Far of the chosen target
+	placedAt                  time.Time
 	avoid                     []string // agents to avoid if there are others
 	excluded                  []string // agents that did not start the task
 	withdrawn                 bool     // the agent has agreed not to start the current run
@@ -165,12 +166,12 @@
 	if tooLate := w.submittedAt.Add(w.objective * lateFactor); tooLate.Before(w.limit) {
 		w.limit = tooLate
 	}
-	reason := "the deadline is too short for the work"
+	reason := reasonDeadline
 	if end, stopping := w.broker.stopLimit(); stopping && end.Before(w.limit) {
 		w.limit, reason = end, stoppingReason
 	}
 	if w.broker.opts.Clock.Now().Add(w.criticalPath + overhead).After(w.limit) {
-		return Refused{Reason: reason, Overload: true, After: retryAfter}
+		return Refused{Reason: reason, Overload: true, After: w.retryAfter(0)}
 	}
 	return nil
 }
@@ -231,19 +232,16 @@
 		reqs[i] = w.requirements(tasks[i], est)
 	}
 	b := w.broker
-	admission := w.admitStep(reqs, slack, 0)
-	if admission.Placements == nil && b.borrow(ctx, reqs[0], admission.Impossible, slack) {
-		admission = w.admitStep(reqs, w.slack(), 0)
-	}
+	admission := w.admitOrBorrow(ctx, reqs, slack)
 	if admission.Placements == nil {
 		admission = w.admitWhileWarmingUp(ctx, reqs, admission)
 	}
 	w.longestWait = max(w.longestWait, admission.Wait)
 	if admission.Impossible {
-		return w.giveUp("no target can take the work")
+		return w.giveUp(reasonNoTarget)
 	}
 	if admission.Placements == nil {
-		return Refused{Reason: "it would end too late", Overload: true, After: max(admission.Wait, retryAfter)}
+		return Refused{Reason: reasonTooLate, Overload: true, After: w.retryAfter(admission.Wait)}
 	}
 	if !b.hasCaller(w.active) {
 		b.mu.Lock()
@@ -254,7 +252,7 @@
 		return w.abandoned()
 	}
 	for i, t := range tasks {
-		t.recordPlacement(admission.Placements[i])
+		t.recordPlacement(admission.Placements[i], b.opts.Clock.Now())
 		w.startRun(ctx, t)
 	}
 	return nil
@@ -269,7 +267,7 @@
 	if w.mayHaveRun() {
 		return Interrupted{Reason: reason}
 	}
-	return Refused{Reason: reason, Overload: true, After: retryAfter}
+	return Refused{Reason: reason, Overload: true, After: w.retryAfter(0)}
 }
 
 // abandoned returns the outcome of a job that is given up before a start because none
@@ -365,6 +363,7 @@
 		ran := time.Duration(float64(e.Ran) / t.far) // as it would have been at the rack of the data
 		w.broker.fleet.RecordRunTime(agent, ran, w.broker.learner.Estimate(w.queue.Name, w.job.Steps[t.step].Estimate))
 		w.broker.learner.RecordRunTime(w.queue.Name, ran)
+		w.recordDelay(t, e, now)
 	}
 	w.broker.mu.Unlock()
 	if e.End != batch.Done {
--- a/broker/placing.go
+++ b/broker/placing.go
@@ -15,14 +15,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.updateEvacuations()
-	return b.fleet.Admit(b.opts.Admission, assign.Job{
-		Tasks: tasks, Priority: w.queue.Priority, Slack: slack, LateSlack: lateSlack, PartlyRun: w.mayHaveRun(),
-	}, b.opts.Clock.Now())
+	now := b.opts.Clock.Now()
+	j := assign.Job{Tasks: tasks, Priority: w.queue.Priority, Slack: slack, LateSlack: lateSlack, PartlyRun: w.mayHaveRun()}
+	if b.shares != nil {
+		limits := b.shares.Limits(w.shareJob(tasks, slack), now)
+		j.Limits = &limits
+	}
+	return b.fleet.Admit(b.opts.Admission, j, now)
 }
 
 // recordPlacement records where the task was placed.
-func (t *task) recordPlacement(c assign.Placement) {
-	t.agent, t.expectedWait, t.expectedRun, t.relative, t.far = c.Agent, c.Wait, c.Run, c.Relative, c.Far
+func (t *task) recordPlacement(c assign.Placement, now time.Time) {
+	t.agent, t.expectedWait, t.expectedRun, t.relative, t.far, t.placedAt = c.Agent, c.Wait, c.Run, c.Relative, c.Far, now
 	t.placements++
 }
 
@@ -43,7 +47,7 @@
 	w.broker.updateEvacuations()
 	c, ok := w.broker.fleet.Place(w.requirements(t, est), w.broker.opts.Clock.Now())
 	if ok {
-		t.recordPlacement(c)
+		t.recordPlacement(c, w.broker.opts.Clock.Now())
 	}
 	return ok
 }
--- a/conf/platform.go
+++ b/conf/platform.go
@@ -37,6 +37,9 @@
 	// Backfill is the longest time for which an agent may start other tasks before a waiting
 	// one that does not fit into the free capacity of its target, 0 for never.
 	Backfill Duration `json:"backfill"`
+	// FairAdmission makes an entry divide the capacity among the queues by shares when
+	// demand exceeds it.
+	FairAdmission bool `json:"fairAdmission"`
 }
 
 func defaultPlatform() Platform {
