--- a/link/call.go
+++ b/link/call.go
@@ -225,30 +225,15 @@
 	return d.conn.Context().Err() != nil
 }
 
-// dialAttempts dials an address within dialTimeout, with a new attempt after each of
-// attemptTimeouts.
-func (n *Node) dialAttempts(addr net.Addr) (c *quic.Conn, err error) {
-	ctx, cancel := context.WithTimeout(n.ctx, dialTimeout)
-	defer cancel()
-	for _, timeout := range attemptTimeouts {
-		attempt, end := context.WithTimeout(ctx, timeout)
-		c, err = n.tr.Dial(attempt, addr, n.opts.Keys.ClientConfig(), n.quicConfig())
-		timedOut := attempt.Err() != nil
-		end()
-		if err == nil || !timedOut {
-			return c, err
-		}
-	}
-	return n.tr.Dial(ctx, addr, n.opts.Keys.ClientConfig(), n.quicConfig())
-}
-
 // connect dials the peer and checks its certificate.
 func (n *Node) connect(to Dest) (*quic.Conn, Peer, error) {
 	addr, err := net.ResolveUDPAddr("udp", to.Address)
 	if err != nil {
 		return nil, Peer{}, trace.BadParameter("address %q: %v", to.Address, err)
 	}
-	c, err := n.dialAttempts(addr)
+	ctx, cancel := context.WithTimeout(n.ctx, dialTimeout)
+	defer cancel()
+	c, err := n.tr.Dial(ctx, addr, n.opts.Keys.ClientConfig(), n.quicConfig())
 	if err != nil {
 		return nil, Peer{}, trace.ConnectionProblem(err, "dialling %s", to.Address)
 	}
--- a/link/node.go
+++ b/link/node.go
@@ -47,11 +47,6 @@
 	closeDenied quic.ApplicationErrorCode = 1
 )
 
-// attemptTimeouts are the time-outs of the first attempts of a dial; the last one may take the
-// rest of dialTimeout. QUIC repeats its first packet only after 200 ms and 600 ms, so that a
-// peer that starts a moment after this process would be reached late.
-var attemptTimeouts = [...]time.Duration{120 * time.Millisecond, 120 * time.Millisecond, 240 * time.Millisecond}
-
 // ServiceName is the service name of the node.
 const ServiceName = "link"
 
