--- a/guard/json.go
+++ b/guard/json.go
@@ -57,7 +57,7 @@
 		}
 	}
 	if objects > MaxObjects {
-		return 0, trace.BadParameter("the body has more than %d objects", MaxObjects)
+		return 0, trace.BadParameter("the body has more than %d objects or elements of lists", MaxObjects)
 	}
 	return int64(len(b) + objects*objectBytes + elements*elementBytes), nil
 }
