--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -347,33 +347,41 @@
 	return wire.RunEnded{End: batch.Lost, Reason: err.Error()}
 }
 
-// processResult processes the end of a run, and starts the task again if necessary. It returns
-// the job's outcome when that ends the job, nil otherwise.
-func (w *jobRun) processResult(ctx context.Context, r result) Outcome {
-	t, e := r.task, r.ended
-	now := w.broker.opts.Clock.Now()
-	agent := t.agent
+// recordEnd records the end of a run for the job, the target's health, and the estimates, and
+// logs it unless the task is done.
+func (w *jobRun) recordEnd(t *task, e wire.RunEnded, now time.Time) {
 	w.openRuns--
 	delete(w.open, t)
 	w.ran = w.ran || e.End != batch.NotStarted
 	w.lost = w.lost || e.End == batch.Lost
-	w.broker.mu.Lock()
-	w.broker.fleet.RecordEnd(agent, e.End, now)
+	b := w.broker
+	b.mu.Lock()
+	b.fleet.RecordEnd(t.agent, e.End, now)
 	if e.End == batch.Done {
 		ran := time.Duration(float64(e.Ran) / t.far) // as it would have been at the rack of the data
-		w.broker.fleet.RecordRunTime(agent, ran, w.broker.learner.Estimate(w.queue.Name, w.job.Steps[t.step].Estimate))
-		w.broker.learner.RecordRunTime(w.queue.Name, ran)
+		b.fleet.RecordRunTime(t.agent, ran, b.learner.Estimate(w.queue.Name, w.job.Steps[t.step].Estimate))
+		b.learner.RecordRunTime(w.queue.Name, ran)
 		w.recordDelay(t, e, now)
 	}
-	w.broker.mu.Unlock()
-	if e.End != batch.Done {
-		level := zap.InfoLevel
-		if e.Returned {
-			level = zap.DebugLevel
-		}
-		w.broker.opts.Log.Check(level, "run not done").Write(zap.String("task", t.name), zap.Uint64("run", t.run), zap.String("agent", agent),
-			zap.String("end", string(e.End)), zap.String("shown", string(e.Proof)), zap.String("reason", e.Reason), zap.Duration("waited", e.Waited), zap.Duration("ran", e.Ran))
+	b.mu.Unlock()
+	if e.End == batch.Done {
+		return
+	}
+	level := zap.InfoLevel
+	if e.Returned {
+		level = zap.DebugLevel
 	}
+	b.opts.Log.Check(level, "run not done").Write(zap.String("task", t.name), zap.Uint64("run", t.run), zap.String("agent", t.agent),
+		zap.String("end", string(e.End)), zap.String("shown", string(e.Proof)), zap.String("reason", e.Reason), zap.Duration("waited", e.Waited), zap.Duration("ran", e.Ran))
+}
+
+// processResult processes the end of a run, and starts the task again if necessary. It returns
+// the job's outcome when that ends the job, nil otherwise.
+func (w *jobRun) processResult(ctx context.Context, r result) Outcome {
+	t, e := r.task, r.ended
+	now := w.broker.opts.Clock.Now()
+	agent := t.agent
+	w.recordEnd(t, e, now)
 	switch e.End {
 	case batch.Done:
 		w.lastWaited, w.lastRan = e.Waited, e.Ran
