--- a/broker/shares.go
+++ b/broker/shares.go
@@ -36,13 +36,17 @@
 	b.shares.Record(w.shareJob(tasks, 0), admitted, b.opts.Clock.Now())
 }
 
+// hops is the part of overhead for the messages between entry and agent, which the slack
+// allows for; the rest is for the caller's link.
+const hops = overhead / 2
+
 // recordDelay records by how much a task that is done started later than expected. The caller
 // holds the broker's mu.
 func (w *jobRun) recordDelay(t *task, ended wire.RunEnded, now time.Time) {
 	if w.broker.shares == nil || ended.Ran <= 0 {
 		return
 	}
-	w.broker.shares.RecordDelay(w.queue.Pool, w.queue.Name, now.Sub(t.placedAt)-ended.Ran-t.expectedWait, now)
+	w.broker.shares.RecordDelay(w.queue.Pool, w.queue.Name, now.Sub(t.placedAt)-ended.Ran-t.expectedWait-hops, now)
 }
 
 // admitOrBorrow places the tasks of a step. When they cannot end in time on the targets that
