--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/wire"
@@ -26,6 +27,10 @@
 	// the same targets between two reports (TestManyEntriesSpreadLoad).
 	maxLoadCost   = 50 * time.Millisecond
 	maxSpreadCost = 30 * time.Millisecond
+	// overtakenSlack is the slack beyond which a task is probably overtaken by tasks that
+	// arrive while it waits. A forecast does not know these, so that it alone admits too
+	// much of the less urgent work in an overload (TestForecastUnderOverload).
+	overtakenSlack = 100 * time.Millisecond
 )
 
 // TargetView is the state of one target as seen by an entry: the last report of its
@@ -58,6 +63,7 @@
 	// placement is deterministic.
 	sortedTargets []*TargetView
 	comparedAt    time.Time // when the targets' speeds were last compared
+	evacuations   evac.Set
 }
 
 // New returns a Fleet without targets for an entry and its data centre.
@@ -65,6 +71,9 @@
 	return &Fleet{Name: name, DataCentre: dataCentre, timing: timing, targets: map[string]*TargetView{}}
 }
 
+// SetEvacuations sets the evacuations in force. Targets in their data centres get no tasks.
+func (f *Fleet) SetEvacuations(s evac.Set) { f.evacuations = s }
+
 // HandleReport processes the report of an agent with the link address. Reports that are not
 // newer than the last one are ignored. HandleReport returns whether the report is from a new
 // incarnation of a known agent.
@@ -217,6 +226,10 @@
 	// Slack is by how much the start of the tasks may be delayed from now with the job
 	// still meeting its objective.
 	Slack time.Duration
+	// LateSlack is by how much their start may be delayed with the job still being of use,
+	// though late: the tasks start then on targets with free capacity. 0 for a job that must
+	// not be late.
+	LateSlack time.Duration
 	// PartlyRun is set when a part of the job may have run: its tasks are placed no matter
 	// how late they would end.
 	PartlyRun bool
@@ -234,7 +247,7 @@
 			admission.Placements = append(admission.Placements, choice)
 			admission.Wait = max(admission.Wait, choice.Wait+choice.Run-t.Estimate)
 		}
-		if ok && (j.PartlyRun || admission.Wait <= maxWait || choice.Wait == 0 && admission.Wait <= j.Slack) {
+		if ok && (j.PartlyRun || admission.Wait <= maxWait || choice.Wait == 0 && admission.Wait <= max(j.Slack, j.LateSlack)) {
 			continue
 		}
 		for i, c := range admission.Placements {
@@ -284,10 +297,11 @@
 }
 
 // canTake reports whether the target can get the task: it accepts work, has a recent
-// report, and satisfies the task's requirements.
+// report, satisfies the task's requirements, and its data centre is not evacuated.
 func (f *Fleet) canTake(v *TargetView, t Task, now time.Time) bool {
 	return v.Open && v.Pool == t.Pool && t.Need.Fits(v.Capacity) && now.Sub(v.updatedAt) <= f.timing.MaxReportAge &&
-		(t.Label == "" || slices.Contains(v.Labels, t.Label)) && !slices.Contains(t.Exclude, v.Agent)
+		(t.Label == "" || slices.Contains(v.Labels, t.Label)) && !slices.Contains(t.Exclude, v.Agent) &&
+		!f.evacuations.Has(v.DataCentre)
 }
 
 // totalUse returns the total need of all entries' tasks on the target: those of other
@@ -297,13 +311,27 @@
 }
 
 // expectedWait returns the expected wait of one more task: 0 when there is free
-// capacity, otherwise the time until the tasks that are queued before it have started.
+// capacity, otherwise the time until the tasks that are queued before it have started:
+// by the agent's forecast, and by the mean interval between completions beyond its last
+// horizon or when there is none. The age of the report is not subtracted: what has been
+// released since then has probably been taken by tasks that this entry does not know.
 func (v *TargetView) expectedWait(t Task) time.Duration {
 	need := v.Used.Plus(v.Backlog.DueBefore(t.Slack)).Minus(v.ReceiverUsed).Plus(v.assigned).Plus(t.Need)
 	if need.Fits(v.Capacity) {
 		return 0
 	}
-	return time.Duration(need.Minus(v.Capacity).Share(t.Need) * max(1, v.Slowdown) * float64(v.CompletionInterval))
+	missing := need.Minus(v.Capacity)
+	byInterval := missing.Share(t.Need) * max(1, v.Slowdown) * float64(v.CompletionInterval)
+	fraction := missing.Share(v.Used)
+	after, beyond, ok := v.Forecast.TimeUntil(fraction)
+	if !ok || fraction == 0 {
+		return time.Duration(byInterval)
+	}
+	wait := after + time.Duration(beyond/fraction*byInterval)
+	if t.Slack > overtakenSlack {
+		return max(wait, time.Duration(byInterval))
+	}
+	return wait
 }
 
 // expectedRun returns the expected run time of a task on the target: by the Slowdown
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -14,12 +14,14 @@
 
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/policy"
+	"cyclamenrelay.example/watch"
 	"cyclamenrelay.example/wire"
 )
 
@@ -55,6 +57,9 @@
 	FarFactor float64
 	// Entries returns the known entries; nil for an entry that asks no others for targets.
 	Entries func() []wire.Node
+	// View is the entry's copy of the configuration, with the evacuations in force; nil for
+	// an entry that knows of none.
+	View *watch.View
 	// MaxOrphanRunTime bounds how long runs may continue after their entry has given them up,
 	// whatever happens to the entry and to their agents.
 	MaxOrphanRunTime time.Duration
@@ -67,10 +72,12 @@
 	opts Options
 	node *link.Node
 
-	mu         sync.Mutex
-	fleet      *assign.Fleet
-	learner    *assign.Learner
-	activeJobs map[string]*activeJob
+	mu    sync.Mutex
+	fleet *assign.Fleet
+	// evacuations are those that the fleet has got.
+	evacuations evac.Set
+	learner     *assign.Learner
+	activeJobs  map[string]*activeJob
 	// answers caches the outcomes of finished jobs by job ID; answerIDs has the IDs,
 	// oldest first.
 	answers   map[string]cachedAnswer
@@ -83,6 +90,11 @@
 	// searches has the searches for other entries' targets by pool: the one in progress or
 	// the last one.
 	searches map[string]*search
+	// startedAt is when the broker began to get reports. reported is closed, and replaced,
+	// when a report arrives while the broker warms up.
+	startedAt time.Time
+	reported  chan struct{}
+	shutdown  shutdown
 }
 
 // Caller waits for a job's outcome.
@@ -128,7 +140,7 @@
 	return &Broker{
 		opts: opts, fleet: fleet, learner: assign.NewLearner(),
 		activeJobs: map[string]*activeJob{}, answers: map[string]cachedAnswer{}, mayRunUntil: map[string]time.Time{}, calls: map[uint64]call{},
-		searches: map[string]*search{},
+		searches: map[string]*search{}, startedAt: opts.Clock.Now(), reported: make(chan struct{}), shutdown: newShutdown(),
 	}
 }
 
@@ -170,6 +182,7 @@
 func (b *Broker) checkAgents() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.updateEvacuations()
 	now := b.opts.Clock.Now()
 	for _, agent := range b.fleet.Silent(now) {
 		for _, c := range b.calls {
@@ -199,10 +212,12 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.fleet.HandleReport(m, p.Address, b.opts.Clock.Now()) {
+	now := b.opts.Clock.Now()
+	if b.fleet.HandleReport(m, p.Address, now) {
 		b.opts.Log.Info("agent restarted", zap.String("agent", m.Agent))
 	}
-	return wire.Done{}
+	b.notifyReport(now)
+	return wire.Done{Evacuation: b.evacuationState(m.DataCentre)}
 }
 
 // handleConfirm handles an agent's question whether a run is still wanted. The start may
@@ -214,7 +229,7 @@
 	for _, c := range b.calls {
 		// After a pause of this process, the call may still be open past its limit.
 		if c.agent == p.Name && c.task == m.Task && c.run == m.Run && now.Before(c.limit) {
-			return wire.Done{}
+			return wire.Done{Evacuation: b.evacuationState(b.fleet.DataCentreOf(p.Name))}
 		}
 	}
 	return wire.Refused{Reason: "the entry has given the run up"}
@@ -261,6 +276,10 @@
 // that wait for it. A finished job is answered from the cache.
 func (b *Broker) Submit(ctx context.Context, c Caller, q policy.Queue, j batch.Job, limit time.Time) Outcome {
 	submittedAt := b.opts.Clock.Now()
+	receivedAt := submittedAt
+	if !j.ReceivedAt.IsZero() {
+		receivedAt = j.ReceivedAt
+	}
 	b.mu.Lock()
 	if a, ok := b.answers[j.ID]; ok {
 		b.mu.Unlock()
@@ -275,7 +294,7 @@
 		jobCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 		inProgress = &activeJob{cancel: cancel, done: make(chan struct{}), queue: q.Name}
 		b.activeJobs[j.ID] = inProgress
-		go b.runJob(jobCtx, inProgress, q, j, submittedAt, limit)
+		go b.runJob(jobCtx, inProgress, q, j, receivedAt, limit)
 	}
 	inProgress.waiters++
 	inProgress.callerWaits = append(inProgress.callerWaits, func() bool { return ctx.Err() == nil && c.Connected() })
@@ -305,7 +324,7 @@
 // runJob runs a job, logs its end and caches its outcome.
 func (b *Broker) runJob(ctx context.Context, inProgress *activeJob, q policy.Queue, j batch.Job, submittedAt, limit time.Time) {
 	defer inProgress.cancel()
-	w := &jobRun{broker: b, active: inProgress, queue: q, job: j, submittedAt: submittedAt, limit: limit}
+	w := &jobRun{broker: b, active: inProgress, queue: q, job: j, submittedAt: submittedAt, limit: limit, returnPhase: b.returnPhase()}
 	outcome := w.runGuarded(ctx)
 	took := b.opts.Clock.Since(submittedAt)
 	name, reason := outcomeName(outcome)
@@ -313,7 +332,8 @@
 	meter.ObserveResponse(name, took)
 	b.opts.Log.Info("job ended", zap.String("job", j.ID), zap.String("queue", q.Name), zap.Int("tasks", j.Tasks()),
 		zap.String("outcome", name), zap.String("reason", reason), zap.Duration("took", took),
-		zap.Duration("estimate", w.criticalPath), zap.Duration("wait", w.longestWait), zap.Duration("objective", w.objective), zap.Int("runs", w.runs))
+		zap.Duration("estimate", w.criticalPath), zap.Duration("wait", w.longestWait), zap.Duration("objective", w.objective), zap.Int("runs", w.runs),
+		zap.Duration("lastWaited", w.lastWaited), zap.Duration("lastRan", w.lastRan))
 	b.mu.Lock()
 	inProgress.outcome = outcome
 	delete(b.activeJobs, j.ID)
--- a/conf/platform.go
+++ b/conf/platform.go
@@ -23,10 +23,20 @@
 	// GracePeriod is the time from the platform's request to stop until it kills the
 	// process.
 	GracePeriod Duration `json:"gracePeriod"`
+	// EvacuationLimit is the time after the acknowledgement of an evacuation from which no
+	// task may start in the data centre. With 0, agents obey evacuations but never wait for
+	// information on them.
+	EvacuationLimit Duration `json:"evacuationLimit"`
+	// DataCentres are the names of all data centres. An evacuation of another one is
+	// refused as unknown; with an empty list, any name is taken.
+	DataCentres []string `json:"dataCentres,omitempty"`
 	// FarFactor is the run time of a task away from the rack of its data, as a multiple of the
 	// one at that rack. Unset, half an estimate is added to the cost of a placement there, and
 	// the expected run time is the same everywhere.
 	FarFactor Number `json:"farFactor"`
+	// Backfill is the longest time for which an agent may start other tasks before a waiting
+	// one that does not fit into the free capacity of its target, 0 for never.
+	Backfill Duration `json:"backfill"`
 }
 
 func defaultPlatform() Platform {
@@ -45,7 +55,14 @@
 	if n.Has(keys.Keeper) || n.Has(keys.Agent) {
 		c.listen("platform.control", p.Control)
 	}
+	for i, name := range p.DataCentres {
+		c.name(indexPath("platform.dataCentres", i), name, keys.ValidName)
+	}
 	c.duration("platform.holdLimit", p.HoldLimit, millis(100), seconds(60))
 	c.duration("platform.resendAfter", p.ResendAfter, millis(100), seconds(60))
+	if p.EvacuationLimit != 0 {
+		c.duration("platform.evacuationLimit", p.EvacuationLimit, seconds(2), seconds(600))
+	}
 	c.duration("platform.gracePeriod", p.GracePeriod, seconds(1), seconds(600))
+	c.duration("platform.backfill", p.Backfill, 0, seconds(1))
 }
--- a/link/node.go
+++ b/link/node.go
@@ -16,6 +16,7 @@
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
 
+	"cyclamenrelay.example/guard"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/wire"
@@ -46,6 +47,11 @@
 	closeDenied quic.ApplicationErrorCode = 1
 )
 
+// attemptTimeouts are the time-outs of the first attempts of a dial; the last one may take the
+// rest of dialTimeout. QUIC repeats its first packet only after 200 ms and 600 ms, so that a
+// peer that starts a moment after this process would be reached late.
+var attemptTimeouts = [...]time.Duration{120 * time.Millisecond, 120 * time.Millisecond, 240 * time.Millisecond}
+
 // ServiceName is the service name of the node.
 const ServiceName = "link"
 
@@ -58,8 +64,10 @@
 	// CloseWait bounds how long Close waits until the answers in progress are sent and
 	// have arrived, 0 for 2 s.
 	CloseWait time.Duration
-	Log       *zap.Logger
-	Clock     clockwork.Clock
+	// Messages bounds the memory of messages that are being received, nil for no bound.
+	Messages *guard.Messages
+	Log      *zap.Logger
+	Clock    clockwork.Clock
 }
 
 // Node is a process's endpoint for messages to and from its peers. It listens and
@@ -127,7 +135,7 @@
 	}
 	reset := quic.StatelessResetKey(n.opts.Keys.ResetKey())
 	n.tr = &quic.Transport{Conn: pc, StatelessResetKey: &reset}
-	n.ln, err = n.tr.Listen(n.opts.Keys.ServerConfig(), quicConfig())
+	n.ln, err = n.tr.Listen(n.opts.Keys.ServerConfig(), n.quicConfig())
 	if err != nil {
 		_ = pc.Close()
 		return trace.Wrap(err)
@@ -142,7 +150,7 @@
 	return n.Close()
 }
 
-func quicConfig() *quic.Config {
+func (n *Node) quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:       dialTimeout,
 		MaxIdleTimeout:             idleTimeout,
@@ -150,7 +158,7 @@
 		MaxIncomingStreams:         maxStreams,
 		MaxIncomingUniStreams:      maxStreams,
 		InitialStreamReceiveWindow: streamWindow,
-		MaxConnectionReceiveWindow: connWindow,
+		MaxConnectionReceiveWindow: uint64(n.opts.Messages.Window(connWindow)),
 	}
 }
 
@@ -250,7 +258,7 @@
 	if err := s.SetReadDeadline(n.opts.Clock.Now().Add(receiveTimeout)); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return readMessage(s)
+	return readMessage(s, n.opts.Messages, func() { s.CancelRead(0) })
 }
 
 // serveCall handles one call of a peer.
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -11,6 +11,8 @@
 	"cyclamenrelay.example/claims"
 	"cyclamenrelay.example/conf"
 	"cyclamenrelay.example/entry"
+	"cyclamenrelay.example/evac"
+	"cyclamenrelay.example/guard"
 	"cyclamenrelay.example/jobs"
 	"cyclamenrelay.example/keeper"
 	"cyclamenrelay.example/kernel"
@@ -33,6 +35,7 @@
 type builder struct {
 	settings conf.Settings
 	id       *keys.Identity
+	plan     guard.Plan
 	clock    clockwork.Clock
 	log      *zap.Logger
 	services *kernel.Kernel
@@ -52,6 +55,7 @@
 func (b *builder) monitorView() {
 	b.readyChecks = append(b.readyChecks, b.view.Usable)
 	meter.Gauge("relay_config_version", func() float64 { return float64(b.view.Config().Version()) })
+	meter.Gauge("relay_evacuations", func() float64 { return float64(len(evac.FromConfig(b.view.Config()).Orders())) })
 	meter.Gauge("relay_config_usable", func() float64 {
 		if b.view.Usable() {
 			return 1
@@ -61,10 +65,10 @@
 }
 
 // build returns a builder whose kernel holds all services that the settings enable.
-func build(s conf.Settings, id *keys.Identity, log *zap.Logger) *builder {
+func build(s conf.Settings, id *keys.Identity, plan guard.Plan, log *zap.Logger) *builder {
 	clock := clockwork.NewRealClock()
-	b := &builder{settings: s, id: id, clock: clock, log: log, services: kernel.New(log)}
-	b.node = link.New(link.Options{Address: s.Node.Listen, Keys: id, CloseWait: closeWait(s), Log: log, Clock: clock})
+	b := &builder{settings: s, id: id, plan: plan, clock: clock, log: log, services: kernel.New(log)}
+	b.node = link.New(link.Options{Address: s.Node.Listen, Keys: id, CloseWait: closeWait(s), Messages: plan.Messages(log), Log: log, Clock: clock})
 	self := wire.Node{
 		Name: s.Node.Name, Address: s.Node.Advertise, DataCentre: s.Node.DataCentre, Roles: s.Node.Roles,
 		Incarnation: uint64(clock.Now().UnixNano()), Size: float64(s.Node.Size),
@@ -83,7 +87,7 @@
 	} else {
 		b.nativeServices()
 	}
-	b.services.Add(&meter.Server{Listen: s.Metrics.Listen, Profiles: s.Metrics.Profiles, Ready: b.isReady})
+	b.services.Add(&meter.Server{Listen: s.Metrics.Listen, Profiles: s.Metrics.Profiles, Ready: b.isReady, Plan: plan, Log: log})
 	// The link starts last, when all handlers are registered.
 	b.services.Add(b.node)
 	return b
@@ -143,17 +147,17 @@
 	b.services.Add(entry.New(entry.Options{
 		Listen: b.settings.Entry.Callers, MaxBody: int64(b.settings.Entry.MaxBody), MaxBytes: int64(b.settings.Entry.MaxBytes),
 		RequestTimeout: time.Duration(b.settings.Entry.RequestTimeout),
-		Clock:          b.clock, Log: b.log, View: b.view,
+		Clock:          b.clock, Log: b.log, View: b.view, Plan: b.plan,
 	}))
 	b.services.Add(opsvc.New(opsvc.Options{
-		Listen: b.settings.Entry.Operators, Identity: b.id, Keepers: client, Clock: b.clock, Log: b.log, View: b.view,
+		Listen: b.settings.Entry.Operators, Identity: b.id, Keepers: client, Clock: b.clock, Log: b.log, View: b.view, Plan: b.plan,
 	}))
 }
 
 func (b *builder) agent() {
 	b.monitorView()
 	a := agent.New(agent.Options{
-		Listen: b.settings.Agent.Targets, TargetLease: time.Duration(b.settings.Agent.TargetLease), Clock: b.clock, Log: b.log, View: b.view,
+		Listen: b.settings.Agent.Targets, TargetLease: time.Duration(b.settings.Agent.TargetLease), Plan: b.plan, Clock: b.clock, Log: b.log, View: b.view,
 		Platform: worker.New(b.settings.Agent.Platform), Scheduler: shareSettings(b.settings.Agent.Policy),
 	})
 	b.services.Add(a)
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -6,12 +6,14 @@
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/broker"
 	"cyclamenrelay.example/conf"
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/leader"
 	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/platform"
 	"cyclamenrelay.example/runner"
+	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/watch"
 	"cyclamenrelay.example/wire"
 )
@@ -58,15 +60,22 @@
 		lease := entryLease(p)
 		po := runner.New(runner.Options{
 			Driver: platform.NewTarget(), TargetLease: min(lease, time.Duration(p.HoldLimit)), MaxTargetLease: time.Duration(p.HoldLimit), Timing: peers.NewTiming(lease),
-			DrainTimeout: time.Duration(p.GracePeriod) / 2, Clock: b.clock, Log: b.log,
+			Evacuation:   evac.NewTiming(time.Duration(p.EvacuationLimit)),
+			DrainTimeout: time.Duration(p.GracePeriod) / 2, Backfill: sched.Backfill{MaxDelay: time.Duration(p.Backfill)}, Clock: b.clock, Log: b.log,
 		})
 		b.services.Add(po)
 		meter.Gauge("relay_target_run_ratio", po.RunRatio)
-		b.services.Add(&platform.ControlServer{Listen: p.Control, Log: b.log})
+		meter.Gauge("relay_evacuations", func() float64 {
+			if po.IsEvacuated() {
+				return 1
+			}
+			return 0
+		})
+		b.services.Add(&platform.ControlServer{Listen: p.Control, Clock: b.clock, Log: b.log, Plan: b.plan})
 	}
 	if b.settings.Node.Has(keys.Keeper) {
 		b.services.Add(&platform.ControlServer{
-			Listen: p.Control, Log: b.log,
+			Listen: p.Control, DataCentres: p.DataCentres, Clock: b.clock, Log: b.log, Plan: b.plan,
 			Keepers: &leader.Client{
 				Node: b.node, Finder: b.finder, Clock: b.clock, Log: b.log, Groups: b.settings.Keeper.Groups,
 				LocalKeeper: b.settings.Node.Advertise, TryTimeout: operatorCallTimeout,
@@ -86,6 +95,7 @@
 	br := broker.New(broker.Options{
 		Name: b.settings.Node.Name, DataCentre: b.settings.Node.DataCentre, Admission: assign.DefaultSettings(), Clock: b.clock, Log: b.log,
 		Timing: peers.NewTiming(entryLease(p)), Entries: func() []wire.Node { return b.finder.Nodes(keys.Entry) },
+		View:             b.view,
 		FarFactor:        float64(p.FarFactor),
 		MaxOrphanRunTime: time.Duration(runsEndFraction * float64(p.ResendAfter)),
 	})
@@ -93,6 +103,7 @@
 	meter.Gauge("relay_jobs_in_progress", func() float64 { return float64(br.InProgress()) })
 	b.services.Add(&platform.CallerServer{
 		Callers: p.Callers, Ready: p.Ready, GracePeriod: time.Duration(p.GracePeriod), View: b.view, Clock: b.clock, Log: b.log,
+		Plan: b.plan,
 	})
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -5,15 +5,18 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/evac"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/lease"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/member"
+	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/pace"
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/sched"
@@ -43,10 +46,15 @@
 	// Timing is the timing of reports to entries. Its lease is how long an entry's runs
 	// may continue after the last report that the entry has answered.
 	Timing peers.Timing
+	// Evacuation is the timing with which the agent learns of evacuations. The zero value
+	// asks no keepers.
+	Evacuation evac.Timing
 	// DrainTimeout bounds the wait at a shutdown for runs in progress.
 	DrainTimeout time.Duration
-	Clock        clockwork.Clock
-	Log          *zap.Logger
+	// Backfill are the scheduler's settings of backfill, the zero value for none.
+	Backfill sched.Backfill
+	Clock    clockwork.Clock
+	Log      *zap.Logger
 }
 
 // Runner is the service of an agent that runs tasks on its target.
@@ -69,7 +77,11 @@
 	draining    bool                 // set when the agent drains
 	// reconciled is set once a target has listed no run that an earlier agent process
 	// started.
-	reconciled    bool
+	reconciled bool
+	evacuation evac.Knowledge
+	verdict    evac.Verdict  // the verdict of evacuation that is in effect
+	asked      chan struct{} // closed when the last question to keepers has ended
+
 	reportChanged chan struct{} // closed when the target opens or closes, or its capacity changes
 	targetArrived chan struct{} // closed when a new target instance is in use
 }
@@ -146,8 +158,14 @@
 	if opts.MaxTargetLease == 0 {
 		opts.MaxTargetLease = opts.TargetLease
 	}
+	scheduler := sched.New()
+	scheduler.SetBackfill(opts.Backfill)
+	asked := make(chan struct{})
+	close(asked)
+	knowledge := evac.NewKnowledge(opts.Evacuation, opts.Clock.Now())
 	return &Runner{
-		opts: opts, scheduler: sched.New(), runs: map[uint64]*run{}, byKey: map[RunKey]*run{}, entryLeases: map[string]time.Time{},
+		evacuation: knowledge, verdict: knowledge.Verdict(opts.Clock.Now()), asked: asked,
+		opts: opts, scheduler: scheduler, runs: map[uint64]*run{}, byKey: map[RunKey]*run{}, entryLeases: map[string]time.Time{},
 		home: map[string]bool{}, senders: map[string]sender{},
 		reportChanged: make(chan struct{}), targetArrived: make(chan struct{}),
 	}
@@ -158,7 +176,7 @@
 
 // Start implements kernel.Starter.
 func (p *Runner) Start(k *kernel.Kernel) (err error) {
-	if err := p.opts.Timing.Validate(); err != nil {
+	if err := trace.NewAggregate(p.opts.Timing.Validate(), p.opts.Evacuation.Validate()); err != nil {
 		return err
 	}
 	if p.node, err = kernel.Find[*link.Node](k, link.ServiceName); err != nil {
@@ -168,6 +186,7 @@
 		return err
 	}
 	link.Handle(p.node.Mux(), p.handleStart, keys.Entry)
+	link.Handle(p.node.Mux(), p.handleWithdraw, keys.Entry)
 	return nil
 }
 
@@ -177,16 +196,18 @@
 	wg.Go(func() { p.reportLoop(ctx) })
 	wg.Go(func() { p.renewalLoop(ctx) })
 	wg.Go(func() { p.expiryLoop(ctx) })
+	wg.Go(func() { p.evacuationLoop(ctx) })
 	wg.Wait()
 	return nil
 }
 
-// Drain implements kernel.Drainer: no new tasks are accepted, and runs in progress
-// may finish within DrainTimeout.
+// Drain implements kernel.Drainer: no new tasks are accepted, those that have not started
+// are returned, and runs in progress may finish within DrainTimeout.
 func (p *Runner) Drain(ctx context.Context) {
 	p.mu.Lock()
 	p.draining = true
 	p.scheduler.SetOpen(false)
+	p.giveUpWaiting("the agent is shutting down")
 	p.wakeReporters()
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DrainTimeout)
@@ -234,7 +255,7 @@
 // updateScheduler updates the capacity, and whether tasks may start, from the state of the
 // target. The caller holds mu.
 func (p *Runner) updateScheduler() {
-	open := p.target != nil && p.target.Open && p.target.reconciled && p.target.reachable && !p.target.retired && !p.draining
+	open := p.target != nil && p.target.Open && p.target.reconciled && p.target.reachable && !p.target.retired && !p.draining && !p.closedByEvacuation()
 	p.scheduler.SetOpen(open)
 	if p.target != nil {
 		p.scheduler.Resize(p.target.Capacity)
@@ -278,10 +299,18 @@
 // holds mu.
 func (p *Runner) grantCapacity() {
 	for {
-		t, ok := p.scheduler.Next()
+		now := p.opts.Clock.Now()
+		t, ok := p.scheduler.Next(now)
 		if !ok {
+			meter.UnusedCapacity().Set(p.scheduler.UnusedCoreSeconds())
 			return
 		}
+		if t.Backfilled() {
+			meter.Backfills().Inc()
+		}
+		if d := t.HeadDelay(now); d > 0 {
+			meter.ObserveHeadDelay(d)
+		}
 		r := p.runs[t.ID]
 		r.target = p.target
 		if r.request.MaxRunTime > 0 {
--- a/wire/runs.go
+++ b/wire/runs.go
@@ -38,6 +38,9 @@
 	// RunRatio is the usual ratio of actual to estimated run time at the target, over the runs
 	// of all entries, 0 while it is not known.
 	RunRatio float64 `cbor:"16,keyasint,omitempty"`
+	// Forecast is the capacity that the running tasks will probably release, empty when
+	// nothing runs and from agents that do not forecast.
+	Forecast sched.Forecast `cbor:"15,keyasint,omitempty"`
 }
 
 // LoadReport reports the capacity and load of an agent's target to an entry. The
