--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -349,6 +349,14 @@
 	return wire.RunEnded{End: batch.Lost, Reason: err.Error()}
 }
 
+// recordRunTime records the run time of a task that is done. The caller holds the broker's mu.
+func (w *jobRun) recordRunTime(t *task, ran time.Duration) {
+	b := w.broker
+	ran = time.Duration(float64(ran) / t.far) // as it would have been at the rack of the data
+	b.fleet.RecordRunTime(t.agent, ran, b.learner.Estimate(w.queue.Name, w.job.Steps[t.step].Estimate))
+	b.learner.RecordRunTime(w.queue.Name, ran)
+}
+
 // processResult processes the end of a run, and starts the task again if necessary. It returns
 // the job's outcome when that ends the job, nil otherwise.
 func (w *jobRun) processResult(ctx context.Context, r result) Outcome {
@@ -362,9 +370,7 @@
 	w.broker.mu.Lock()
 	w.broker.fleet.RecordEnd(agent, e.End, now)
 	if e.End == batch.Done {
-		ran := time.Duration(float64(e.Ran) / t.far) // as it would have been at the rack of the data
-		w.broker.fleet.RecordRunTime(agent, ran, w.broker.learner.Estimate(w.queue.Name, w.job.Steps[t.step].Estimate))
-		w.broker.learner.RecordRunTime(w.queue.Name, ran)
+		w.recordRunTime(t, e.Ran)
 	}
 	w.broker.mu.Unlock()
 	if e.End != batch.Done {
