broker, cancel, platform: a cancel is acknowledged when all entries have confirmed it

Nothing remembered a cancel, so that a later copy ran too.

Ruled out: a directory of jobs (a message for each job, and a look-up before each first start), and cancels that are passed on with agents' reports (nobody could acknowledge them).

A cancel goes to all known entries (wire.CancelJobs, 79), directly to 16 of them and through these to the others. 200 and 410 are answered when all have confirmed it, 503 after 2.5 s. Each entry refuses copies for 60 s; 65,536 jobs are remembered. Cancels share rounds, which are 1 ms an entry apart. A cancel of a job whose queue was removed is tried, too; it got 404 before.

Red before: TestCancelAtAnotherEntry, "410 (int) != 200 (http.StatusOK int)" (loopback).

startJob in the tests of broker: a job that is refused on a busy machine is sent again.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -14,6 +14,7 @@
 
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/batch"
+	"cyclamenrelay.example/cancel"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
@@ -82,6 +83,11 @@
 	// the last one.
 	searches map[string]*search
 	shutdown shutdown
+	// cancelled are the jobs that were cancelled at any entry. nextRound is the round that
+	// new cancels join, nil for none; nextRoundAt is when the last round began or begins.
+	cancelled   cancel.Jobs
+	nextRound   *cancelRound
+	nextRoundAt time.Time
 }
 
 // Caller waits for a job's outcome.
@@ -143,6 +149,7 @@
 	link.Handle(b.node.Mux(), b.handleReport, keys.Agent)
 	link.Handle(b.node.Mux(), b.handleConfirm, keys.Agent)
 	link.Handle(b.node.Mux(), b.handleFindTargets, keys.Entry)
+	link.Handle(b.node.Mux(), b.handleCancel, keys.Entry)
 	return nil
 }
 
@@ -238,8 +245,8 @@
 	return len(b.activeJobs)
 }
 
-// Cancel cancels a job in progress and waits for its end. It reports whether there was
-// such a job.
+// Cancel cancels a job in progress at this entry and waits for its end. It reports whether
+// there was such a job.
 func (b *Broker) Cancel(id string) bool {
 	b.mu.Lock()
 	inProgress := b.activeJobs[id]
@@ -263,6 +270,10 @@
 		b.mu.Unlock()
 		return a.outcome
 	}
+	if b.cancelled.Has(j.ID, submittedAt) {
+		b.mu.Unlock()
+		return Refused{Reason: "the job was cancelled"}
+	}
 	if submittedAt.Before(b.mayRunUntil[j.ID]) {
 		b.mu.Unlock()
 		return Interrupted{Reason: "earlier runs of the job may still be in progress"}
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -159,6 +159,28 @@
 	return b.broker.Submit(b.t.Context(), new(caller), queue(), j, time.Now().Add(10*time.Second))
 }
 
+// startJob submits a job until the tasks of its first step have arrived at their agents,
+// which send their names to arrived. It returns the job's ID and where its outcome comes. On
+// a busy machine, reports may be too old for the job to be placed.
+func (b *testbed) startJob(arrived <-chan string, steps ...batch.Step) (id string, outcome <-chan string) {
+	for n := 0; ; n++ {
+		id := fmt.Sprint("j", n)
+		ended := make(chan string, 1)
+		go func() { ended <- outcomeKind(b.submit(job(id, steps...))) }()
+		for tasks := 0; len(ended) == 0; {
+			select {
+			case <-arrived:
+				tasks++
+			case <-time.After(5 * time.Millisecond):
+			}
+			if tasks == steps[0].Count {
+				return id, ended
+			}
+		}
+		assert.Equal(b.t, <-ended, "refuse")
+	}
+}
+
 // startedTasks returns the names of the started tasks in their order.
 func (b *testbed) startedTasks() []string {
 	b.mu.Lock()
