--- a/broker/warmup.go
+++ b/broker/warmup.go
@@ -45,8 +45,10 @@
 		case <-b.shutdown.begun:
 			return a
 		}
+		// A late job that takes longer than expected would end with nothing at its limit, so
+		// that one more critical path must fit.
 		now = b.opts.Clock.Now()
-		a = w.admitStep(tasks, w.slack(), w.maxStartDelay(now, w.criticalPath))
+		a = w.admitStep(tasks, w.slack(), w.maxStartDelay(now, 2*w.criticalPath))
 	}
 	return a
 }
