--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -149,9 +149,6 @@
 	Wait time.Duration
 	// Run is the expected run time on the agent's target.
 	Run time.Duration
-	// Idle is set when the task would fit into the target even if each of the target's home
-	// entries had assigned as much to it as this one.
-	Idle bool
 	// Relative is the usual run time on the target as a multiple of that on other targets of
 	// the pool, 0 when it is not known or is about the same.
 	Relative float64
@@ -187,7 +184,6 @@
 	}
 	v := f.targets[best]
 	v.assigned = v.assigned.Plus(t.Need)
-	choice.Idle = choice.Wait == 0 && v.isIdle()
 	return choice, true
 }
 
@@ -230,10 +226,6 @@
 	// Slack is by how much the start of the tasks may be delayed from now with the job
 	// still meeting its objective.
 	Slack time.Duration
-	// LateSlack is by how much their start may be delayed with the job still being of use,
-	// though late: the tasks start then on targets that are idle, since a late job must not
-	// delay others. 0 for a job that must not be late.
-	LateSlack time.Duration
 	// PartlyRun is set when a part of the job may have run: its tasks are placed no matter
 	// how late they would end.
 	PartlyRun bool
@@ -264,7 +256,7 @@
 		if j.Limits != nil {
 			fits = admission.Wait <= j.Limits.Any && (i > 0 || admission.Wait <= j.Limits.First)
 		}
-		if ok && (j.PartlyRun || fits || choice.Wait == 0 && admission.Wait <= j.Slack || choice.Idle && j.LateSlack > 0 && admission.Wait <= j.LateSlack) {
+		if ok && (j.PartlyRun || fits || choice.Wait == 0 && admission.Wait <= j.Slack) {
 			continue
 		}
 		for i, c := range admission.Placements {
@@ -327,16 +319,6 @@
 	return v.Used.Plus(v.Backlog.Total()).Minus(v.ReceiverUsed).Plus(v.assigned)
 }
 
-// isIdle reports whether the target would have enough capacity if each of its home entries had
-// assigned as much to it as this one.
-func (v *TargetView) isIdle() bool {
-	need := v.Used.Minus(v.ReceiverUsed)
-	for range peers.HomeEntries {
-		need = need.Plus(v.assigned)
-	}
-	return need.Fits(v.Capacity)
-}
-
 // expectedWait returns the expected wait of one more task: 0 when there is free
 // capacity, otherwise the time until the tasks that are queued before it have started:
 // by the agent's forecast, and by the mean interval between completions beyond its last
--- a/broker/placing.go
+++ b/broker/placing.go
@@ -8,15 +8,14 @@
 	"cyclamenrelay.example/sched"
 )
 
-// admitStep places the tasks of a step, or none of them when they cannot end in time. lateSlack
-// is that of assign.Job.
-func (w *jobRun) admitStep(tasks []assign.Task, slack, lateSlack time.Duration) assign.Admission {
+// admitStep places the tasks of a step, or none of them when they cannot end in time.
+func (w *jobRun) admitStep(tasks []assign.Task, slack time.Duration) assign.Admission {
 	b := w.broker
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.updateEvacuations()
 	now := b.opts.Clock.Now()
-	j := assign.Job{Tasks: tasks, Priority: w.queue.Priority, Slack: slack, LateSlack: lateSlack, PartlyRun: w.mayHaveRun()}
+	j := assign.Job{Tasks: tasks, Priority: w.queue.Priority, Slack: slack, PartlyRun: w.mayHaveRun()}
 	if b.shares != nil {
 		limits := b.shares.Limits(w.shareJob(tasks, slack), now)
 		j.Limits = &limits
--- a/broker/shares.go
+++ b/broker/shares.go
@@ -55,7 +55,7 @@
 // which other jobs have filled meanwhile.
 func (w *jobRun) admitOrBorrow(ctx context.Context, tasks []assign.Task, slack time.Duration) assign.Admission {
 	b := w.broker
-	a := w.admitStep(tasks, slack, 0)
+	a := w.admitStep(tasks, slack)
 	searches := 1
 	if b.shares != nil {
 		searches = maxSearches
@@ -64,7 +64,7 @@
 		if a.Placements != nil || !b.borrow(ctx, tasks[0], a.Impossible, w.slack()) {
 			break
 		}
-		a = w.admitStep(tasks, w.slack(), 0)
+		a = w.admitStep(tasks, w.slack())
 	}
 	if !a.Impossible {
 		w.recordDecision(tasks, a.Placements != nil)
--- a/broker/warmup.go
+++ b/broker/warmup.go
@@ -24,16 +24,15 @@
 }
 
 // admitWhileWarmingUp places the tasks of a step that was refused, again after each report,
-// while the entry warms up and the job can end before its limit. A job that waited may be late
-// then: its tasks still start on targets with free capacity.
+// while the entry warms up and the job can still be in time. Jobs that are late after the wait are
+// refused: in the overload after a start they would make the jobs that follow late too.
 func (w *jobRun) admitWhileWarmingUp(ctx context.Context, tasks []assign.Task, a assign.Admission) assign.Admission {
 	b := w.broker
 	for a.Placements == nil {
 		b.mu.Lock()
 		reported := b.reported
 		b.mu.Unlock()
-		now := b.opts.Clock.Now()
-		left := min(w.maxStartDelay(now, w.criticalPath), b.startedAt.Add(warmUp).Sub(now))
+		left := min(w.slack(), b.startedAt.Add(warmUp).Sub(b.opts.Clock.Now()))
 		if left <= 0 {
 			return a
 		}
@@ -45,10 +44,7 @@
 		case <-b.shutdown.begun:
 			return a
 		}
-		// A late job that takes longer than expected would end with nothing at its limit, so
-		// that one more critical path must fit.
-		now = b.opts.Clock.Now()
-		a = w.admitStep(tasks, w.slack(), w.maxStartDelay(now, 2*w.criticalPath))
+		a = w.admitStep(tasks, w.slack())
 	}
 	return a
 }
