--- a/broker/borrow.go
+++ b/broker/borrow.go
@@ -56,9 +56,9 @@
 		b.searches[t.Pool] = s
 		b.node.Go(func() { b.runSearch(s, t, impossible) })
 	case s.isDone():
-		wait, found := searchInterval-b.opts.Clock.Since(s.endedAt), s.found
+		wait, again := searchInterval-b.opts.Clock.Since(s.endedAt), s.found && b.usesShares()
 		b.mu.Unlock()
-		if !found || b.shares == nil || slack < wait+searchTimeout {
+		if !again || slack < wait+searchTimeout {
 			return false
 		}
 		select {
@@ -123,10 +123,14 @@
 	close(s.done)
 }
 
-// entriesToAsk returns the entries for a search.
+// entriesToAsk returns the entries for a search, and notes whether there are many.
 func (b *Broker) entriesToAsk(wide bool) []wire.Node {
 	var others []wire.Node
-	for _, e := range b.opts.Entries() {
+	all := b.opts.Entries()
+	b.mu.Lock()
+	b.manyEntries = len(all) > peers.HomeEntries
+	b.mu.Unlock()
+	for _, e := range all {
 		if e.Name != b.opts.Name {
 			others = append(others, e)
 		}
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -83,6 +83,7 @@
 	evacuations evac.Set
 	learner     *assign.Learner
 	shares      *admit.Core // nil without FairAdmission
+	manyEntries bool        // unset while there are no more entries than an agent reports to
 	activeJobs  map[string]*activeJob
 	// answers caches the outcomes of finished jobs by job ID; answerIDs has the IDs,
 	// oldest first.
@@ -155,6 +156,7 @@
 		activeJobs: map[string]*activeJob{}, answers: map[string]cachedAnswer{}, mayRunUntil: map[string]time.Time{}, calls: map[uint64]call{},
 		searches: map[string]*search{}, startedAt: opts.Clock.Now(), reported: make(chan struct{}), shutdown: newShutdown(),
 	}
+	b.manyEntries = true
 	if opts.FairAdmission {
 		b.shares = admit.New()
 	}
--- a/broker/placing.go
+++ b/broker/placing.go
@@ -16,7 +16,7 @@
 	b.updateEvacuations()
 	now := b.opts.Clock.Now()
 	j := assign.Job{Tasks: tasks, Priority: w.queue.Priority, Slack: slack, PartlyRun: w.mayHaveRun()}
-	if b.shares != nil {
+	if b.usesShares() {
 		limits := b.shares.Limits(w.shareJob(tasks, slack), now)
 		j.Limits = &limits
 	}
--- a/broker/shares.go
+++ b/broker/shares.go
@@ -49,6 +49,11 @@
 	w.broker.shares.RecordDelay(w.queue.Pool, w.queue.Name, now.Sub(t.placedAt)-ended.Ran-t.expectedWait-hops, now)
 }
 
+// usesShares reports whether shares decide on admission: only where the entry does not know the
+// whole load, as agents report to some of the entries. Otherwise the limits of the expected wait
+// serve more (3 entries in docs/design/admission.md). The caller holds mu.
+func (b *Broker) usesShares() bool { return b.shares != nil && b.manyEntries }
+
 // admitOrBorrow places the tasks of a step. When they cannot end in time on the targets that
 // the entry knows, it looks for targets of other entries first. With admission by shares, the
 // job waits for another search if the slack leaves time and the last one has found targets,
@@ -57,9 +62,11 @@
 	b := w.broker
 	a := w.admitStep(tasks, slack)
 	searches := 1
-	if b.shares != nil {
+	b.mu.Lock()
+	if b.usesShares() {
 		searches = maxSearches
 	}
+	b.mu.Unlock()
 	for range searches {
 		if a.Placements != nil || !b.borrow(ctx, tasks[0], a.Impossible, w.slack()) {
 			break
