broker, platform: entries refuse at once again while they know no configuration or target

The held jobs are placed again at each report, on an entry that has a fifth of a core and its connections to make, and delay those that follow.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -72,9 +72,6 @@
 	Steps []Step
 	// Transient jobs exist only while their caller waits, and are not recorded.
 	Transient bool
-	// ReceivedAt is when an entry received the job, the zero time for the time of its
-	// submission.
-	ReceivedAt time.Time
 	// Unsupported names a feature that the job requests and the system lacks, empty for
 	// none.
 	Unsupported string
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -97,11 +97,7 @@
 	// searches has the searches for other entries' targets by pool: the one in progress or
 	// the last one.
 	searches map[string]*search
-	// startedAt is when the broker began to get reports. reported is closed, and replaced,
-	// when a report arrives while the broker warms up.
-	startedAt time.Time
-	reported  chan struct{}
-	shutdown  shutdown
+	shutdown shutdown
 	// sharesLoggedAt is the time at which the shares of the queues were last logged.
 	sharesLoggedAt time.Time
 	// cancelled are the jobs that were cancelled at any entry. nextRound is the round that
@@ -154,7 +150,7 @@
 	b := &Broker{
 		opts: opts, fleet: fleet, learner: assign.NewLearner(),
 		activeJobs: map[string]*activeJob{}, answers: map[string]cachedAnswer{}, mayRunUntil: map[string]time.Time{}, calls: map[uint64]call{},
-		searches: map[string]*search{}, startedAt: opts.Clock.Now(), reported: make(chan struct{}), shutdown: newShutdown(),
+		searches: map[string]*search{}, shutdown: newShutdown(),
 	}
 	b.manyEntries = true
 	if opts.FairAdmission {
@@ -237,7 +233,6 @@
 	if b.fleet.HandleReport(m, p.Address, now) {
 		b.opts.Log.Info("agent restarted", zap.String("agent", m.Agent))
 	}
-	b.notifyReport(now)
 	return wire.Done{Evacuation: b.evacuationState(m.DataCentre)}
 }
 
@@ -297,10 +292,6 @@
 // that wait for it. A finished job is answered from the cache.
 func (b *Broker) Submit(ctx context.Context, c Caller, q policy.Queue, j batch.Job, limit time.Time) Outcome {
 	submittedAt := b.opts.Clock.Now()
-	receivedAt := submittedAt
-	if !j.ReceivedAt.IsZero() {
-		receivedAt = j.ReceivedAt
-	}
 	b.mu.Lock()
 	if a, ok := b.answers[j.ID]; ok {
 		b.mu.Unlock()
@@ -319,7 +310,7 @@
 		jobCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 		inProgress = &activeJob{cancel: cancel, done: make(chan struct{}), queue: q.Name}
 		b.activeJobs[j.ID] = inProgress
-		go b.runJob(jobCtx, inProgress, q, j, receivedAt, limit)
+		go b.runJob(jobCtx, inProgress, q, j, submittedAt, limit)
 	}
 	inProgress.waiters++
 	inProgress.callerWaits = append(inProgress.callerWaits, func() bool { return ctx.Err() == nil && c.Connected() })
--- a/broker/jobrun.go
+++ b/broker/jobrun.go
@@ -231,9 +231,6 @@
 	}
 	b := w.broker
 	admission := w.admitOrBorrow(ctx, reqs, slack)
-	if admission.Placements == nil {
-		admission = w.admitWhileWarmingUp(ctx, reqs, admission)
-	}
 	w.longestWait = max(w.longestWait, admission.Wait)
 	if admission.Impossible {
 		return w.giveUp(reasonNoTarget)
