assign: the failures of admission are simulated beside each other

The package's tests took seven minutes of processor time with -race beside other load, most of it in TestSharesWithFailures. Its checks are the same.

--- a/assign/admission_test.go
+++ b/assign/admission_test.go
@@ -274,11 +274,14 @@
 // shares must not serve the worst-served kind worse than admission by the expected wait.
 func TestSharesWithFailures(t *testing.T) {
 	for name, f := range failures() {
-		before, line := admissionLine(f.size, f.pattern, ways()[0])
-		t.Log(line)
-		shares, line := admissionLine(f.size, f.pattern, ways()[1])
-		t.Log(line)
-		assert.Assert(t, shares.worstKind() > before.worstKind()-0.02, "%s: %.3f, without shares %.3f", name, shares.worstKind(), before.worstKind())
-		assert.Assert(t, shares.firstScore() > before.firstScore()-0.02, "%s: %.3f, without shares %.3f", name, shares.firstScore(), before.firstScore())
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			before, line := admissionLine(f.size, f.pattern, ways()[0])
+			t.Log(line)
+			shares, line := admissionLine(f.size, f.pattern, ways()[1])
+			t.Log(line)
+			assert.Assert(t, shares.worstKind() > before.worstKind()-0.02, "%.3f, without shares %.3f", shares.worstKind(), before.worstKind())
+			assert.Assert(t, shares.firstScore() > before.firstScore()-0.02, "%.3f, without shares %.3f", shares.firstScore(), before.firstScore())
+		})
 	}
 }
