--- a/broker/broker.go
+++ b/broker/broker.go
@@ -229,8 +229,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.opts.Clock.Now()
-	if b.fleet.HandleReport(m, p.Address, now) {
+	if b.fleet.HandleReport(m, p.Address, b.opts.Clock.Now()) {
 		b.opts.Log.Info("agent restarted", zap.String("agent", m.Agent))
 	}
 	return wire.Done{Evacuation: b.evacuationState(m.DataCentre)}
