keeper, repair: log and measure how far a group is from losing its quorum

A leader now logs "voters heard" when the voters or the silent ones change, as a warning once no further loss can be borne, and exports three gauges a group. A refusal says whether the keeper is a member and whether a leader is known. A keeper that stops logs the groups in which it is still a voter. No decision changes.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -169,7 +169,16 @@
 		SnapshotEntries: uint64(k.opts.SnapshotEntries),
 	})
 	k.host.Add(g, n)
-	k.groups[g] = &replica{id: g, machine: m, node: n, applied: s.Snapshot.Index, pendingCommands: map[uint64]chan reply{}, pendingQueries: map[uint64]request{}}
+	var gauges *groupGauges
+	if old := k.groups[g]; old != nil {
+		gauges = old.gauges
+	} else {
+		gauges = newGroupGauges(g)
+	}
+	k.groups[g] = &replica{
+		id: g, self: k.self, machine: m, node: n, applied: s.Snapshot.Index, gauges: gauges,
+		pendingCommands: map[uint64]chan reply{}, pendingQueries: map[uint64]request{},
+	}
 	return nil
 }
 
@@ -205,7 +214,7 @@
 			}
 		})
 		if ledGroups == 0 || !k.otherKeeperLive() {
-			return
+			break
 		}
 		select {
 		case <-ctx.Done():
@@ -214,6 +223,13 @@
 		case <-k.opts.Clock.After(drainPollInterval):
 		}
 	}
+	k.runInLoop(func() {
+		for g, r := range k.groups {
+			if ms := r.node.Status().Members; ms.IsVoter(k.self) && ms.Voters() > 1 {
+				k.opts.Log.Info("keeper stops as a voter", zap.Uint64("group", g), zap.Int("voters", ms.Voters()))
+			}
+		}
+	})
 }
 
 // otherKeeperLive reports whether another keeper is alive and not shutting down.
--- a/keeper/replica.go
+++ b/keeper/replica.go
@@ -5,6 +5,7 @@
 
 	"cyclamenrelay.example/group"
 	"cyclamenrelay.example/raft"
+	"cyclamenrelay.example/repair"
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/state"
 	"cyclamenrelay.example/wire"
@@ -13,6 +14,7 @@
 // replica is this keeper's Raft replica of one group with its state machine.
 type replica struct {
 	id      uint64
+	self    rlog.ID
 	machine state.Machine
 	node    *raft.Node
 	// applied is the index of the last entry applied to the machine.
@@ -20,6 +22,9 @@
 	// pendingCommands and pendingQueries hold the unanswered ones, by request ID.
 	pendingCommands map[uint64]chan reply
 	pendingQueries  map[uint64]request
+	// health is that of the group when it was last logged.
+	health repair.Health
+	gauges *groupGauges
 }
 
 // request is a command or, if query is not nil, a linearizable query to a group.
@@ -96,7 +101,7 @@
 // rejectDropped refuses a command or query that Raft dropped. With
 // rlog.ReasonUnknown the command may still be committed.
 func (r *replica) rejectDropped(d rlog.Dropped) {
-	refusal := &wire.Refused{Reason: "not the leader", Leader: d.Leader.Name}
+	refusal := &wire.Refused{Reason: notLeaderReason(r.node.Status(), r.self), Leader: d.Leader.Name}
 	switch d.Reason {
 	case rlog.ReasonBusy:
 		refusal.Reason = "too many uncommitted commands"
--- a/raft/node.go
+++ b/raft/node.go
@@ -285,8 +285,9 @@
 	}
 	if n.role == rlog.Leader {
 		s.Match = make(map[rlog.ID]uint64, len(n.leadership.peers))
+		s.Silence = make(map[rlog.ID]time.Duration, len(n.leadership.peers))
 		for _, p := range n.leadership.peers {
-			s.Match[p.ID] = p.Match
+			s.Match[p.ID], s.Silence[p.ID] = p.Match, n.now-p.ActiveAt
 		}
 	}
 	return s
--- a/rlog/events.go
+++ b/rlog/events.go
@@ -1,6 +1,10 @@
 package rlog
 
-import "cyclamenrelay.example/wire"
+import (
+	"time"
+
+	"cyclamenrelay.example/wire"
+)
 
 // Input is an input of the consensus core's Step.
 type Input interface{ input() }
@@ -166,4 +170,7 @@
 	// Match is the index up to which each other member is known to have synced
 	// the log. It is set only at the leader.
 	Match map[ID]uint64
+	// Silence is the time since the leader last heard each other member. It is set
+	// only at the leader.
+	Silence map[ID]time.Duration
 }
