--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -88,7 +88,6 @@
 	// version desiredVersion.
 	desired        map[string]bool
 	desiredVersion uint64
-	absences       repair.AbsentSince
 }
 
 // New returns a keeper; Start opens its data folder.
@@ -97,7 +96,6 @@
 		opts: opts, start: opts.Clock.Now(),
 		inputs: make(chan any, maxInputs), writes: make(chan *group.Write, maxInputs), loopEnded: make(chan struct{}),
 		configChanged: make(chan struct{}), sendQueues: map[string]chan wire.RaftBatch{}, groups: map[uint64]*replica{},
-		absences: repair.AbsentSince{},
 	}
 }
 
@@ -176,7 +174,7 @@
 		gauges = newGroupGauges(g)
 	}
 	k.groups[g] = &replica{
-		id: g, self: k.self, machine: m, node: n, applied: s.Snapshot.Index, gauges: gauges,
+		id: g, self: k.self, machine: m, node: n, applied: s.Snapshot.Index, gauges: gauges, members: repair.NewAutomatic(repair.Limits{Tolerance: 1, CatchUp: 4 * time.Second}),
 		pendingCommands: map[uint64]chan reply{}, pendingQueries: map[uint64]request{},
 	}
 	return nil
--- a/keeper/maintain.go
+++ b/keeper/maintain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +13,7 @@
 	"cyclamenrelay.example/repair"
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/state"
+	"cyclamenrelay.example/wire"
 )
 
 const (
@@ -29,7 +29,7 @@
 		if len(k.opts.InitialMembers) > 0 {
 			k.bootstrap(ctx)
 		}
-		live := k.liveReplicas()
+		live := k.liveKeepers()
 		k.runInLoop(func() {
 			configured := k.desiredMembers()
 			for g, r := range k.groups {
@@ -38,11 +38,13 @@
 				if st.Role != rlog.Leader {
 					continue
 				}
-				desired := configured
+				c, ok := rlog.ChangeMember{}, false
 				if k.opts.AutoMembers {
-					desired = repair.AutoMembers(st, live, k.absences.Absent(st.Members, live, k.opts.Clock.Now()))
+					c, ok = r.members.Next(k.opts.Clock.Now(), st, live)
+				} else {
+					c, ok = repair.NextChange(st, configured, replicasOf(live))
 				}
-				if c, ok := repair.NextChange(st, desired, live); ok {
+				if ok {
 					k.opts.Log.Info("membership changes", zap.Uint64("group", g), zap.String("keeper", c.Member.ID.Name),
 						zap.Uint64("replica", c.Member.ID.Incarnation), zap.Bool("voter", c.Member.Voter), zap.Bool("remove", c.Remove))
 					k.lastRequestID++
@@ -62,17 +64,33 @@
 	}
 }
 
-// liveReplicas returns the replica IDs of the live keepers, by name.
-func (k *Keeper) liveReplicas() map[string]rlog.ID {
-	live := map[string]rlog.ID{k.self.Name: k.self}
-	for _, n := range slices.Concat(k.table.Live(), k.finder.Nodes(keys.Keeper)) {
+// liveKeepers returns the live keepers. A later one of the same name replaces an
+// earlier one.
+func (k *Keeper) liveKeepers() []repair.Announced {
+	live := []repair.Announced{{ID: k.self}}
+	add := func(n wire.Node, age time.Duration) {
 		if n.Replica != 0 && n.Name != k.self.Name {
-			live[n.Name] = rlog.ID{Name: n.Name, Incarnation: n.Replica}
+			live = append(live, repair.Announced{ID: rlog.ID{Name: n.Name, Incarnation: n.Replica}, Leaving: n.Leaving, Age: age})
 		}
 	}
+	for _, a := range k.table.Announcements() {
+		add(a.Node, a.Age)
+	}
+	for _, n := range k.finder.Nodes(keys.Keeper) {
+		add(n, 0)
+	}
 	return live
 }
 
+// replicasOf returns the replica IDs of the keepers, by name.
+func replicasOf(keepers []repair.Announced) map[string]rlog.ID {
+	out := map[string]rlog.ID{}
+	for _, a := range keepers {
+		out[a.ID.Name] = a.ID
+	}
+	return out
+}
+
 // desiredMembers returns, for each keeper with a member item in the
 // configuration, whether it shall be a member. All other keepers stay as they
 // are.
--- a/keeper/replica.go
+++ b/keeper/replica.go
@@ -25,6 +25,8 @@
 	// health is that of the group when it was last logged.
 	health repair.Health
 	gauges *groupGauges
+	// members decides on the membership while this replica leads.
+	members *repair.Automatic
 }
 
 // request is a command or, if query is not nil, a linearizable query to a group.
--- a/member/table.go
+++ b/member/table.go
@@ -83,6 +83,26 @@
 	return out
 }
 
+// Announcement is the newest announcement of a live process.
+type Announcement struct {
+	Node wire.Node
+	// Age is the time since it was received.
+	Age time.Duration
+}
+
+// Announcements returns the announcements of the processes within their lease, sorted
+// by name.
+func (t *Table) Announcements() []Announcement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	nodes, _ := t.live()
+	out := make([]Announcement, 0, len(nodes))
+	for _, n := range nodes {
+		out = append(out, Announcement{Node: n, Age: t.clock.Since(t.nodes[n.Name].renewed)})
+	}
+	return out
+}
+
 // live drops the processes whose lease has ended. It returns the others, sorted by
 // name, and the time at which the first of their leases ends.
 func (t *Table) live() (out []wire.Node, until time.Time) {
--- a/repair/automatic.go
+++ b/repair/automatic.go
@@ -46,6 +46,35 @@
 	return decided
 }
 
+// Announced is the newest announcement of a keeper.
+type Announced struct {
+	ID rlog.ID
+	// Leaving is set while the keeper shuts down.
+	Leaving bool
+	// Age is the time since this keeper received the announcement.
+	Age time.Duration
+}
+
+// Automatic decides on the members of one group without an operator, at the keeper
+// that leads it.
+type Automatic struct {
+	limits   Limits
+	absences AbsentSince
+}
+
+// NewAutomatic returns an Automatic for one group of a deployment with the limits.
+func NewAutomatic(l Limits) *Automatic { return &Automatic{limits: l, absences: AbsentSince{}} }
+
+// Next returns the next change of the members, false when there is none to make now.
+// keepers are those that are listed as live.
+func (a *Automatic) Next(now time.Time, st rlog.Status, keepers []Announced) (rlog.ChangeMember, bool) {
+	live := map[string]rlog.ID{}
+	for _, k := range keepers {
+		live[k.ID.Name] = k.ID
+	}
+	return NextChange(st, AutoMembers(st, live, a.absences.Absent(st.Members, live, now)), live)
+}
+
 // AbsentSince holds, for each member that is not live, the time since when it has been so.
 type AbsentSince map[string]time.Time
 
@@ -65,3 +94,16 @@
 	}
 	return out
 }
+
+// Limits are the promises of a deployment that the decisions on members must keep.
+type Limits struct {
+	// Tolerance is the number of keepers that may be lost at the same time.
+	Tolerance int
+	// CatchUp is the time after which a lost keeper no longer counts: it is back,
+	// or its successor has started, for that long.
+	CatchUp time.Duration
+}
+
+// Voters returns the least number of voters that have a quorum without Tolerance of
+// them.
+func (l Limits) Voters() int { return 2*l.Tolerance + 1 }
