raft: a leader measures silence while it runs itself

A leader whose process had paused took all other members for silent for the length of the pause, and a new leader counted the silence of the former one from its own election only. Decisions on members are to use that silence, so that a pause must not count, and the loss of a leader must be noticed as soon as that of a follower. Silence now starts anew when a step comes later than half an election timeout after the one before, and a new leader knows when it last heard the former one.

--- a/raft/elect.go
+++ b/raft/elect.go
@@ -48,7 +48,7 @@
 		rlog.Invariant(n.leaderID == rlog.ID{}, "term %d has the leaders %v and %v", n.hard.Term, n.leaderID, from)
 		n.becomeFollower(n.hard.Term, from)
 	}
-	n.leaderHeardAt = n.now
+	n.leaderHeardAt, n.lastLeader = n.now, from
 	n.resetElectionTimeout()
 }
 
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -32,6 +32,10 @@
 	first := n.log.Last() + 1
 	n.leadership = leaderState{termStart: first, proposals: track.NewProposals(first), quorumCheckedAt: n.now, heartbeatDue: n.now}
 	n.updatePeers()
+	// The former leader may have been lost for the whole election.
+	if p := n.leadership.peers.Find(n.lastLeader); p != nil {
+		p.ActiveAt = n.leaderHeardAt
+	}
 	n.appendAsLeader(rlog.KindNoop, nil, 0)
 	n.startHeartbeatRound()
 }
--- a/raft/node.go
+++ b/raft/node.go
@@ -13,6 +13,9 @@
 	cfg   Config
 	epoch uint64 // random and not 0; tells this Node's heartbeat answers from those before a restart
 	now   time.Duration
+	// resumedAt is the time of the first step after a pause of this process, in which
+	// it could not hear other replicas.
+	resumedAt time.Duration
 
 	role     rlog.Role
 	hard     rlog.HardState
@@ -28,7 +31,8 @@
 	applied  uint64
 
 	electionAt    time.Duration // when the election timeout expires
-	leaderHeardAt time.Duration // when the last message of the leader was received
+	leaderHeardAt time.Duration // when the last message of a leader was received
+	lastLeader    rlog.ID       // the sender of that message
 	votes         map[rlog.ID]bool
 	ownVoteSeq    uint64 // sequence number of the write that holds the candidate's vote for itself
 
@@ -83,6 +87,9 @@
 		n.now = now
 		n.resetElectionTimeout()
 	}
+	if now-n.now > n.cfg.ElectionTimeout/2 {
+		n.resumedAt = now
+	}
 	n.now = now
 	n.sends, n.events, n.out = n.sends[:0], n.events[:0], n.out[:0]
 	term, commit := n.hard.Term, n.hard.Commit
@@ -287,7 +294,7 @@
 		s.Match = make(map[rlog.ID]uint64, len(n.leadership.peers))
 		s.Silence = make(map[rlog.ID]time.Duration, len(n.leadership.peers))
 		for _, p := range n.leadership.peers {
-			s.Match[p.ID], s.Silence[p.ID] = p.Match, n.now-p.ActiveAt
+			s.Match[p.ID], s.Silence[p.ID] = p.Match, n.now-max(p.ActiveAt, n.resumedAt)
 		}
 	}
 	return s
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -287,3 +287,31 @@
 	s.runFor(election / 2)
 	assert.Assert(t, s.leader() != nil && s.leader() != old)
 }
+
+// Guards against a leader that takes the others for silent because it did not run
+// itself.
+func TestSilenceExcludesTheLeadersOwnPause(t *testing.T) {
+	n := newLeader()
+	n.Step(2*time.Second+10*time.Millisecond, receive("b", 2, wire.RaftHeartbeatAnswer{}), receive("c", 2, wire.RaftHeartbeatAnswer{}))
+	n.Step(9*time.Second, receive("b", 2, wire.RaftHeartbeatAnswer{}), rlog.Tick{})
+	assert.Equal(t, n.Status().Role, rlog.Leader)
+	assert.Equal(t, n.Status().Silence[id("c")], time.Duration(0))
+	n.Step(9*time.Second+20*time.Millisecond, receive("b", 2, wire.RaftHeartbeatAnswer{}), rlog.Tick{})
+	assert.Equal(t, n.Status().Silence[id("c")], 20*time.Millisecond)
+}
+
+// Guards against a loss of the leader that is noticed later than that of a follower
+// by the time of an election.
+func TestSilenceOfTheFormerLeaderCountsFromItsLastMessage(t *testing.T) {
+	n := newNode(rlog.Bootstrap(threeVoters(), nil))
+	n.Step(2*time.Second, receive("c", 1, wire.RaftHeartbeat{}))
+	for now := 2 * time.Second; now < 2*time.Second+3*election; now += tick {
+		n.Step(now, rlog.Tick{})
+	}
+	at := 2*time.Second + 3*election
+	n.Step(at, receive("b", 2, wire.RaftVoteAnswer{Pre: true, Granted: true}))
+	n.Step(at, rlog.Persisted{Seq: 1}, receive("b", 2, wire.RaftVoteAnswer{Granted: true}))
+	assert.Equal(t, n.Status().Role, rlog.Leader)
+	assert.Equal(t, n.Status().Silence[id("c")], 3*election)
+	assert.Equal(t, n.Status().Silence[id("b")], time.Duration(0))
+}
--- a/rlog/events.go
+++ b/rlog/events.go
@@ -170,7 +170,7 @@
 	// Match is the index up to which each other member is known to have synced
 	// the log. It is set only at the leader.
 	Match map[ID]uint64
-	// Silence is the time since the leader last heard each other member. It is set
-	// only at the leader.
+	// Silence is the time since the leader last heard each other member, without the
+	// time in which the leader's own process paused. It is set only at the leader.
 	Silence map[ID]time.Duration
 }
