repair, keeper: replace a lost voter within the catch-up time of the deployment

Callers saw no configuration change confirmed, and could not read back one that was, until the end of the run: the configuration group had lost its quorum for good.

Cause: the leader took a keeper for live as long as any list named it, its own table for 5 s and those of other keepers for longer, and made the successor a voter beside the lost one. Two of four voters were left then, and no leader can remove two dead voters without a quorum.

Now the leader judges by its own last contact, and the silence after which a voter is lost is worked out from the new settings keeper.tolerance and keeper.catchUp, with the time for an election and the two changes (repair.Limits). A lost voter is removed before its successor votes, as long as a quorum still needs one copy more than the tolerance; no voter is added beside a silent one. The group keeps an odd number of voters and a learner as a standby. Only what a keeper announces to the leader itself makes it a learner.

Tests replaced: TestAbsenceIsTimed tested the timer that is gone; silence is tested in raft, and its bound in TestDetectionLeavesTimeForTheReplacement. In TestAutomaticMembership a fourth keeper now stands by in place of voting (four voters bear no more losses than three), and the cases of five voters are new.

--- a/conf/keeper.go
+++ b/conf/keeper.go
@@ -11,6 +11,7 @@
 	defaultGroups          = 4
 	maxGroups              = 64
 	maxKeepers             = 21
+	maxTolerance           = (maxKeepers - 1) / 2
 	defaultSnapshotEntries = 20_000
 	minSnapshotEntries     = 100
 	maxSnapshotEntries     = 10_000_000
@@ -30,6 +31,11 @@
 	// AutoMembers adds each live keeper as a member, and removes members that stay
 	// absent while others replace them.
 	AutoMembers bool `json:"autoMembers"`
+	// Tolerance is the number of keepers that may be lost at the same time, CatchUp
+	// the time for which a keeper that has come back, or the successor of a lost one,
+	// must have run until the next may be lost. AutoMembers keeps to both.
+	Tolerance int      `json:"tolerance"`
+	CatchUp   Duration `json:"catchUp"`
 	// SnapshotEntries is the number of log entries between snapshots.
 	SnapshotEntries int `json:"snapshotEntries"`
 	// Retention is how long the ledger keeps the records of jobs and claims.
@@ -44,13 +50,18 @@
 }
 
 func defaultKeeper() Keeper {
-	return Keeper{Groups: defaultGroups, SnapshotEntries: defaultSnapshotEntries, Retention: seconds(24 * hour)}
+	return Keeper{
+		Groups: defaultGroups, SnapshotEntries: defaultSnapshotEntries, Retention: seconds(24 * hour),
+		Tolerance: 1, CatchUp: seconds(10),
+	}
 }
 
 func (k Keeper) check(c *checker, n Node) {
 	c.number("keeper.groups", k.Groups, 1, maxGroups)
 	c.number("keeper.snapshotEntries", k.SnapshotEntries, minSnapshotEntries, maxSnapshotEntries)
 	c.duration("keeper.retention", k.Retention, seconds(60), seconds(30*24*hour))
+	c.number("keeper.tolerance", k.Tolerance, 0, maxTolerance)
+	c.duration("keeper.catchUp", k.CatchUp, 0, seconds(hour))
 	if len(k.InitialMembers) > maxKeepers {
 		c.add("keeper.initialMembers", len(k.InitialMembers), "at most 21 members")
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -55,8 +55,9 @@
 	// SnapshotEntries is the number of log entries between snapshots.
 	SnapshotEntries int
 	// AutoMembers lets repair.Automatic decide the membership instead of
-	// operators.
+	// operators, within the Limits.
 	AutoMembers bool
+	Limits      repair.Limits
 	Clock       clockwork.Clock
 	Log         *zap.Logger
 }
@@ -120,6 +121,9 @@
 	k.self = rlog.ID{Name: name, Incarnation: id.Incarnation}
 	k.finder.SetReplica(id.Incarnation)
 	k.opts.Log.Info("data folder open", zap.Bool("created", created), zap.Uint64("replica", id.Incarnation))
+	if err := k.opts.Limits.Check(); err != nil && k.opts.AutoMembers {
+		k.opts.Log.Warn("a lost keeper may be replaced too late", zap.Error(err))
+	}
 	k.host = group.NewHost(k.self)
 	for g := range uint64(k.opts.Groups + 1) {
 		if err := k.loadReplica(g); err != nil {
@@ -174,7 +178,7 @@
 		gauges = newGroupGauges(g)
 	}
 	k.groups[g] = &replica{
-		id: g, self: k.self, machine: m, node: n, applied: s.Snapshot.Index, gauges: gauges, members: repair.NewAutomatic(repair.Limits{Tolerance: 1, CatchUp: 4 * time.Second}),
+		id: g, self: k.self, machine: m, node: n, applied: s.Snapshot.Index, gauges: gauges, members: repair.NewAutomatic(k.opts.Limits),
 		pendingCommands: map[uint64]chan reply{}, pendingQueries: map[uint64]request{},
 	}
 	return nil
--- a/keeper/maintain.go
+++ b/keeper/maintain.go
@@ -7,13 +7,11 @@
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/group"
-	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/ledger"
 	"cyclamenrelay.example/model"
 	"cyclamenrelay.example/repair"
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/state"
-	"cyclamenrelay.example/wire"
 )
 
 const (
@@ -38,18 +36,10 @@
 				if st.Role != rlog.Leader {
 					continue
 				}
-				c, ok := rlog.ChangeMember{}, false
 				if k.opts.AutoMembers {
-					c, ok = r.members.Next(k.opts.Clock.Now(), st, live)
-				} else {
-					c, ok = repair.NextChange(st, configured, replicasOf(live))
-				}
-				if ok {
-					k.opts.Log.Info("membership changes", zap.Uint64("group", g), zap.String("keeper", c.Member.ID.Name),
-						zap.Uint64("replica", c.Member.ID.Incarnation), zap.Bool("voter", c.Member.Voter), zap.Bool("remove", c.Remove))
-					k.lastRequestID++
-					c.ID = k.lastRequestID
-					k.input(group.ReplicaInput{Group: g, Input: c})
+					k.decide(r, st, live)
+				} else if c, ok := repair.NextChange(st, configured, replicasOf(live)); ok {
+					k.changeMember(g, c)
 				}
 			}
 		})
@@ -64,20 +54,42 @@
 	}
 }
 
-// liveKeepers returns the live keepers. A later one of the same name replaces an
-// earlier one.
-func (k *Keeper) liveKeepers() []repair.Announced {
-	live := []repair.Announced{{ID: k.self}}
-	add := func(n wire.Node, age time.Duration) {
-		if n.Replica != 0 && n.Name != k.self.Name {
-			live = append(live, repair.Announced{ID: rlog.ID{Name: n.Name, Incarnation: n.Replica}, Leaving: n.Leaving, Age: age})
+// decide carries out the automatic decision on the members of a group, and logs why
+// none of the changes that are due is possible.
+func (k *Keeper) decide(r *replica, st rlog.Status, live []repair.Announced) {
+	reason := ""
+	switch d := r.members.Next(k.opts.Clock.Now(), st, live).(type) {
+	case repair.Change:
+		k.changeMember(r.id, d.ChangeMember)
+	case repair.Wait:
+		reason = d.Reason
+	case repair.Settled:
+	}
+	if reason != r.waitsFor {
+		r.waitsFor = reason
+		if reason != "" {
+			k.opts.Log.Info("membership change waits", zap.Uint64("group", r.id), zap.String("reason", reason))
 		}
 	}
+}
+
+func (k *Keeper) changeMember(g uint64, c rlog.ChangeMember) {
+	k.opts.Log.Info("membership changes", zap.Uint64("group", g), zap.String("keeper", c.Member.ID.Name),
+		zap.Uint64("replica", c.Member.ID.Incarnation), zap.Bool("voter", c.Member.Voter), zap.Bool("remove", c.Remove))
+	k.lastRequestID++
+	c.ID = k.lastRequestID
+	k.input(group.ReplicaInput{Group: g, Input: c})
+}
+
+// liveKeepers returns the keepers that have announced themselves to this one. The
+// lists of other keepers are left out: they name a keeper for longer than its lease
+// after its loss, and a lost replica beside the one that has replaced it.
+func (k *Keeper) liveKeepers() []repair.Announced {
+	live := []repair.Announced{{ID: k.self}}
 	for _, a := range k.table.Announcements() {
-		add(a.Node, a.Age)
-	}
-	for _, n := range k.finder.Nodes(keys.Keeper) {
-		add(n, 0)
+		if n := a.Node; n.Replica != 0 && n.Name != k.self.Name {
+			live = append(live, repair.Announced{ID: rlog.ID{Name: n.Name, Incarnation: n.Replica}, Leaving: n.Leaving, Age: a.Age})
+		}
 	}
 	return live
 }
--- a/keeper/replica.go
+++ b/keeper/replica.go
@@ -27,6 +27,8 @@
 	gauges *groupGauges
 	// members decides on the membership while this replica leads.
 	members *repair.Automatic
+	// waitsFor is the reason of the last repair.Wait, empty after another decision.
+	waitsFor string
 }
 
 // request is a command or, if query is not nil, a linearizable query to a group.
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -24,6 +24,7 @@
 	"cyclamenrelay.example/opsvc"
 	"cyclamenrelay.example/place"
 	"cyclamenrelay.example/record"
+	"cyclamenrelay.example/repair"
 	"cyclamenrelay.example/route"
 	"cyclamenrelay.example/watch"
 	"cyclamenrelay.example/wire"
@@ -113,6 +114,7 @@
 		Folder: b.settings.Node.DataFolder, Groups: b.settings.Keeper.Groups, InitialMembers: initial,
 		Retention: time.Duration(b.settings.Keeper.Retention), SnapshotEntries: b.settings.Keeper.SnapshotEntries,
 		AutoMembers: b.settings.Keeper.AutoMembers,
+		Limits:      repair.Limits{Tolerance: b.settings.Keeper.Tolerance, CatchUp: time.Duration(b.settings.Keeper.CatchUp)},
 		Clock:       b.clock, Log: b.log,
 	})
 	b.services.Add(kp)
--- a/repair/automatic.go
+++ b/repair/automatic.go
@@ -1,50 +1,22 @@
 package repair
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
 	"cyclamenrelay.example/rlog"
 )
 
-// replaceAfter is the time for which a member must have been missing from the live
-// keepers before AutoMembers may remove it. A keeper that is down is listed as live
-// for up to a lease longer.
-const replaceAfter = 500 * time.Millisecond
-
-// minVoters is the number of voters below which AutoMembers removes none: with one
-// of three lost, the other two are still a quorum.
-const minVoters = 3
-
-// maxVoters bounds the members up to which AutoMembers adds keepers: each voter
-// adds a copy to every write.
-const maxVoters = 7
-
-// AutoMembers decides on the membership without an operator, as the argument decided
-// of NextChange: live keepers become members until there are maxVoters, and absent
-// members are removed as long as minVoters voters are left.
-func AutoMembers(st rlog.Status, live map[string]rlog.ID, absent map[string]bool) map[string]bool {
-	decided := map[string]bool{}
-	members := keeperNames(st.Members)
-	size := len(members)
-	for _, name := range slices.Sorted(maps.Keys(live)) {
-		if !members[name] && size < maxVoters {
-			decided[name] = true
-			size++
-		}
-	}
-	voters := st.Members.Voters()
-	for _, name := range slices.Sorted(maps.Keys(members)) {
-		if _, votes := voterOf(st.Members, name); absent[name] && (!votes || voters > minVoters) {
-			decided[name] = false
-			if votes {
-				voters--
-			}
-		}
-	}
-	return decided
-}
+const (
+	// announcedWithin is the age of its announcement up to which a keeper may become a
+	// member. A live keeper announces itself every second, or after a time-out of a
+	// second more when another one does not answer.
+	announcedWithin = 3 * time.Second
+	// departedFor is how long the removal of a member is remembered. Its last
+	// announcement is listed for less.
+	departedFor = time.Minute
+)
 
 // Announced is the newest announcement of a keeper.
 type Announced struct {
@@ -55,55 +27,87 @@
 	Age time.Duration
 }
 
+// Decision is what Automatic decides: a Change, a Wait or Settled.
+type Decision interface{ decision() }
+
+// Change is a change of one member.
+type Change struct{ rlog.ChangeMember }
+
+// Wait says why a change that is due cannot be made now.
+type Wait struct{ Reason string }
+
+// Settled means that no change is due.
+type Settled struct{}
+
+func (Change) decision()  {}
+func (Wait) decision()    {}
+func (Settled) decision() {}
+
 // Automatic decides on the members of one group without an operator, at the keeper
-// that leads it.
+// that leads it. It takes members for live by the leader's own contact with them,
+// and other keepers by their announcements to the leader.
+//
+// It keeps an odd number of voters, Limits.Voters at least where there are keepers
+// for it, and a learner as a standby. A lost voter is removed before its successor
+// votes: the other way round, one loss more would end the quorum meanwhile. It stays
+// while there is no successor, so that fewer copies than Limits.Tolerance + 1 never
+// make a quorum.
 type Automatic struct {
 	limits   Limits
-	absences AbsentSince
+	departed map[rlog.ID]time.Time
 }
 
 // NewAutomatic returns an Automatic for one group of a deployment with the limits.
-func NewAutomatic(l Limits) *Automatic { return &Automatic{limits: l, absences: AbsentSince{}} }
-
-// Next returns the next change of the members, false when there is none to make now.
-// keepers are those that are listed as live.
-func (a *Automatic) Next(now time.Time, st rlog.Status, keepers []Announced) (rlog.ChangeMember, bool) {
-	live := map[string]rlog.ID{}
-	for _, k := range keepers {
-		live[k.ID.Name] = k.ID
-	}
-	return NextChange(st, AutoMembers(st, live, a.absences.Absent(st.Members, live, now)), live)
+func NewAutomatic(l Limits) *Automatic {
+	return &Automatic{limits: l, departed: map[rlog.ID]time.Time{}}
 }
 
-// AbsentSince holds, for each member that is not live, the time since when it has been so.
-type AbsentSince map[string]time.Time
-
-// Absent updates a and returns the members that are not live. The value is true
-// for those that have been so for replaceAfter.
-func (a AbsentSince) Absent(ms rlog.Membership, live map[string]rlog.ID, now time.Time) map[string]bool {
-	out := map[string]bool{}
-	for name := range keeperNames(ms) {
-		if _, ok := live[name]; ok {
-			delete(a, name)
+// Next returns the next decision. st is the status of the leader, keepers are the
+// announcements that it has received itself.
+func (a *Automatic) Next(now time.Time, st rlog.Status, keepers []Announced) Decision {
+	v := newView(a.limits, st, keepers)
+	for _, step := range []func() (Decision, bool){
+		v.dropLearner, v.removeLost, v.promote, v.removeLeaving,
+		func() (Decision, bool) { return a.admit(now, v, keepers) },
+	} {
+		d, ok := step()
+		if !ok {
 			continue
 		}
-		if _, ok := a[name]; !ok {
-			a[name] = now
+		if c, changes := d.(Change); changes && c.Remove {
+			a.departed[c.Member.ID] = now
 		}
-		out[name] = now.Sub(a[name]) >= replaceAfter
+		return d
+	}
+	if v.wait != "" {
+		return Wait{v.wait}
 	}
-	return out
+	return Settled{}
 }
 
-// Limits are the promises of a deployment that the decisions on members must keep.
-type Limits struct {
-	// Tolerance is the number of keepers that may be lost at the same time.
-	Tolerance int
-	// CatchUp is the time after which a lost keeper no longer counts: it is back,
-	// or its successor has started, for that long.
-	CatchUp time.Duration
+// admit adds an announced keeper as a learner. One that was removed must have
+// announced itself since.
+func (a *Automatic) admit(now time.Time, v *view, keepers []Announced) (Decision, bool) {
+	for id, at := range a.departed {
+		if now.Sub(at) > departedFor {
+			delete(a.departed, id)
+		}
+	}
+	members := 0
+	for _, m := range v.members {
+		if !m.lost {
+			members++
+		}
+	}
+	if members >= v.limits.maxVoters()+maxStandbys {
+		return nil, false
+	}
+	for _, k := range slices.SortedFunc(slices.Values(keepers), func(x, y Announced) int { return cmp.Compare(x.ID.Name, y.ID.Name) }) {
+		at, left := a.departed[k.ID]
+		if k.Leaving || k.Age > announcedWithin || left && !now.Add(-k.Age).After(at) || v.find(k.ID) != nil {
+			continue
+		}
+		return Change{rlog.ChangeMember{Member: rlog.Member{ID: k.ID}}}, true
+	}
+	return nil, false
 }
-
-// Voters returns the least number of voters that have a quorum without Tolerance of
-// them.
-func (l Limits) Voters() int { return 2*l.Tolerance + 1 }
--- a/repair/automatic_test.go
+++ b/repair/automatic_test.go
@@ -10,69 +10,170 @@
 	"cyclamenrelay.example/rlog"
 )
 
+var (
+	threeKeepers = repair.Limits{Tolerance: 1, CatchUp: 4 * time.Second}
+	fiveKeepers  = repair.Limits{Tolerance: 2, CatchUp: 6 * time.Second}
+	start        = time.Unix(1_700_000_000, 0)
+)
+
+// seen is what a leader knows of a group: the silence of each member that is not
+// heard now, and the announcements.
+type seen struct {
+	members rlog.Membership
+	silent  map[rlog.ID]time.Duration
+	keepers []repair.Announced
+}
+
+func (x seen) status() rlog.Status {
+	st := rlog.Status{Role: rlog.Leader, Members: x.members, Commit: 7, Match: map[rlog.ID]uint64{}, Silence: map[rlog.ID]time.Duration{}}
+	for _, m := range x.members {
+		st.Match[m.ID], st.Silence[m.ID] = 7, x.silent[m.ID]
+	}
+	return st
+}
+
 // applyAutomatic applies automatic changes until there are none left. It checks
-// after each that the live keepers, if at least three, are a quorum.
-func applyAutomatic(t *testing.T, m rlog.Membership, live map[string]rlog.ID, absent map[string]bool) rlog.Membership {
+// after each that the voters that are heard, if at least three, are a quorum.
+func applyAutomatic(t *testing.T, l repair.Limits, x seen) (rlog.Membership, repair.Decision) {
+	auto := repair.NewAutomatic(l)
 	for range 30 {
-		st := rlog.Status{Members: m, Commit: 7, Match: map[rlog.ID]uint64{}}
-		for _, i := range live {
-			st.Match[i] = 7
-		}
-		c, ok := repair.NextChange(st, repair.AutoMembers(st, live, absent), live)
+		d := auto.Next(start, x.status(), x.keepers)
+		c, ok := d.(repair.Change)
 		if !ok {
-			return m
+			return x.members, d
 		}
 		if c.Remove {
-			m = m.Without(c.Member.ID)
+			x.members = x.members.Without(c.Member.ID)
 		} else {
-			m = m.With(c.Member)
+			var allowed bool
+			x.members, allowed = x.members.Change(c.ChangeMember)
+			assert.Assert(t, allowed, "the group would drop the change %v", c)
 		}
-		votes := 0
-		for _, i := range live {
-			if m.IsVoter(i) {
-				votes++
+		heard := 0
+		for _, k := range x.keepers {
+			if x.members.IsVoter(k.ID) && x.silent[k.ID] == 0 {
+				heard++
 			}
 		}
-		assert.Assert(t, 2*votes > m.Voters() || len(live) < 3, "the live keepers are no longer a quorum: %v", m)
+		assert.Assert(t, 2*heard > x.members.Voters() || len(x.keepers) < 3, "the live keepers are no longer a quorum: %v", x.members)
 	}
 	t.Fatal("the membership still changes after 30 changes")
-	return nil
+	return nil, nil
+}
+
+func announced(ids ...rlog.ID) []repair.Announced {
+	var out []repair.Announced
+	for _, i := range ids {
+		out = append(out, repair.Announced{ID: i})
+	}
+	return out
 }
 
-func absentNames(names ...string) map[string]bool {
-	out := map[string]bool{}
-	for _, n := range names {
-		out[n] = true
+func silentFor(d time.Duration, ids ...rlog.ID) map[rlog.ID]time.Duration {
+	out := map[rlog.ID]time.Duration{}
+	for _, i := range ids {
+		out[i] = d
 	}
 	return out
 }
 
 func TestAutomaticMembership(t *testing.T) {
-	e := id("e", 1)
+	e, f := id("e", 1), id("f", 1)
+	lost := silentFor(threeKeepers.Detection(), a, b, c)
+	only := func(ids ...rlog.ID) map[rlog.ID]time.Duration {
+		out := map[rlog.ID]time.Duration{}
+		for _, i := range ids {
+			out[i] = lost[i]
+		}
+		return out
+	}
 	for name, x := range map[string]struct {
-		members rlog.Membership
-		live    map[string]rlog.ID
-		absent  map[string]bool
-		want    rlog.Membership
+		limits repair.Limits
+		seen   seen
+		want   rlog.Membership
 	}{
-		"a new keeper joins":                      {voters(a, b, c), liveReplicas(a, b, c, d), nil, voters(a, b, c, d)},
-		"one of three stays though it is absent":  {voters(a, b, c), liveReplicas(a, b), absentNames("c"), voters(a, b, c)},
-		"a new keeper replaces an absent one":     {voters(a, b, c), liveReplicas(a, b, d), absentNames("c"), voters(a, b, d)},
-		"a briefly absent member stays":           {voters(a, b, c), liveReplicas(a, b, d), nil, voters(a, b, c, d)},
-		"a keeper that lost its data is re-added": {voters(a, b, c), liveReplicas(a, b, c2), nil, voters(a, b, c2)},
-		"one of four is replaced":                 {voters(a, b, c, d), liveReplicas(a, c, d, e), absentNames("b"), voters(a, c, d, e)},
+		"a fourth keeper stands by":                {threeKeepers, seen{voters(a, b, c), nil, announced(a, b, c, d)}, voters(a, b, c).With(rlog.Member{ID: d})},
+		"two more keepers vote":                    {threeKeepers, seen{voters(a, b, c), nil, announced(a, b, c, d, e)}, voters(a, b, c, d, e)},
+		"a standby makes four voters five":         {threeKeepers, seen{voters(a, b, c, d), nil, announced(a, b, c, d, e)}, voters(a, b, c, d, e)},
+		"one of three stays though it is lost":     {threeKeepers, seen{voters(a, b, c), only(c), announced(a, b)}, voters(a, b, c)},
+		"a new keeper replaces a lost one":         {threeKeepers, seen{voters(a, b, c), only(c), announced(a, b, d)}, voters(a, b, d)},
+		"a lost one that is still listed goes too": {threeKeepers, seen{voters(a, b, c), only(c), append(announced(a, b, d), repair.Announced{ID: c, Age: 2 * time.Second})}, voters(a, b, d)},
+		"a keeper that lost its data is re-added":  {threeKeepers, seen{voters(a, b, c), nil, announced(a, b, c2)}, voters(a, b, c2)},
+		"one of four goes":                         {threeKeepers, seen{voters(a, b, c, d), only(b), announced(a, c, d)}, voters(a, c, d)},
+		"one of four is replaced by a standby":     {threeKeepers, seen{voters(a, b, c, d), only(b), announced(a, c, d, e)}, voters(a, c, d).With(rlog.Member{ID: e})},
+		"two of five stay":                         {fiveKeepers, seen{voters(a, b, c, d, e), silentFor(fiveKeepers.Detection(), a, b), announced(c, d, e)}, voters(a, b, c, d, e)},
+		"one of two lost ones is replaced":         {fiveKeepers, seen{voters(a, b, c, d, e), map[rlog.ID]time.Duration{a: 9 * time.Second, b: 8 * time.Second}, announced(c, d, e, f)}, voters(b, c, d, e, f)},
+		"seeds are joined up to the tolerance":     {fiveKeepers, seen{voters(a, b, c), nil, announced(a, b, c, d, e)}, voters(a, b, c, d, e)},
+		"a seed that lost its data, with too few":  {fiveKeepers, seen{voters(a, b, c), nil, announced(a, b, c2)}, voters(a, b, c2)},
 	} {
-		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, applyAutomatic(t, x.members, x.live, x.absent), x.want) })
+		t.Run(name, func(t *testing.T) {
+			got, _ := applyAutomatic(t, x.limits, x.seen)
+			assert.DeepEqual(t, got, x.want)
+		})
 	}
 }
 
-func TestAbsenceIsTimed(t *testing.T) {
-	now, away := time.Unix(1_700_000_000, 0), repair.AbsentSince{}
-	ms := voters(a, b, c)
-	assert.DeepEqual(t, away.Absent(ms, liveReplicas(a, b), now), map[string]bool{"c": false})
-	assert.DeepEqual(t, away.Absent(ms, liveReplicas(a, b), now.Add(time.Second)), map[string]bool{"c": true})
-	assert.DeepEqual(t, away.Absent(ms, liveReplicas(a, b, c), now.Add(2*time.Second)), map[string]bool{})
-	assert.DeepEqual(t, away.Absent(ms, liveReplicas(a, b), now.Add(3*time.Second)), map[string]bool{"c": false})
+// Guards against two live voters of four: a successor that votes beside a voter
+// that is silent but not yet taken for lost.
+func TestNoVoterIsAddedBesideASilentOne(t *testing.T) {
+	silent := silentFor(threeKeepers.Detection()-time.Millisecond, c)
+	ms := voters(a, b, c).With(rlog.Member{ID: d}).With(rlog.Member{ID: id("e", 1)})
+	got, d := applyAutomatic(t, threeKeepers, seen{ms, silent, announced(a, b, d, id("e", 1))})
+	assert.DeepEqual(t, got, ms)
+	assert.DeepEqual(t, d, repair.Wait{Reason: "a voter is silent, and not yet taken for lost"})
+}
+
+// Guards against a voter that stops and leaves the group one short, although another
+// keeper can vote in its place.
+func TestLeavingVoterIsReplaced(t *testing.T) {
+	leaving := []repair.Announced{{ID: a}, {ID: b, Leaving: true}, {ID: c}, {ID: d}}
+	got, _ := applyAutomatic(t, threeKeepers, seen{voters(a, b, c).With(rlog.Member{ID: d}), nil, leaving})
+	assert.DeepEqual(t, got, voters(a, c, d))
+	got, d := applyAutomatic(t, threeKeepers, seen{voters(a, b, c), nil, leaving[:3]})
+	assert.DeepEqual(t, got, voters(a, b, c))
+	assert.DeepEqual(t, d, repair.Wait{Reason: "no other keeper can take the place of b, which leaves"})
+}
+
+// Guards against a leader that removes live voters because it has heard nobody.
+func TestLeaderWithoutAQuorumChangesNoVoter(t *testing.T) {
+	got, _ := applyAutomatic(t, threeKeepers, seen{voters(a, b, c, d), silentFor(time.Hour, b, c, d), announced(a)})
+	assert.DeepEqual(t, got, voters(a, b, c, d))
+}
+
+// Guards against a lost keeper that becomes a learner again by the announcement that
+// it made before its loss.
+func TestRemovedKeeperIsReaddedByANewAnnouncementOnly(t *testing.T) {
+	auto := repair.NewAutomatic(threeKeepers)
+	x := seen{voters(a, b, c, d), silentFor(threeKeepers.Detection(), d), append(announced(a, b, c), repair.Announced{ID: d, Age: 1500 * time.Millisecond})}
+	removed, ok := auto.Next(start, x.status(), x.keepers).(repair.Change)
+	assert.Assert(t, ok && removed.Remove && removed.Member.ID == d)
+	x.members = x.members.Without(d)
+	now := start.Add(time.Second)
+	x.keepers[3].Age = 2500 * time.Millisecond
+	assert.DeepEqual(t, auto.Next(now, x.status(), x.keepers), repair.Decision(repair.Settled{}))
+	x.keepers[3].Age = 100 * time.Millisecond
+	assert.DeepEqual(t, auto.Next(now, x.status(), x.keepers), repair.Decision(repair.Change{ChangeMember: rlog.ChangeMember{Member: rlog.Member{ID: d}}}))
+}
+
+// Guards against a new keeper that is added and dropped by turns until the leader
+// reaches it.
+func TestLearnerThatAnnouncesItselfIsKept(t *testing.T) {
+	x := seen{voters(a, b, c).With(rlog.Member{ID: d}), silentFor(time.Hour, d), announced(a, b, c, d)}
+	got, _ := applyAutomatic(t, threeKeepers, x)
+	assert.DeepEqual(t, got, x.members)
+	x.keepers[3].Age = 4 * time.Second
+	got, _ = applyAutomatic(t, threeKeepers, x)
+	assert.DeepEqual(t, got, voters(a, b, c))
+}
+
+// Guards against a time to take a voter for lost that leaves none for its replacement.
+func TestDetectionLeavesTimeForTheReplacement(t *testing.T) {
+	for catchUp := 4 * time.Second; catchUp < time.Minute; catchUp += 100 * time.Millisecond {
+		l := repair.Limits{Tolerance: 1, CatchUp: catchUp}
+		assert.NilError(t, l.Check())
+		assert.Assert(t, l.Detection() >= time.Second && l.Detection() <= 5*time.Second, "%v", l.Detection())
+	}
+	assert.ErrorContains(t, repair.Limits{Tolerance: 1, CatchUp: 3900 * time.Millisecond}.Check(), "within 4s")
 }
 
 func TestAutomaticMembershipIsBounded(t *testing.T) {
@@ -80,5 +181,7 @@
 	for _, n := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
 		live = append(live, id(n, 1))
 	}
-	assert.Equal(t, applyAutomatic(t, voters(a, b, c), liveReplicas(live...), nil).Voters(), 7)
+	got, _ := applyAutomatic(t, threeKeepers, seen{voters(a, b, c), nil, announced(live...)})
+	assert.Equal(t, got.Voters(), 7)
+	assert.Equal(t, len(got), 8, "voters and one standby")
 }
--- a/repair/group_test.go
+++ b/repair/group_test.go
@@ -189,14 +189,14 @@
 	for _, a := range k.table.Announcements() {
 		live = append(live, repair.Announced{ID: rlog.ID{Name: a.Node.Name, Incarnation: a.Node.Replica}, Leaving: a.Node.Leaving, Age: a.Age})
 	}
-	c, ok := k.members.Next(s.clock.Now(), st, live)
+	c, ok := k.members.Next(s.clock.Now(), st, live).(repair.Change)
 	if !ok {
 		return
 	}
 	s.nextID++
 	c.ID = s.nextID
 	s.note("%s: voter %t, remove %t (%d voters)", c.Member.ID.Name, c.Member.Voter, c.Remove, st.Members.Voters())
-	s.step(k, c)
+	s.step(k, c.ChangeMember)
 }
 
 // applyPersist applies a synced write to the state on disk.
--- /dev/null
+++ b/repair/view.go
@@ -0,0 +1,175 @@
+package repair
+
+import (
+	"slices"
+	"time"
+
+	"cyclamenrelay.example/rlog"
+)
+
+// memberState is a member as the leader sees it.
+type memberState struct {
+	rlog.Member
+	silence time.Duration
+	// lost is set once the member has been silent for Limits.Detection, or its keeper
+	// has announced another replica. A learner that announces itself is not lost:
+	// the leader may not reach it yet.
+	lost       bool
+	superseded bool
+	// heard is set while the member answers heartbeats.
+	heard    bool
+	leaving  bool
+	caughtUp bool
+}
+
+// standby reports whether the member can become a voter.
+func (m *memberState) standby() bool { return !m.Voter && m.heard && !m.leaving && m.caughtUp }
+
+// view is a group as its leader sees it, for one decision.
+type view struct {
+	limits  Limits
+	members []*memberState
+	voters  int
+	heard   int // voters that are heard
+	// standbys are the learners that can become voters; ready are those of them
+	// whose keeper has no vote yet.
+	standbys, ready []*memberState
+	// wait is the first reason for which a change that is due is not made.
+	wait string
+}
+
+func newView(l Limits, st rlog.Status, keepers []Announced) *view {
+	announced := map[string]Announced{}
+	for _, k := range keepers {
+		announced[k.ID.Name] = k
+	}
+	v := &view{limits: l}
+	for _, m := range st.Members {
+		k, ok := announced[m.ID.Name]
+		s := &memberState{Member: m, silence: st.Silence[m.ID], caughtUp: st.Match[m.ID] >= st.Commit}
+		s.superseded = ok && k.ID != m.ID
+		isAnnounced := ok && k.ID == m.ID && k.Age <= announcedWithin
+		s.lost = s.superseded || s.silence >= l.Detection() && (m.Voter || !isAnnounced)
+		s.heard = !s.superseded && s.silence <= heardWithin
+		s.leaving = isAnnounced && k.Leaving
+		v.members = append(v.members, s)
+		if s.Voter {
+			v.voters++
+			if s.heard {
+				v.heard++
+			}
+		}
+	}
+	for _, m := range v.members {
+		if !m.standby() {
+			continue
+		}
+		v.standbys = append(v.standbys, m)
+		if _, votes := voterOf(st.Members, m.ID.Name); !votes {
+			v.ready = append(v.ready, m)
+		}
+	}
+	return v
+}
+
+func (v *view) find(id rlog.ID) *memberState {
+	i := slices.IndexFunc(v.members, func(m *memberState) bool { return m.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return v.members[i]
+}
+
+func quorum(voters int) int { return voters/2 + 1 }
+
+func (v *view) waitFor(reason string) {
+	if v.wait == "" {
+		v.wait = reason
+	}
+}
+
+func remove(m *memberState) Decision {
+	return Change{rlog.ChangeMember{Member: m.Member, Remove: true}}
+}
+
+// dropLearner removes a learner that is lost.
+func (v *view) dropLearner() (Decision, bool) {
+	for _, m := range v.members {
+		if !m.Voter && m.lost {
+			return remove(m), true
+		}
+	}
+	return nil, false
+}
+
+// removeLost removes the voter that has been lost for the longest time.
+func (v *view) removeLost() (Decision, bool) {
+	var lost *memberState
+	for _, m := range v.members {
+		if m.Voter && m.lost && (lost == nil || m.silence > lost.silence) {
+			lost = m
+		}
+	}
+	switch {
+	case lost == nil:
+		return nil, false
+	case !v.mayRemove(lost):
+		v.waitFor("no successor of lost voter " + lost.ID.Name + " has caught up")
+		return nil, false
+	case v.heard < quorum(v.voters-1):
+		v.waitFor("too few voters are heard")
+		return nil, false
+	}
+	return remove(lost), true
+}
+
+// mayRemove reports whether enough voters are left without m, or a standby takes its
+// place. In the latter case a quorum must not need fewer copies meanwhile than the
+// tolerance calls for.
+func (v *view) mayRemove(m *memberState) bool {
+	if v.voters > v.limits.Voters() {
+		return true
+	}
+	if slices.ContainsFunc(v.standbys, func(s *memberState) bool { return s.ID.Name == m.ID.Name }) {
+		return true
+	}
+	return len(v.standbys) > 0 && quorum(v.voters-1) >= min(v.limits.Tolerance+1, quorum(v.voters))
+}
+
+// promote makes a standby a voter: while there are too few voters, in place of one
+// that leaves, or to reach a larger odd number.
+func (v *view) promote() (Decision, bool) {
+	if len(v.ready) == 0 || v.voters >= v.limits.maxVoters() {
+		return nil, false
+	}
+	leaves := slices.ContainsFunc(v.members, func(m *memberState) bool { return m.Voter && m.leaving })
+	few := v.voters < v.limits.Voters()
+	grow := v.voters%2 == 0 || len(v.ready) > 1 && v.voters+2 <= v.limits.maxVoters()
+	switch {
+	case !few && !grow && !(leaves && v.voters == v.limits.Voters()):
+		return nil, false
+	case !few && !leaves && v.heard < v.voters:
+		v.waitFor("a voter is silent, and not yet taken for lost")
+		return nil, false
+	case v.heard+1 < quorum(v.voters+1):
+		v.waitFor("too few voters are heard")
+		return nil, false
+	}
+	return Change{rlog.ChangeMember{Member: rlog.Member{ID: v.ready[0].ID, Voter: true}}}, true
+}
+
+// removeLeaving removes a voter whose keeper shuts down, so that it is not missing
+// from the quorum when it has stopped.
+func (v *view) removeLeaving() (Decision, bool) {
+	for _, m := range v.members {
+		if !m.Voter || !m.leaving || m.lost {
+			continue
+		}
+		if v.voters <= v.limits.Voters() || v.heard-1 < quorum(v.voters-1) {
+			v.waitFor("no other keeper can take the place of " + m.ID.Name + ", which leaves")
+			continue
+		}
+		return remove(m), true
+	}
+	return nil, false
+}
