keeper: a keeper that shuts down is replaced as a voter first

In a planned replacement the successor has run for the catch-up time before the old keeper gets SIGTERM, so that this one never counts as lost.

Where no keeper can take its place, as in a restart of one of three, it does not wait.

--- a/keeper/bootstrap.go
+++ b/keeper/bootstrap.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"cyclamenrelay.example/disk"
-	"cyclamenrelay.example/keys"
-	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/repair"
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/rstore"
@@ -65,25 +62,12 @@
 // queryInitialKeepers returns the states of the other initial keepers, and
 // whether all of them answered.
 func (k *Keeper) queryInitialKeepers(ctx context.Context) (states []wire.KeeperState, allAnswered bool) {
-	ctx, cancel := context.WithTimeout(ctx, bootstrapCallTimeout)
-	defer cancel()
-	var mu sync.Mutex
-	var wg sync.WaitGroup
+	others := map[string]string{}
 	for _, f := range k.opts.InitialMembers {
-		if f.Name == k.self.Name {
-			continue
+		if f.Name != k.self.Name {
+			others[f.Name] = f.Address
 		}
-		wg.Go(func() {
-			a, err := k.node.Call(ctx, link.Dest{Address: f.Address, Role: keys.Keeper}, wire.GetKeeperState{})
-			s, ok := a.(wire.KeeperState)
-			if err != nil || !ok || s.Self.Name != f.Name {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			states = append(states, s)
-		})
 	}
-	wg.Wait()
-	return states, len(states) == len(k.opts.InitialMembers)-1
+	states = k.queryKeepers(ctx, others, bootstrapCallTimeout)
+	return states, len(states) == len(others)
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -198,51 +197,6 @@
 	return trace.NewAggregate(err, k.store.Close())
 }
 
-// Drain implements kernel.Drainer: it transfers the leadership of all groups to
-// other keepers, as long as one of them is alive and not leaving.
-func (k *Keeper) Drain(ctx context.Context) {
-	k.mu.Lock()
-	k.draining = true
-	k.mu.Unlock()
-	k.finder.Leave()
-	for ctx.Err() == nil {
-		ledGroups := 0
-		k.runInLoop(func() {
-			for g, r := range k.groups {
-				if s := r.node.Status(); s.Role == rlog.Leader && s.Members.Voters() > 1 {
-					ledGroups++
-					k.input(group.ReplicaInput{Group: g, Input: rlog.TransferLeadership{}})
-				}
-			}
-		})
-		if ledGroups == 0 || !k.otherKeeperLive() {
-			break
-		}
-		select {
-		case <-ctx.Done():
-		case <-k.loopEnded:
-			return
-		case <-k.opts.Clock.After(drainPollInterval):
-		}
-	}
-	k.runInLoop(func() {
-		for g, r := range k.groups {
-			if ms := r.node.Status().Members; ms.IsVoter(k.self) && ms.Voters() > 1 {
-				k.opts.Log.Info("keeper stops as a voter", zap.Uint64("group", g), zap.Int("voters", ms.Voters()))
-			}
-		}
-	})
-}
-
-// otherKeeperLive reports whether another keeper is alive and not shutting down.
-func (k *Keeper) otherKeeperLive() bool {
-	return slices.ContainsFunc(k.table.Live(), func(n wire.Node) bool {
-		return n.Name != k.self.Name && !n.Leaving && slices.Contains(n.Roles, string(keys.Keeper))
-	})
-}
-
-const drainPollInterval = 100 * time.Millisecond
-
 // runInLoop runs f in the goroutine that owns the groups, and waits for it.
 func (k *Keeper) runInLoop(f func()) {
 	done := make(chan struct{})
--- /dev/null
+++ b/repair/leave_test.go
@@ -0,0 +1,35 @@
+package repair_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cyclamenrelay.example/repair"
+	"cyclamenrelay.example/rlog"
+	"cyclamenrelay.example/wire"
+)
+
+// Guards against a keeper that stops before it is replaced, and one that waits for a
+// replacement that cannot come.
+func TestStoppingKeeperWaitsWhileItCanBeReplaced(t *testing.T) {
+	group := func(leads bool, term uint64, ms rlog.Membership) wire.KeeperState {
+		return wire.KeeperState{Groups: []wire.GroupState{{IsLeader: leads, Term: term, Members: ms}}}
+	}
+	standby := voters(a, b, c).With(rlog.Member{ID: d})
+	for name, x := range map[string]struct {
+		others []wire.KeeperState
+		want   bool
+	}{
+		"a standby can vote":               {[]wire.KeeperState{group(true, 2, standby)}, true},
+		"more voters than needed":          {[]wire.KeeperState{group(true, 2, voters(a, b, c, d))}, true},
+		"no other keeper":                  {[]wire.KeeperState{group(true, 2, voters(a, b, c))}, false},
+		"replaced":                         {[]wire.KeeperState{group(true, 2, voters(b, c, d)), group(false, 2, standby)}, false},
+		"a follower does not know it yet":  {[]wire.KeeperState{group(false, 2, standby), group(true, 2, voters(b, c, d))}, false},
+		"a former leader does not know it": {[]wire.KeeperState{group(true, 2, standby), group(true, 3, voters(b, c, d))}, false},
+		"no leader yet":                    {[]wire.KeeperState{group(false, 2, standby), group(false, 2, standby)}, true},
+		"nobody answers":                   {nil, false},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, repair.AwaitsReplacement(a, x.others, threeKeepers), x.want) })
+	}
+}
