keeper: initial keepers stop asking each other once the groups have started

Each pass of the maintenance of an initial keeper first asked the other initial ones for their states, also long after the start.

--- a/keeper/bootstrap.go
+++ b/keeper/bootstrap.go
@@ -15,6 +15,22 @@
 
 const bootstrapCallTimeout = time.Second
 
+// mayBootstrap reports whether this is an initial keeper and one of its groups has no
+// state yet.
+func (k *Keeper) mayBootstrap() bool {
+	if len(k.opts.InitialMembers) == 0 {
+		return false
+	}
+	missing := false
+	k.runInLoop(func() {
+		for _, r := range k.groups {
+			st := r.node.Status()
+			missing = missing || len(st.Members) == 0 && st.Last == 0
+		}
+	})
+	return missing
+}
+
 // bootstrap initialises the groups of a new cluster. All initial keepers must
 // answer, and either none of them has any state, or one has just bootstrapped
 // the cluster with this replica as a member. A keeper that lost its data folder
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,3 +173,32 @@
 		}, poll.WithTimeout(20*time.Second))
 	}
 }
+
+// Guards against a keeper that asks the other initial keepers for their states after
+// the groups have started: each pass of its maintenance waits for one that is lost.
+func TestInitialKeepersAreAskedUntilTheGroupsHaveStarted(t *testing.T) {
+	c := newCluster(t, "k1", "k2")
+	var calls atomic.Int32
+	other := c.newNode("k2", c.initial[1].Address, keys.Keeper)
+	link.Handle(other.Mux(), func(context.Context, link.Peer, wire.GetKeeperState) wire.Message {
+		calls.Add(1)
+		return wire.KeeperState{Self: rlog.ID{Name: "k2", Incarnation: 7}, Groups: make([]wire.GroupState, 2)}
+	}, keys.Keeper)
+	c.runNode(other)
+	clock := clockwork.NewFakeClock()
+	k1 := c.initial[0].Address
+	c.start("k1", k1, clock, c.initial)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		clock.Advance(50 * time.Millisecond)
+		if s, ok := c.state(k1); !ok || len(s.Groups[0].Members) == 0 || len(s.Groups[1].Members) == 0 {
+			return poll.Continue("the groups have not started")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+	before := calls.Load()
+	for range 100 {
+		clock.Advance(50 * time.Millisecond)
+		_, _ = c.state(k1)
+	}
+	assert.Equal(t, calls.Load(), before)
+}
--- a/keeper/maintain.go
+++ b/keeper/maintain.go
@@ -24,7 +24,7 @@
 func (k *Keeper) maintain(ctx context.Context) {
 	lastExpiry := k.opts.Clock.Now()
 	for ctx.Err() == nil {
-		if len(k.opts.InitialMembers) > 0 {
+		if k.mayBootstrap() {
 			k.bootstrap(ctx)
 		}
 		live := k.liveKeepers()
