keeper: send to the address that a keeper has announced here

The sender took addresses from the lists of other keepers only, which a poll renews once all keepers have answered or timed out. A successor that had just been added as a learner was not reached until the poll had waited for the lost one: 1.9 to 3.0 s after it was added in. The keeper's own table has the address by then.

TestNewKeeperIsReachedAtItsAnnouncedAddress timed out before.

--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -202,3 +202,22 @@
 	}
 	assert.Equal(t, calls.Load(), before)
 }
+
+// Guards against a successor that the leader cannot reach until a poll of the other
+// keepers' lists has ended, which waits for the one that is lost.
+func TestNewKeeperIsReachedAtItsAnnouncedAddress(t *testing.T) {
+	c := newCluster(t, "k1", "k2", "k3")
+	for _, m := range c.initial {
+		// Its finder polls once.
+		c.startWithFinder(m.Name, m.Address, clockwork.NewRealClock(), clockwork.NewFakeClock(), c.initial)
+	}
+	c.await(0, c.addresses(), "k1", "k2", "k3")
+	k4 := freeAddress(t)
+	c.start("k4", k4, clockwork.NewRealClock(), nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s, ok := c.state(k4); !ok || s.Groups[0].Leader == "" || s.Groups[1].Leader == "" {
+			return poll.Continue("k4 has not heard the leaders")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+}
--- a/keeper/loop.go
+++ b/keeper/loop.go
@@ -152,9 +152,12 @@
 	}
 }
 
-// address returns the address of a keeper: as announced, or else as configured
-// for the initial keepers.
+// address returns the address of a keeper: as announced to this one, or else as other
+// keepers list it or as configured for the initial keepers.
 func (k *Keeper) address(name string) (string, bool) {
+	if n, ok := k.table.Find(name); ok {
+		return n.Address, true
+	}
 	for _, n := range k.finder.Nodes(keys.Keeper) {
 		if n.Name == name {
 			return n.Address, true
