--- a/keeper/drain.go
+++ b/keeper/drain.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"cyclamenrelay.example/group"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
@@ -36,14 +34,10 @@
 		k.pollUntil(ctx, func() bool {
 			return !repair.AwaitsReplacement(k.self, k.queryKeepers(ctx, k.otherKeepers(), stateCallTimeout), k.opts.Limits)
 		})
-	}
-	k.runInLoop(func() {
-		for g, r := range k.groups {
-			if ms := r.node.Status().Members; ms.IsVoter(k.self) && ms.Voters() > 1 {
-				k.opts.Log.Info("keeper stops, a voter as far as it knows", zap.Uint64("group", g), zap.Int("voters", ms.Voters()))
-			}
+		if ctx.Err() != nil {
+			k.opts.Log.Warn("keeper stops before it was replaced as a voter")
 		}
-	})
+	}
 }
 
 // pollUntil calls done every drainPollInterval until it returns true or ctx ends.
