--- a/repair/view.go
+++ b/repair/view.go
@@ -142,11 +142,11 @@
 	if len(v.ready) == 0 || v.voters >= v.limits.maxVoters() {
 		return nil, false
 	}
-	leaves := slices.ContainsFunc(v.members, func(m *memberState) bool { return m.Voter && m.leaving })
 	few := v.voters < v.limits.Voters()
-	grow := v.voters%2 == 0 || len(v.ready) > 1 && v.voters+2 <= v.limits.maxVoters()
+	leaves := v.voters == v.limits.Voters() && slices.ContainsFunc(v.members, func(m *memberState) bool { return m.Voter && m.leaving })
+	grows := v.voters%2 == 0 || len(v.ready) > 1 && v.voters+2 <= v.limits.maxVoters()
 	switch {
-	case !few && !grow && !(leaves && v.voters == v.limits.Voters()):
+	case !few && !leaves && !grows:
 		return nil, false
 	case !few && !leaves && v.heard < v.voters:
 		v.waitFor("a voter is silent, and not yet taken for lost")
