--- a/repair/automatic_test.go
+++ b/repair/automatic_test.go
@@ -185,3 +185,20 @@
 	assert.Equal(t, got.Voters(), 7)
 	assert.Equal(t, len(got), 8, "voters and one standby")
 }
+
+// BenchmarkNext decides on a settled group of the largest size among 21 keepers.
+func BenchmarkNext(b *testing.B) {
+	l := repair.Limits{Tolerance: 3, CatchUp: 6 * time.Second}
+	x := seen{}
+	for n := range 21 {
+		i := id(string(rune('a'+n)), 1)
+		x.keepers = append(x.keepers, repair.Announced{ID: i, Age: time.Second})
+		if n < 8 {
+			x.members = x.members.With(rlog.Member{ID: i, Voter: n < 7})
+		}
+	}
+	st, auto := x.status(), repair.NewAutomatic(l)
+	for b.Loop() {
+		auto.Next(start, st, x.keepers)
+	}
+}
