--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -25,6 +25,7 @@
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/rstore"
 	"cyclamenrelay.example/state"
+	"cyclamenrelay.example/vitals"
 	"cyclamenrelay.example/wire"
 )
 
@@ -170,14 +171,12 @@
 		SnapshotEntries: uint64(k.opts.SnapshotEntries),
 	})
 	k.host.Add(g, n)
-	var gauges *groupGauges
+	monitor := vitals.NewMonitor(g, k.opts.Log)
 	if old := k.groups[g]; old != nil {
-		gauges = old.gauges
-	} else {
-		gauges = newGroupGauges(g)
+		monitor = old.monitor
 	}
 	k.groups[g] = &replica{
-		id: g, self: k.self, machine: m, node: n, applied: s.Snapshot.Index, gauges: gauges, members: repair.NewAutomatic(k.opts.Limits),
+		id: g, self: k.self, machine: m, node: n, applied: s.Snapshot.Index, monitor: monitor, members: repair.NewAutomatic(k.opts.Limits),
 		pendingCommands: map[uint64]chan reply{}, pendingQueries: map[uint64]request{},
 	}
 	return nil
--- a/keeper/maintain.go
+++ b/keeper/maintain.go
@@ -32,7 +32,7 @@
 			configured := k.desiredMembers()
 			for g, r := range k.groups {
 				st := r.node.Status()
-				k.observe(r, st)
+				r.monitor.Observe(st)
 				if st.Role != rlog.Leader {
 					continue
 				}
--- a/keeper/replica.go
+++ b/keeper/replica.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"fmt"
 	"time"
 
 	"cyclamenrelay.example/group"
@@ -8,6 +9,7 @@
 	"cyclamenrelay.example/repair"
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/state"
+	"cyclamenrelay.example/vitals"
 	"cyclamenrelay.example/wire"
 )
 
@@ -22,9 +24,7 @@
 	// pendingCommands and pendingQueries hold the unanswered ones, by request ID.
 	pendingCommands map[uint64]chan reply
 	pendingQueries  map[uint64]request
-	// health is that of the group when it was last logged.
-	health repair.Health
-	gauges *groupGauges
+	monitor         *vitals.Monitor
 	// members decides on the membership while this replica leads.
 	members *repair.Automatic
 	// waitsFor is the reason of the last repair.Wait, empty after another decision.
@@ -121,3 +121,14 @@
 		q.reply <- reply{refused: refusal}
 	}
 }
+
+// notLeaderReason tells why this replica cannot serve a request as a leader.
+func notLeaderReason(st rlog.Status, self rlog.ID) string {
+	if _, ok := st.Members.Find(self); !ok {
+		return "not the leader: this keeper is not a member of the group"
+	}
+	if st.Leader.Name == "" {
+		return fmt.Sprintf("not the leader: none is known among %d voters", st.Members.Voters())
+	}
+	return "not the leader"
+}
--- a/repair/view.go
+++ b/repair/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamenrelay.example/rlog"
+	"cyclamenrelay.example/vitals"
 )
 
 // memberState is a member as the leader sees it.
@@ -50,7 +51,7 @@
 		s.superseded = ok && k.ID != m.ID
 		isAnnounced := ok && k.ID == m.ID && k.Age <= announcedWithin
 		s.lost = s.superseded || s.silence >= l.Detection() && (m.Voter || !isAnnounced)
-		s.heard = !s.superseded && s.silence <= heardWithin
+		s.heard = !s.superseded && s.silence <= vitals.HeardWithin
 		s.leaving = isAnnounced && k.Leaving
 		v.members = append(v.members, s)
 		if s.Voter {
--- a/repair/health.go
+++ b/vitals/health.go
@@ -1,4 +1,6 @@
-package repair
+// Package vitals tells how far a Raft group is from losing its quorum: it measures and
+// logs the voters that the group's leader hears. It decides nothing.
+package vitals
 
 import (
 	"slices"
@@ -7,9 +9,9 @@
 	"cyclamenrelay.example/rlog"
 )
 
-// heardWithin is the silence up to which a voter counts as heard in Health. A
-// leader sends heartbeats many times in it.
-const heardWithin = 500 * time.Millisecond
+// HeardWithin is the silence up to which a member counts as heard: the election
+// timeout of package raft. A leader sends heartbeats many times in it.
+const HeardWithin = 500 * time.Millisecond
 
 // Health tells how far a group is from losing its quorum, as its leader sees it.
 type Health struct {
@@ -22,8 +24,8 @@
 	Silence time.Duration
 }
 
-// GroupHealth returns the health of a group from the status of its leader.
-func GroupHealth(st rlog.Status) Health {
+// NewHealth returns the health of a group from the status of its leader.
+func NewHealth(st rlog.Status) Health {
 	h := Health{}
 	for _, m := range st.Members {
 		if !m.Voter {
@@ -33,7 +35,7 @@
 		// The leader itself has no entry.
 		s := st.Silence[m.ID]
 		h.Silence = max(h.Silence, s)
-		if s <= heardWithin {
+		if s <= HeardWithin {
 			h.Heard++
 		} else {
 			h.Silent = append(h.Silent, m.ID.Name)
@@ -46,7 +48,7 @@
 // has no quorum. It is negative when the group has none.
 func (h Health) Spare() int { return h.Heard - (h.Voters/2 + 1) }
 
-// Same reports whether h and o have the same voters and the same silent ones.
-func (h Health) Same(o Health) bool {
+// same reports whether h and o have the same voters and the same silent ones.
+func (h Health) same(o Health) bool {
 	return h.Voters == o.Voters && h.Heard == o.Heard && slices.Equal(h.Silent, o.Silent)
 }
