repair, keeper: a stopping keeper trusts neither silence nor an empty state

Of the answers that a stopping keeper got, the first one counted while no leader answered, also that of a keeper that has just started and knows no member.

The state of a leader counts, or else that of the newest log; states without members tell nothing. As long as there are other keepers and none has told its state, the keeper waits.

--- a/keeper/drain.go
+++ b/keeper/drain.go
@@ -32,7 +32,8 @@
 		ctx, cancel := context.WithTimeout(ctx, repair.ReplaceTime)
 		defer cancel()
 		k.pollUntil(ctx, func() bool {
-			return !repair.AwaitsReplacement(k.self, k.queryKeepers(ctx, k.otherKeepers(), stateCallTimeout), k.opts.Limits)
+			others := k.otherKeepers()
+			return !repair.AwaitsReplacement(k.self, len(others), k.queryKeepers(ctx, others, stateCallTimeout), k.opts.Limits)
 		})
 		if ctx.Err() != nil {
 			k.opts.Log.Warn("keeper stops before it was replaced as a voter")
--- a/repair/leave.go
+++ b/repair/leave.go
@@ -1,6 +1,8 @@
 package repair
 
 import (
+	"cmp"
+
 	"cyclamenrelay.example/rlog"
 	"cyclamenrelay.example/wire"
 )
@@ -10,24 +12,33 @@
 const ReplaceTime = electionBound + changeBound
 
 // AwaitsReplacement reports whether a leader can still remove self, which shuts down,
-// from the voters of a group, by the states of other keepers. A group whose leader
-// is not among them may have one soon.
-func AwaitsReplacement(self rlog.ID, others []wire.KeeperState, l Limits) bool {
-	leaders := map[uint64]wire.GroupState{}
-	for _, s := range others {
+// from the voters of a group, by the states with which keepers have answered. asked
+// is the number of keepers that were asked. A group whose leader is not among them
+// may have one soon, and a keeper that has not answered may be slow.
+func AwaitsReplacement(self rlog.ID, asked int, answers []wire.KeeperState, l Limits) bool {
+	newest := map[uint64]wire.GroupState{}
+	for _, s := range answers {
 		for _, g := range s.Groups {
-			known, ok := leaders[g.Group]
-			if !ok || g.IsLeader && (!known.IsLeader || g.Term > known.Term) {
-				leaders[g.Group] = g
+			if known, ok := newest[g.Group]; len(g.Members) > 0 && (!ok || knowsMore(g, known)) {
+				newest[g.Group] = g
 			}
 		}
 	}
-	for _, g := range leaders {
+	for _, g := range newest {
 		ms := rlog.Membership(g.Members)
 		replaceable := ms.Voters() > l.Voters() || len(ms) > ms.Voters()
 		if ms.IsVoter(self) && replaceable {
 			return true
 		}
 	}
-	return false
+	return asked > 0 && len(newest) == 0
+}
+
+// knowsMore reports whether the membership in g is newer than the one in h: a leader's,
+// or else that of the newest log.
+func knowsMore(g, h wire.GroupState) bool {
+	if g.IsLeader != h.IsLeader {
+		return g.IsLeader
+	}
+	return cmp.Or(cmp.Compare(g.Term, h.Term), cmp.Compare(g.Last, h.Last)) > 0
 }
