repair, raft: a keeper stops once its removal is committed

A stopping keeper took the membership in its leader's log for the one in force.

A replica's status tells whether its newest membership is known to be committed, and the keeper waits for that. An older build does not send it, which means as before.

--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -152,7 +152,7 @@
 			st := k.groups[g].node.Status()
 			s.Groups = append(s.Groups, wire.GroupState{
 				Group: g, Members: st.Members, IsLeader: st.Role == rlog.Leader, Term: st.Term,
-				Commit: st.Commit, Last: st.Last, Leader: st.Leader.Name,
+				Commit: st.Commit, Last: st.Last, Leader: st.Leader.Name, Changing: st.Changing,
 			})
 		}
 	})
--- a/raft/node.go
+++ b/raft/node.go
@@ -288,7 +288,7 @@
 func (n *Node) Status() rlog.Status {
 	s := rlog.Status{
 		Role: n.role, Term: n.hard.Term, Leader: n.leaderID, Commit: n.hard.Commit,
-		Last: n.log.Last(), Members: n.members.Current(),
+		Last: n.log.Last(), Members: n.members.Current(), Changing: n.hard.Commit < n.members.Newest(),
 	}
 	if n.role == rlog.Leader {
 		s.Match = make(map[rlog.ID]uint64, len(n.leadership.peers))
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -315,3 +315,14 @@
 	assert.Equal(t, n.Status().Silence[id("c")], 3*election)
 	assert.Equal(t, n.Status().Silence[id("b")], time.Duration(0))
 }
+
+// Guards against a change of the members that is taken for done before it is committed.
+func TestStatusTellsUncommittedChange(t *testing.T) {
+	n := newLeader()
+	n.Step(2*time.Second, rlog.Persisted{Seq: 2}, receive("b", 2, wire.RaftAppendAnswer{Index: 2}))
+	n.Step(2*time.Second, rlog.ChangeMember{Member: rlog.Member{ID: id("c"), Voter: true}, Remove: true})
+	st := n.Status()
+	assert.Assert(t, st.Changing && st.Members.Voters() == 2, "%v", st)
+	n.Step(2*time.Second, rlog.Persisted{Seq: 3}, receive("b", 2, wire.RaftAppendAnswer{Index: 3}))
+	assert.Assert(t, !n.Status().Changing)
+}
--- a/repair/leave.go
+++ b/repair/leave.go
@@ -14,7 +14,8 @@
 // AwaitsReplacement reports whether a leader can still remove self, which shuts down,
 // from the voters of a group, by the states with which keepers have answered. asked
 // is the number of keepers that were asked. A group whose leader is not among them
-// may have one soon, and a keeper that has not answered may be slow.
+// may have one soon, a keeper that has not answered may be slow, and a change that is
+// not committed is lost with its leader.
 func AwaitsReplacement(self rlog.ID, asked int, answers []wire.KeeperState, l Limits) bool {
 	newest := map[uint64]wire.GroupState{}
 	for _, s := range answers {
@@ -27,7 +28,7 @@
 	for _, g := range newest {
 		ms := rlog.Membership(g.Members)
 		replaceable := ms.Voters() > l.Voters() || len(ms) > ms.Voters()
-		if ms.IsVoter(self) && replaceable {
+		if g.Changing || ms.IsVoter(self) && replaceable {
 			return true
 		}
 	}
--- a/rlog/events.go
+++ b/rlog/events.go
@@ -167,6 +167,8 @@
 	Commit  uint64
 	Last    uint64
 	Members Membership
+	// Changing is set while this replica does not know that Members is committed.
+	Changing bool
 	// Match is the index up to which each other member is known to have synced
 	// the log. It is set only at the leader.
 	Match map[ID]uint64
--- a/wire/keeper.go
+++ b/wire/keeper.go
@@ -29,6 +29,8 @@
 	Last   uint64 `cbor:"6,keyasint"`
 	// Leader is the name of the keeper that leads the group, empty when unknown.
 	Leader string `cbor:"7,keyasint,omitempty"`
+	// Changing is set while the replica does not know that Members is committed.
+	Changing bool `cbor:"8,keyasint,omitempty"`
 }
 
 func (GetKeeperState) message() {}
