keeper: a stopping keeper waits for its replacement as long as it may run

The limit is that of the shutdown as a whole, the grace period. Where no keeper can take its place, it ends at once as before.

--- a/keeper/drain.go
+++ b/keeper/drain.go
@@ -22,6 +22,8 @@
 // other keepers, as long as one of them is alive and not leaving. With automatic
 // members it then waits until the leaders have replaced this keeper as a voter,
 // where they can: the groups would miss it otherwise until they take it for lost.
+// ctx bounds that: a keeper that ends between the promotion of its successor and its
+// own removal leaves a group of even size one voter short.
 func (k *Keeper) Drain(ctx context.Context) {
 	k.mu.Lock()
 	k.draining = true
@@ -29,8 +31,6 @@
 	k.finder.Leave()
 	k.pollUntil(ctx, func() bool { return k.transferLeadership() == 0 || len(k.otherKeepers()) == 0 })
 	if k.opts.AutoMembers {
-		ctx, cancel := context.WithTimeout(ctx, repair.ReplaceTime)
-		defer cancel()
 		k.pollUntil(ctx, func() bool {
 			others := k.otherKeepers()
 			return !repair.AwaitsReplacement(k.self, len(others), k.queryKeepers(ctx, others, stateCallTimeout), k.opts.Limits)
--- a/repair/leave.go
+++ b/repair/leave.go
@@ -7,10 +7,6 @@
 	"cyclamenrelay.example/wire"
 )
 
-// ReplaceTime is the time in which a leader replaces a voter that it has taken for
-// lost or that leaves, with an election before that.
-const ReplaceTime = electionBound + changeBound
-
 // AwaitsReplacement reports whether a leader can still remove self, which shuts down,
 // from the voters of a group, by the states with which keepers have answered. asked
 // is the number of keepers that were asked. A group whose leader is not among them
