member: a process whose clock went back is listed once its predecessor is silent

The incarnation of a process is the time of day at its start. A keeper that came back without its disk after its machine's clock had gone back was ignored until the lease of its predecessor ended, 5 s after that one's last announcement. With its next poll (1 s) and the changes of the members (1 s), the lost replica voted for up to 7 s, and the next loss is allowed 4 s after the return. The same holds for a machine that takes over an address, and so a name, with a clock that is behind.

A lower incarnation counts once the higher one has been silent for an interval and a time-out of announcements, 2 s. An announcement that is overtaken is not that old.

TestTableTakesARestartedNodeWhoseClockWentBack failed before.

--- a/member/table.go
+++ b/member/table.go
@@ -39,12 +39,17 @@
 	return &Table{clock: clock, lease: lease, nodes: map[string]row{}}
 }
 
+// supersededAfter is the silence after which the process with the highest incarnation
+// has ended: a live one announces itself once an interval and a time-out. Its
+// successor has a lower one if the machine's time of day has gone back.
+const supersededAfter = announceInterval + pollTimeout
+
 // Renew stores an announcement and restarts the lease of the process. One of an
-// earlier incarnation is ignored.
+// earlier incarnation is ignored, unless the later one has been silent since.
 func (t *Table) Renew(n wire.Node) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if old, ok := t.nodes[n.Name]; ok && n.Incarnation < old.node.Incarnation {
+	if old, ok := t.nodes[n.Name]; ok && n.Incarnation < old.node.Incarnation && t.clock.Since(old.renewed) <= supersededAfter {
 		return
 	}
 	if !sameNode(t.nodes[n.Name].node, n) {
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -34,6 +34,22 @@
 	assert.Equal(t, n.Address, "new")
 }
 
+// Guards against a keeper that has lost its disk and is taken for its lost replica until
+// the lease of that ends, because its clock has gone back.
+func TestTableTakesARestartedNodeWhoseClockWentBack(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	tab := member.NewTable(c, member.NodeLease)
+	tab.Renew(wire.Node{Name: "k1", Incarnation: 9, Replica: 1})
+	restarted := wire.Node{Name: "k1", Incarnation: 4, Replica: 2}
+	c.Advance(2 * time.Second)
+	tab.Renew(restarted)
+	n, ok := tab.Find("k1")
+	assert.Assert(t, ok && n.Replica == 1, "it may still run")
+	c.Advance(100 * time.Millisecond)
+	tab.Renew(restarted)
+	assert.DeepEqual(t, tab.Live(), []wire.Node{restarted})
+}
+
 func TestAnswerOmitsKnownNodes(t *testing.T) {
 	nodes := []wire.Node{{Name: "b"}, {Name: "a"}}
 	first := member.AnswerNodes(wire.FindNodes{}, nodes)
