--- a/repair/overlap_test.go
+++ b/repair/overlap_test.go
@@ -254,4 +254,51 @@
 	}
 }
 
+// Guards against a voter that is replaced too late because the leader that was about to
+// is lost too, and the next one takes it for lost anew.
+func TestTwoLeadersLostInARowAreReplacedInTime(t *testing.T) {
+	l := repair.Limits{Tolerance: 2, CatchUp: 6 * time.Second}
+	for seed := range uint64(100) {
+		s := newSimGroup(t, seed, l.Voters(), l)
+		s.loss, s.delay, s.resend, s.syncDelay = 0.05, 20*time.Millisecond, 300*time.Millisecond, 50*time.Millisecond
+		s.checkCommits()
+		replaceLeader := func() rlog.ID {
+			k := s.leader()
+			s.stop(k, true)
+			s.start(&simKeeper{id: s.newID()})
+			return k.id
+		}
+		first, at := replaceLeader(), s.now
+		for s.now-at < l.CatchUp {
+			if k := s.leader(); k != nil && k.node.Status().Silence[first] >= l.Detection()-200*time.Millisecond {
+				replaceLeader()
+				break
+			}
+			s.run(simTick)
+		}
+		for s.members().IsVoter(first) {
+			if s.run(simTick); s.now-at > l.CatchUp {
+				t.Fatalf("seed %d: %s votes %v after its loss:\n%s", seed, first.Name, s.now-at, joinLines(s.events))
+			}
+		}
+	}
+}
+
+// Guards against a new cluster whose seeds are too few for the tolerance once its
+// keepers no longer count as lost.
+func TestSeedsAreJoinedWithinTheCatchUpTime(t *testing.T) {
+	l := repair.Limits{Tolerance: 2, CatchUp: 6 * time.Second}
+	for seed := range uint64(50) {
+		s := newSimGroup(t, seed, 3, l)
+		s.loss, s.delay, s.resend, s.syncDelay = 0.05, 20*time.Millisecond, 300*time.Millisecond, 50*time.Millisecond
+		for range 2 {
+			s.start(&simKeeper{id: s.newID()})
+		}
+		s.run(l.CatchUp)
+		if n := s.members().Voters(); n != 5 {
+			t.Fatalf("seed %d: %d voters:\n%s", seed, n, joinLines(s.events))
+		}
+	}
+}
+
 const overlapSeeds = 20
