system: a port range for each test process that runs beside others

Ports of a process that is down were taken by the others, by reading; the output of the keepers was not kept. RELAY_FIRST_PORT sets the range, 2,000 ports wide.

--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -117,8 +117,12 @@
 }
 
 // Deployments use ports below the range of ephemeral ports, so that no client
-// connection takes a port between its choice and the start of its process.
-const firstPort, lastPort = 12_000, 20_000
+// connection takes a port between its choice and the start of its process. Test
+// processes that run beside each other need a RELAY_FIRST_PORT each: the port of a
+// process that is down looks free to the others.
+const portCount = 2000
+
+var firstPort = envInt("RELAY_FIRST_PORT", 12_000)
 
 var nextPort atomic.Int32
 
@@ -126,11 +130,11 @@
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
 	var out []string
-	for range lastPort - firstPort {
+	for range portCount {
 		if len(out) == n {
 			return out
 		}
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+int(nextPort.Add(1))%(lastPort-firstPort))
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+int(nextPort.Add(1))%portCount)
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
