repair: keep a quorum of the voters outside of each data centre

Sites with fault_tolerance.zones 1 may lose a data centre as a whole. The choice of the voters knew none: a successor that runs before a planned replacement took the place of a voter lost in another data centre, and three of five voters were in one (TestLossOfADataCentreKeepsAQuorum: 2 of 5 voters are running).

keeper.toleratedDataCentres, which the platform's template sets, lets a lost voter wait for a standby after which a quorum is left without any one data centre, for the catch-up time at most: then one voter less is the greater risk. Of several standbys the one that crowds least votes, and a voter that leaves is removed before others that are lost, as its successor is in its data centre. Without the setting, as at sites with zones 0, nothing changes.

--- a/conf/keeper.go
+++ b/conf/keeper.go
@@ -36,6 +36,9 @@
 	// must have run until the next may be lost. AutoMembers keeps to both.
 	Tolerance int      `json:"tolerance"`
 	CatchUp   Duration `json:"catchUp"`
+	// ToleratedDataCentres is the number of data centres that may be lost at the same
+	// time. AutoMembers keeps a quorum of the voters outside of each if it is 1.
+	ToleratedDataCentres int `json:"toleratedDataCentres"`
 	// SnapshotEntries is the number of log entries between snapshots.
 	SnapshotEntries int `json:"snapshotEntries"`
 	// Retention is how long the ledger keeps the records of jobs and claims.
@@ -61,6 +64,7 @@
 	c.number("keeper.snapshotEntries", k.SnapshotEntries, minSnapshotEntries, maxSnapshotEntries)
 	c.duration("keeper.retention", k.Retention, seconds(60), seconds(30*24*hour))
 	c.number("keeper.tolerance", k.Tolerance, 0, maxTolerance)
+	c.number("keeper.toleratedDataCentres", k.ToleratedDataCentres, 0, 1)
 	c.duration("keeper.catchUp", k.CatchUp, 0, seconds(hour))
 	if len(k.InitialMembers) > maxKeepers {
 		c.add("keeper.initialMembers", len(k.InitialMembers), "at most 21 members")
--- a/keeper/maintain.go
+++ b/keeper/maintain.go
@@ -85,10 +85,10 @@
 // lists of other keepers are left out: they name a keeper for longer than its lease
 // after its loss, and a lost replica beside the one that has replaced it.
 func (k *Keeper) liveKeepers() []repair.Announced {
-	live := []repair.Announced{{ID: k.self}}
+	live := []repair.Announced{{ID: k.self, DataCentre: k.finder.Self().DataCentre}}
 	for _, a := range k.table.Announcements() {
 		if n := a.Node; n.Replica != 0 && n.Name != k.self.Name {
-			live = append(live, repair.Announced{ID: rlog.ID{Name: n.Name, Incarnation: n.Replica}, Leaving: n.Leaving, Age: a.Age})
+			live = append(live, repair.Announced{ID: rlog.ID{Name: n.Name, Incarnation: n.Replica}, Leaving: n.Leaving, Age: a.Age, DataCentre: n.DataCentre})
 		}
 	}
 	return live
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -114,7 +114,7 @@
 		Folder: b.settings.Node.DataFolder, Groups: b.settings.Keeper.Groups, InitialMembers: initial,
 		Retention: time.Duration(b.settings.Keeper.Retention), SnapshotEntries: b.settings.Keeper.SnapshotEntries,
 		AutoMembers: b.settings.Keeper.AutoMembers,
-		Limits:      repair.Limits{Tolerance: b.settings.Keeper.Tolerance, CatchUp: time.Duration(b.settings.Keeper.CatchUp)},
+		Limits:      repair.Limits{Tolerance: b.settings.Keeper.Tolerance, CatchUp: time.Duration(b.settings.Keeper.CatchUp), SpreadVoters: b.settings.Keeper.ToleratedDataCentres > 0},
 		Clock:       b.clock, Log: b.log,
 	})
 	b.services.Add(kp)
--- a/repair/automatic.go
+++ b/repair/automatic.go
@@ -25,6 +25,8 @@
 	Leaving bool
 	// Age is the time since this keeper received the announcement.
 	Age time.Duration
+	// DataCentre is empty if it is unknown.
+	DataCentre string
 }
 
 // Decision is what Automatic decides: a Change, a Wait or Settled.
@@ -51,23 +53,27 @@
 // for it, and a learner as a standby. A lost voter is removed before its successor
 // votes: the other way round, one loss more would end the quorum meanwhile. It stays
 // while there is no successor, so that fewer copies than Limits.Tolerance + 1 never
-// make a quorum.
+// make a quorum. With Limits.SpreadVoters it also stays, for the catch-up time, while the
+// successor would crowd the voters in one data centre.
 type Automatic struct {
 	limits   Limits
 	departed map[rlog.ID]time.Time
+	zones    zones
 }
 
 // NewAutomatic returns an Automatic for one group of a deployment with the limits.
 func NewAutomatic(l Limits) *Automatic {
-	return &Automatic{limits: l, departed: map[rlog.ID]time.Time{}}
+	return &Automatic{limits: l, departed: map[rlog.ID]time.Time{}, zones: zones{spread: l.SpreadVoters, of: map[string]string{}}}
 }
 
 // Next returns the next decision. st is the status of the leader, keepers are the
 // announcements that it has received itself.
 func (a *Automatic) Next(now time.Time, st rlog.Status, keepers []Announced) Decision {
+	a.zones.learn(st.Members, keepers)
 	v := newView(a.limits, st, keepers)
+	v.zones = a.zones
 	for _, step := range []func() (Decision, bool){
-		v.dropLearner, v.removeLost, v.promote, v.removeLeaving,
+		v.dropLearner, v.finishReplacement, v.removeLost, v.promote, v.removeLeaving,
 		func() (Decision, bool) { return a.admit(now, v, keepers) },
 	} {
 		d, ok := step()
--- a/repair/automatic_test.go
+++ b/repair/automatic_test.go
@@ -185,3 +185,18 @@
 	assert.Equal(t, got.Voters(), 7)
 	assert.Equal(t, len(got), 8, "voters and one standby")
 }
+
+// Guards against a lost voter that is never replaced, as no successor comes that fits.
+func TestCrowdingSuccessorVotesInTheEnd(t *testing.T) {
+	l := repair.Limits{Tolerance: 1, CatchUp: 4 * time.Second, SpreadVoters: true}
+	x := seen{voters(a, b, c), silentFor(l.Detection(), c), announced(a, b, d)}
+	for i, dc := range []string{"x", "y", "x"} {
+		x.keepers[i].DataCentre = dc
+	}
+	got, d1 := applyAutomatic(t, l, x)
+	assert.DeepEqual(t, got, voters(a, b, c).With(rlog.Member{ID: d}))
+	assert.DeepEqual(t, d1, repair.Wait{Reason: "no successor of lost voter c has caught up"})
+	x.silent[c] = l.Detection() + l.CatchUp
+	got, _ = applyAutomatic(t, l, x)
+	assert.DeepEqual(t, got, voters(a, b, d))
+}
--- a/repair/group_test.go
+++ b/repair/group_test.go
@@ -36,6 +36,7 @@
 	applied  uint64
 	snapshot bool // one is wanted
 	frozen   bool
+	dc       string
 	leaving  bool
 	gone     bool // never starts again
 	table    *member.Table
@@ -230,7 +231,7 @@
 
 // announceTo has all running keepers store the announcement of k.
 func (s *simGroup) announceTo(k *simKeeper) {
-	n := wire.Node{Name: k.id.Name, Roles: []string{"keeper"}, Incarnation: k.id.Incarnation, Replica: k.id.Incarnation, Leaving: k.leaving}
+	n := wire.Node{Name: k.id.Name, Roles: []string{"keeper"}, Incarnation: k.id.Incarnation, Replica: k.id.Incarnation, Leaving: k.leaving, DataCentre: k.dc}
 	for _, o := range s.keepers {
 		if o.running() && s.side[k.id] == s.side[o.id] {
 			o.table.Renew(n)
@@ -246,7 +247,7 @@
 	}
 	var live []repair.Announced
 	for _, a := range k.table.Announcements() {
-		live = append(live, repair.Announced{ID: rlog.ID{Name: a.Node.Name, Incarnation: a.Node.Replica}, Leaving: a.Node.Leaving, Age: a.Age})
+		live = append(live, repair.Announced{ID: rlog.ID{Name: a.Node.Name, Incarnation: a.Node.Replica}, Leaving: a.Node.Leaving, Age: a.Age, DataCentre: a.Node.DataCentre})
 	}
 	c, ok := k.members.Next(s.clock.Now(), st, live).(repair.Change)
 	if !ok {
--- a/repair/limits.go
+++ b/repair/limits.go
@@ -14,6 +14,8 @@
 	// back, or its successor has started, for that long. The group must be able to
 	// lose Tolerance others from then on.
 	CatchUp time.Duration
+	// SpreadVoters is set if all keepers of a data centre may be lost at the same time.
+	SpreadVoters bool
 }
 
 const (
--- a/repair/overlap_test.go
+++ b/repair/overlap_test.go
@@ -45,7 +45,7 @@
 func replaceLater(o *overlap, k *simKeeper) {
 	o.stop(k, true)
 	o.after(o.randomTime(2*time.Second), func() {
-		o.start(&simKeeper{id: o.newID()})
+		o.start(&simKeeper{id: o.newID(), dc: k.dc})
 		o.back(k)
 	})
 }
@@ -54,7 +54,7 @@
 func wipeLater(o *overlap, k *simKeeper) {
 	o.stop(k, true)
 	o.after(o.randomTime(2*time.Second), func() {
-		o.start(&simKeeper{id: rlog.ID{Name: k.id.Name, Incarnation: k.id.Incarnation + 1}})
+		o.start(&simKeeper{id: rlog.ID{Name: k.id.Name, Incarnation: k.id.Incarnation + 1}, dc: k.dc})
 		o.back(k)
 	})
 }
@@ -79,6 +79,27 @@
 	})
 }
 
+// dataCentre returns one at random, or none while the machines have none.
+func (o *overlap) dataCentre() string { return o.keepers[o.rng.IntN(len(o.keepers))].dc }
+
+// loseDataCentre takes all machines of a data centre down once none counts as lost. They
+// are back up to 6 s later, with their disks.
+func (o *overlap) loseDataCentre() {
+	if o.lost() > 0 {
+		o.after(simTick, o.loseDataCentre)
+		return
+	}
+	dc := o.dataCentre()
+	o.note("data centre %s is lost", dc)
+	for _, k := range o.keepers {
+		if k.dc == dc && k.running() && !k.leaving {
+			o.counted[k] = forEver
+			restartLater(o, k)
+		}
+	}
+	o.after(10*time.Second, o.loseDataCentre)
+}
+
 // hitAll kills all processes at the same moment, or cuts the machines into two halves.
 // The deployment allows both beside any losses, which are suspended until the machines
 // have had their time.
@@ -140,13 +161,13 @@
 // planReplacement starts a successor, and shuts down a machine once that one has had
 // its time, so that the machine never counts as lost.
 func (o *overlap) planReplacement() {
-	next := &simKeeper{id: o.newID()}
+	next := &simKeeper{id: o.newID(), dc: o.dataCentre()}
 	o.start(next)
 	o.counted[next] = o.now + o.limits.CatchUp
 	var shutDown func()
 	shutDown = func() {
 		old := o.victim()
-		if old == nil || old == next || o.counted[next] > o.now {
+		if old == nil || old == next || old.dc != next.dc || o.counted[next] > o.now {
 			o.after(200*time.Millisecond, shutDown)
 			return
 		}
@@ -199,9 +220,12 @@
 // play runs for d, and loses a machine up to pause after that is allowed.
 func (o *overlap) play(d, pause time.Duration) {
 	var loseAt time.Duration
-	switch {
-	case o.planned:
+	if o.planned {
 		o.planReplacement()
+	}
+	switch {
+	case o.limits.SpreadVoters:
+		o.after(o.limits.CatchUp, o.loseDataCentre)
 	case o.allHit:
 		o.after(10*time.Second, o.hitAll)
 	}
@@ -239,7 +263,8 @@
 		"all hit":  {replaceLater, wipeLater, restartLater, freezeLater},
 		"planned":  {replaceLater, wipeLater, restartLater, freezeLater},
 	}
-	for _, l := range []repair.Limits{{Tolerance: 1, CatchUp: 4 * time.Second}, {Tolerance: 2, CatchUp: 6 * time.Second}} {
+	three, five := repair.Limits{Tolerance: 1, CatchUp: 4 * time.Second}, repair.Limits{Tolerance: 2, CatchUp: 6 * time.Second}
+	for _, l := range []repair.Limits{three, five} {
 		for name, ks := range kinds {
 			t.Run(fmt.Sprintf("%s/%d", name, l.Voters()), func(t *testing.T) {
 				for seed := range uint64(overlapSeeds) {
@@ -301,4 +326,21 @@
 	}
 }
 
+// Guards against the loss of a data centre that ends the quorum, beside planned
+// replacements and the losses of single machines in turn.
+func TestLossesOfDataCentresKeepAQuorum(t *testing.T) {
+	l := repair.Limits{Tolerance: 2, CatchUp: 6 * time.Second, SpreadVoters: true}
+	for seed := range uint64(overlapSeeds) {
+		s := newSimGroup(t, seed, l.Voters(), l)
+		for i, dc := range []string{"a", "a", "b", "b", "c"} {
+			s.keepers[i].dc = dc
+		}
+		s.run(2 * simAnnounce)
+		s.loss, s.delay, s.resend, s.syncDelay = 0.05, 20*time.Millisecond, 300*time.Millisecond, 50*time.Millisecond
+		o := &overlap{simGroup: s, counted: map[*simKeeper]time.Duration{}, kinds: []func(*overlap, *simKeeper){replaceLater, wipeLater}, planned: seed%2 == 0}
+		o.play(2*time.Minute, 8*time.Second)
+		s.checkCommits()
+	}
+}
+
 const overlapSeeds = 20
--- a/repair/view.go
+++ b/repair/view.go
@@ -28,6 +28,7 @@
 // view is a group as its leader sees it, for one decision.
 type view struct {
 	limits  Limits
+	zones   zones
 	members []*memberState
 	voters  int
 	heard   int // voters that are heard
@@ -133,7 +134,10 @@
 	if slices.ContainsFunc(v.standbys, func(s *memberState) bool { return s.ID.Name == m.ID.Name }) {
 		return true
 	}
-	return len(v.standbys) > 0 && quorum(v.voters-1) >= min(v.limits.Tolerance+1, quorum(v.voters))
+	// Where no successor comes that fits, one voter less is the greater risk.
+	anyFits := m.silence >= v.limits.Detection()+v.limits.CatchUp
+	fits := func(s *memberState) bool { return anyFits || v.zones.mayReplace(v.members, v.voters, m, s) }
+	return slices.ContainsFunc(v.standbys, fits) && quorum(v.voters-1) >= min(v.limits.Tolerance+1, quorum(v.voters))
 }
 
 // promote makes a standby a voter: while there are too few voters, in place of one
@@ -143,8 +147,14 @@
 		return nil, false
 	}
 	few := v.voters < v.limits.Voters()
-	leaves := v.voters == v.limits.Voters() && slices.ContainsFunc(v.members, func(m *memberState) bool { return m.Voter && m.leaving })
+	var leaving *memberState
+	if i := slices.IndexFunc(v.members, func(m *memberState) bool { return m.Voter && m.leaving }); i >= 0 && v.voters == v.limits.Voters() {
+		leaving = v.members[i]
+	}
+	leaves := leaving != nil
+	next := v.zones.best(v.members, leaving, v.ready)
 	grows := v.voters%2 == 0 || len(v.ready) > 1 && v.voters+2 <= v.limits.maxVoters()
+	grows = grows && v.zones.mayReplace(v.members, v.voters, nil, next)
 	switch {
 	case !few && !leaves && !grows:
 		return nil, false
@@ -155,7 +165,16 @@
 		v.waitFor("too few voters are heard")
 		return nil, false
 	}
-	return Change{rlog.ChangeMember{Member: rlog.Member{ID: v.ready[0].ID, Voter: true}}}, true
+	return Change{rlog.ChangeMember{Member: rlog.Member{ID: next.ID, Voter: true}}}, true
+}
+
+// finishReplacement removes a voter that leaves once its successor votes, before others
+// that are lost: the successor is in its data centre.
+func (v *view) finishReplacement() (Decision, bool) {
+	if !v.zones.spread || v.voters <= v.limits.Voters() {
+		return nil, false
+	}
+	return v.removeLeaving()
 }
 
 // removeLeaving removes a voter whose keeper shuts down, so that it is not missing
