member: an announcement that was overtaken does not revoke a shutdown

Each announcement is a request of its own, so that one made before the shutdown can arrive after the one that tells of it. The keeper then counted as staying until its next announcement: its replacement stopped half-way, or it became a learner again after its removal and could get a vote just before its end.

One incarnation that leaves never stays after all. TestTableKeepsThatANodeIsLeaving failed before.

--- a/member/table.go
+++ b/member/table.go
@@ -45,12 +45,17 @@
 const supersededAfter = announceInterval + pollTimeout
 
 // Renew stores an announcement and restarts the lease of the process. One of an
-// earlier incarnation is ignored, unless the later one has been silent since.
+// earlier incarnation is ignored, unless the later one has been silent since. A process
+// that shuts down does not come back: an announcement without that was overtaken.
 func (t *Table) Renew(n wire.Node) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if old, ok := t.nodes[n.Name]; ok && n.Incarnation < old.node.Incarnation && t.clock.Since(old.renewed) <= supersededAfter {
+	old, ok := t.nodes[n.Name]
+	switch {
+	case ok && n.Incarnation < old.node.Incarnation && t.clock.Since(old.renewed) <= supersededAfter:
 		return
+	case n.Incarnation == old.node.Incarnation:
+		n.Leaving = n.Leaving || old.node.Leaving
 	}
 	if !sameNode(t.nodes[n.Name].node, n) {
 		t.cached = nil
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -50,6 +50,19 @@
 	assert.DeepEqual(t, tab.Live(), []wire.Node{restarted})
 }
 
+// Guards against a keeper that shuts down and becomes a member again, by an announcement
+// that it made before and that was overtaken.
+func TestTableKeepsThatANodeIsLeaving(t *testing.T) {
+	tab := member.NewTable(clockwork.NewFakeClock(), time.Second)
+	tab.Renew(wire.Node{Name: "k1", Incarnation: 1, Leaving: true})
+	tab.Renew(wire.Node{Name: "k1", Incarnation: 1})
+	n, ok := tab.Find("k1")
+	assert.Assert(t, ok && n.Leaving)
+	tab.Renew(wire.Node{Name: "k1", Incarnation: 2})
+	n, ok = tab.Find("k1")
+	assert.Assert(t, ok && !n.Leaving)
+}
+
 func TestAnswerOmitsKnownNodes(t *testing.T) {
 	nodes := []wire.Node{{Name: "b"}, {Name: "a"}}
 	first := member.AnswerNodes(wire.FindNodes{}, nodes)
