member: a lost keeper delays no announcement to the others

The announcements of an entry or a keeper came 2 s apart, in place of 1 s, while one keeper was lost: each poll waited for all answers, so for its time-out of 1 s, and then for the interval. The leader admits a keeper by the age of its announcement to itself, so that a successor and the changes of the members waited for the lost keeper too.

An entry or a keeper now announces itself at its interval and waits for no answer. Answers count when they come, and a keeper that has not answered has one call in progress at most, so that the calls are bounded by the keepers. A keeper that was called before a change of this process (Leave) is told of the change once it has answered. The union of the answers is computed only when one has changed, once no call is in progress or at the next announcement. Agents, which poll one keeper each, are as before.

announcedWithin stays 3 s; its comment states the interval that holds now.

--- a/member/finder.go
+++ b/member/finder.go
@@ -24,8 +24,8 @@
 	// agentInterval is the shortest time between an agent's polls.
 	agentInterval = 2 * time.Second
 	// A process that has just started polls sooner, after firstPause, which doubles, and
-	// waits at most firstTimeout: when all processes start at once, some keepers do not
-	// answer yet, and those that do know few entries.
+	// an agent waits at most firstTimeout: when all processes start at once, some keepers
+	// do not answer yet, and those that do know few entries.
 	firstPause   = 100 * time.Millisecond
 	firstTimeout = 250 * time.Millisecond
 	pollTimeout  = time.Second
@@ -57,6 +57,7 @@
 	listed *Table
 	// leaving is closed when this process begins to shut down.
 	leaving chan struct{}
+	announcer
 }
 
 // NewFinder returns a finder that first contacts the addresses in join.
@@ -64,6 +65,7 @@
 	return &Finder{
 		node: node, clock: clock, log: log, self: self, joinAddrs: join,
 		known: map[string]wire.Node{}, answers: map[string]wire.Nodes{}, listed: NewTable(clock, agentNodeLease), leaving: make(chan struct{}),
+		announcer: announcer{asked: map[string]bool{}},
 	}
 }
 
@@ -82,13 +84,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.joinAddrs = join
-}
-
-// joinAddresses returns the join addresses.
-func (f *Finder) joinAddresses() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.joinAddrs
+	f.changed = true
 }
 
 // SetReplica sets the announced number of this keeper's data folder.
@@ -113,6 +109,11 @@
 func (f *Finder) Nodes(role keys.Role) []wire.Node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.nodes(role)
+}
+
+// nodes is Nodes for a caller that holds mu.
+func (f *Finder) nodes(role keys.Role) []wire.Node {
 	var near, far []wire.Node
 	for _, n := range f.known {
 		if !slices.Contains(n.Roles, string(role)) {
@@ -146,18 +147,30 @@
 // Addresses returns the addresses of the known processes with a role, those of
 // this data centre first, or the join addresses while none is known.
 func (f *Finder) Addresses(role keys.Role) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var out []string
-	for _, n := range f.Nodes(role) {
+	for _, n := range f.nodes(role) {
 		out = append(out, n.Address)
 	}
 	if len(out) == 0 {
-		return f.joinAddresses()
+		return f.joinAddrs
 	}
 	return out
 }
 
 // Run implements kernel.Service.
 func (f *Finder) Run(ctx context.Context) error {
+	if f.announces() {
+		f.announceLoop(ctx)
+	} else {
+		f.pollLoop(ctx)
+	}
+	return nil
+}
+
+// pollLoop has an agent poll one keeper after another.
+func (f *Finder) pollLoop(ctx context.Context) {
 	leaving := f.leaving
 	next := firstPause
 	for ctx.Err() == nil {
@@ -172,7 +185,7 @@
 		case starting:
 			pause = min(next, announceInterval)
 			next *= 2
-		case !f.announces() && anyKnown:
+		case anyKnown:
 			pause = agentInterval + rand.N(agentInterval)
 		}
 		select {
@@ -182,7 +195,6 @@
 		case <-f.clock.After(pause):
 		}
 	}
-	return nil
 }
 
 // announces reports whether keepers have this process in their tables, as they do
@@ -192,28 +204,24 @@
 	return slices.Contains(roles, string(keys.Entry)) || slices.Contains(roles, string(keys.Keeper))
 }
 
-// poll asks the keepers for the live processes, and reports whether any process is
-// known. An entry or a keeper thereby announces itself to every keeper; an agent
-// asks one keeper only, since there are many agents.
+// poll asks one keeper for the live processes, since there are many agents, and
+// reports whether any process is known.
 func (f *Finder) poll(ctx context.Context, timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	addrs := f.Addresses(keys.Keeper)
-	if !f.announces() {
-		addrs = f.pickKeeper(addrs)
-	} else {
-		for _, a := range f.joinAddresses() {
-			if !slices.Contains(addrs, a) {
-				addrs = append(addrs, a)
-			}
-		}
+	polled := f.pickKeeper(f.Addresses(keys.Keeper))
+	for _, addr := range polled {
+		f.askKeeper(ctx, addr, timeout)
 	}
-	var wg sync.WaitGroup
-	for _, addr := range addrs {
-		wg.Go(func() { f.askKeeper(ctx, addr) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	found := f.union(polled)
+	for _, n := range found {
+		f.listed.Renew(n)
 	}
-	wg.Wait()
-	return f.merge(addrs)
+	for _, n := range f.listed.Live() {
+		found[n.Name] = n
+	}
+	f.setKnown(found)
+	return len(f.known) > 0
 }
 
 // pickKeeper returns one address: that of the keeper polled last if it answered
@@ -237,12 +245,14 @@
 
 func isEntry(n wire.Node) bool { return slices.Contains(n.Roles, string(keys.Entry)) }
 
-// askKeeper stores the answer of one keeper, and drops the stored one if the
-// keeper does not answer.
-func (f *Finder) askKeeper(ctx context.Context, addr string) {
+// askKeeper announces this process, as it returns it, to one keeper. It stores the
+// answer, and drops the stored one if the keeper does not answer: ok is false.
+func (f *Finder) askKeeper(ctx context.Context, addr string, timeout time.Duration) (self wire.Node, answer wire.Nodes, ok bool) {
 	f.mu.Lock()
 	q := wire.FindNodes{Self: f.self, Known: f.answers[addr].Digest}
 	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	m, err := f.node.Call(ctx, link.Dest{Address: addr}, q)
 	a, ok := m.(wire.Nodes)
 	f.mu.Lock()
@@ -251,17 +261,18 @@
 	case err != nil || !ok:
 		f.log.Debug("process not reachable", zap.String("address", addr), zap.Error(err))
 		delete(f.answers, addr)
+		f.changed = true
+		return q.Self, wire.Nodes{}, false
 	case a.Digest != q.Known:
 		f.answers[addr] = a
+		f.changed = true
 	}
+	return q.Self, a, true
 }
 
-// merge sets the known processes to the union of the answers of the polled
-// keepers. While no keeper answers, the last known processes stay.
-func (f *Finder) merge(polled []string) bool {
-	isAgent := !f.announces()
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// union returns the processes that the answers of the polled keepers list. The caller
+// holds mu.
+func (f *Finder) union(polled []string) map[string]wire.Node {
 	found := map[string]wire.Node{}
 	for _, addr := range polled {
 		for _, n := range f.answers[addr].Nodes {
@@ -270,16 +281,13 @@
 			}
 		}
 	}
-	if isAgent {
-		for _, n := range found {
-			f.listed.Renew(n)
-		}
-		for _, n := range f.listed.Live() {
-			found[n.Name] = n
-		}
-	}
+	return found
+}
+
+// setKnown sets the known processes. While no keeper answers, the last known ones
+// stay. The caller holds mu.
+func (f *Finder) setKnown(found map[string]wire.Node) {
 	if len(found) > 0 {
 		f.known = found
 	}
-	return len(f.known) > 0
 }
--- a/repair/automatic.go
+++ b/repair/automatic.go
@@ -10,8 +10,8 @@
 
 const (
 	// announcedWithin is the age of its announcement up to which a keeper may become a
-	// member. A live keeper announces itself every second, or after a time-out of a
-	// second more when another one does not answer.
+	// member. A live keeper announces itself every second, whatever others do, and 2 s
+	// after an announcement that was lost, since the call times out after 1 s.
 	announcedWithin = 3 * time.Second
 	// departedFor is how long the removal of a member is remembered. Its last
 	// announcement is listed for less.
