member: announce a process at once to the keepers that an answer names

A new keeper knows its seeds only. It learned of the other keepers once its poll of the seeds had ended, after 250 ms if some were lost, and announced itself to them, so to the leader, at the next announcement. Where the first answer took longer than that, as on a slow machine, one more poll passed.

Each keeper that an answer names for the first time now gets an announcement at once. A process sends one more for each keeper that is new to it; the calls in progress stay bounded by the keepers.

--- a/member/announce.go
+++ b/member/announce.go
@@ -81,7 +81,7 @@
 	self, answer, ok := f.askKeeper(ctx, addr, pollTimeout)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.learn(answer.Nodes)
+	f.learn(ctx, answer.Nodes)
 	if ok && !sameNode(self, f.self) {
 		return true
 	}
@@ -92,12 +92,19 @@
 	return false
 }
 
-// learn adds processes to the known ones before all keepers have answered. The caller
+// learn adds processes to the known ones before all keepers have answered, and announces
+// this process at once to the keepers among them that it has not been announced to: a
+// keeper that has just started learns of the leader from its first answer. The caller
 // holds mu.
-func (f *Finder) learn(nodes []wire.Node) {
+func (f *Finder) learn(ctx context.Context, nodes []wire.Node) {
 	for _, n := range nodes {
-		if old, ok := f.known[n.Name]; !ok || n.Incarnation > old.Incarnation {
-			f.known[n.Name] = n
+		if old, ok := f.known[n.Name]; ok && n.Incarnation <= old.Incarnation {
+			continue
+		}
+		f.known[n.Name] = n
+		if slices.Contains(n.Roles, string(keys.Keeper)) && !slices.Contains(f.polled, n.Address) {
+			f.polled = append(f.polled, n.Address)
+			f.ask(ctx, n.Address)
 		}
 	}
 }
--- a/member/announce_test.go
+++ b/member/announce_test.go
@@ -121,3 +121,40 @@
 	}
 	t.Fatal("a live keeper heard no further announcement until the call to the lost one had ended")
 }
+
+// Guards against a new keeper that waits for its lost seeds, or for its next
+// announcement, before it announces itself to the leader, which it learns of from the
+// seed that lives. The clock stands still.
+func TestNewKeeperAnnouncesItselfToListedKeepersAtOnce(t *testing.T) {
+	ca, dir := newCA(t)
+	heard := make(chan wire.Node, 100)
+	other := node(t, ca, dir, "k1", keys.Keeper, func(mx *link.Mux) {
+		link.Handle(mx, func(_ context.Context, _ link.Peer, q wire.FindNodes) wire.Message {
+			heard <- q.Self
+			return wire.Nodes{Digest: 1}
+		}, keys.Keeper)
+	})
+	listed := wire.Node{Name: "k1", Address: other.Address(), Roles: []string{"keeper"}, Incarnation: 1}
+	seed := node(t, ca, dir, "k2", keys.Keeper, func(mx *link.Mux) {
+		link.Handle(mx, func(context.Context, link.Peer, wire.FindNodes) wire.Message {
+			return wire.Nodes{Digest: 2, Nodes: []wire.Node{listed}}
+		}, keys.Keeper)
+	})
+	n := node(t, ca, dir, "k3", keys.Keeper, func(*link.Mux) {})
+	connect(t, n, seed, other)
+	f := member.NewFinder(n, clockwork.NewFakeClock(), zap.NewNop(), wire.Node{Name: "k3", Roles: []string{"keeper"}},
+		[]string{silentAddress(t), silentAddress(t), seed.Address()})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		_ = f.Run(ctx)
+		close(done)
+	}()
+	defer func() { cancel(); <-done }()
+	select {
+	case q := <-heard:
+		assert.Equal(t, q.Name, "k3")
+	case <-time.After(20 * time.Second):
+		t.Fatal("the listed keeper heard no announcement")
+	}
+}
