leader: ask the other keepers when the local one names no leader

Operators got "no keeper has accepted the request: not the leader" from a keeper that was new, removed or cut off from the leader, for as long as it was, although others had a quorum: while no leader was known, a call asked the keeper of its own process only.

When that names no leader, the next tries now go to the other known keepers in turn and then to it again, with the back-off as before; each call still asks it first. A keeper at which a try has failed is left out of the turn for the rest of the call, so that a lost one costs one time-out. Every try counts for NotAccepted as before: a call that another keeper may have accepted is reported so.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -42,7 +42,8 @@
 	Groups int
 	// LocalKeeper is the address of the keeper in this process, empty if there is none,
 	// as at an entry. It learns of a new leader first, so that each call asks it
-	// first instead of a remembered leader.
+	// first instead of a remembered leader. It may be no member of the group, or cut
+	// off, so that the others follow while it names no leader.
 	LocalKeeper string
 	// TryTimeout bounds one call to a keeper, 2 s when 0.
 	TryTimeout time.Duration
@@ -91,8 +92,9 @@
 func (c *Client) send(ctx context.Context, group uint32, m wire.Message) (wire.Message, error) {
 	mayBeAccepted := false
 	reason := "no keeper is known"
+	t := turn{local: c.LocalKeeper}
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		addr := c.keeperAddress(group, attempt)
+		addr := c.keeperAddress(group, attempt, &t)
 		if addr == "" {
 			c.backOff(ctx, attempt)
 			continue
@@ -101,6 +103,7 @@
 		if err != nil {
 			mayBeAccepted = mayBeAccepted || !link.NotSent(err)
 			reason = err.Error()
+			t.failed(addr)
 			c.forgetLeader(group, addr)
 			c.backOff(ctx, attempt)
 			continue
@@ -139,19 +142,19 @@
 }
 
 // keeperAddress returns the address for a try: that of the group's leader if known,
-// else that of the keeper in this process, else that of each keeper in turn. It is
-// empty when no keeper is known.
-func (c *Client) keeperAddress(group uint32, attempt int) string {
+// else that of each keeper in turn, first the one in this process. It is empty when no
+// keeper is known.
+func (c *Client) keeperAddress(group uint32, attempt int, t *turn) string {
 	c.mu.Lock()
 	addr := c.leaders[group]
 	c.mu.Unlock()
 	if addr != "" {
 		return addr
 	}
+	addrs := c.Finder.Addresses(keys.Keeper)
 	if c.LocalKeeper != "" {
-		return c.LocalKeeper
+		return t.take(addrs)
 	}
-	addrs := c.Finder.Addresses(keys.Keeper)
 	if len(addrs) == 0 {
 		return ""
 	}
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -111,6 +111,78 @@
 	assert.Assert(t, asked.Load() >= 3, "the keeper in the same process was asked only %d times", asked.Load())
 }
 
+// Guards against a keeper that is no member of the group, or is cut off, and refuses the
+// calls of its own process although another keeper leads.
+func TestOtherKeepersFollowTheLocalOne(t *testing.T) {
+	d := newDeployment(t)
+	var local, lost atomic.Int32
+	release := make(chan struct{})
+	defer close(release)
+	k1 := d.keeper("k1", func() wire.Message {
+		local.Add(1)
+		return refuse()
+	})
+	k2 := d.keeper("k2", func() wire.Message {
+		lost.Add(1)
+		<-release
+		return refuse()
+	})
+	var asked atomic.Int32
+	k3 := d.keeper("k3", func() wire.Message {
+		if asked.Add(1)%2 == 1 {
+			return refuse()
+		}
+		return accept()
+	})
+	c := d.client(k1, k2, k3)
+	c.LocalKeeper, c.TryTimeout = k1, time.Second
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for range 2 {
+		local.Store(0)
+		lost.Store(0)
+		_, err := c.Propose(ctx, 1, []byte("x"))
+		assert.NilError(t, err)
+		// The local keeper is asked first in each call, and in each round.
+		assert.Assert(t, local.Load() >= 2, "the local keeper was asked %d times", local.Load())
+		assert.Assert(t, lost.Load() <= 1, "the keeper that does not answer was asked %d times", lost.Load())
+	}
+}
+
+// Guards against a call that is reported as not accepted although a keeper other than
+// the local one may have accepted it, and the reverse.
+func TestNotAcceptedCountsAllKeepers(t *testing.T) {
+	for name, mayHaveApplied := range map[string]bool{"refused": false, "may have been applied": true} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			var asked atomic.Int32
+			k1 := d.keeper("k1", refuse)
+			k2 := d.keeper("k2", func() wire.Message {
+				asked.Add(1)
+				return wire.Refused{Reason: "leadership was lost", MayHaveApplied: mayHaveApplied}
+			})
+			c := d.client(k1, k2)
+			clock := clockwork.NewFakeClock()
+			c.LocalKeeper, c.Clock = k1, clock
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			result := make(chan error, 1)
+			go func() {
+				_, err := c.Propose(ctx, 1, nil)
+				result <- err
+			}()
+			// The call ends during the back-off after the second refusal.
+			assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+			clock.Advance(time.Second)
+			assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+			cancel()
+			assert.Equal(t, asked.Load(), int32(1))
+			var unsent leader.NotAccepted
+			assert.Equal(t, errors.As(<-result, &unsent), !mayHaveApplied)
+		})
+	}
+}
+
 func shortContext(t *testing.T) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 	t.Cleanup(cancel)
