repair: wait for a successor that fits while too few voters are left

With toleratedDataCentres, a wiped keeper's old replica is removed once its new one has caught up. Was that one not heard for the 500 ms in which it was to vote, another standby did, also one that put three of five voters into one data centre.

A standby that crowds waits while a learner that does not is to catch up or to be heard again, for the catch-up time at most.

--- a/repair/automatic_test.go
+++ b/repair/automatic_test.go
@@ -200,3 +200,20 @@
 	got, _ = applyAutomatic(t, l, x)
 	assert.DeepEqual(t, got, voters(a, b, d))
 }
+
+// Guards against a majority of the voters in one data centre after a wiped keeper is not
+// heard for a moment: the next standby took its place.
+func TestSuccessorThatFitsIsWaitedFor(t *testing.T) {
+	l := repair.Limits{Tolerance: 1, CatchUp: 4 * time.Second, SpreadVoters: true}
+	ms := voters(a, b).With(rlog.Member{ID: c2}).With(rlog.Member{ID: d})
+	x := seen{ms, silentFor(600*time.Millisecond, c2), announced(a, b, c2, d)}
+	for i, dc := range []string{"x", "y", "z", "x"} {
+		x.keepers[i].DataCentre = dc
+	}
+	got, waits := applyAutomatic(t, l, x)
+	assert.DeepEqual(t, got, ms)
+	assert.DeepEqual(t, waits, repair.Wait{Reason: "a successor in another data centre has not caught up"})
+	x.silent[c2] = l.CatchUp
+	got, _ = applyAutomatic(t, l, x)
+	assert.DeepEqual(t, got, voters(a, b, d).With(rlog.Member{ID: c2}))
+}
--- a/repair/view.go
+++ b/repair/view.go
@@ -161,6 +161,9 @@
 	case !few && !leaves && v.heard < v.voters:
 		v.waitFor("a voter is silent, and not yet taken for lost")
 		return nil, false
+	case v.betterComes(leaving, next):
+		v.waitFor("a successor in another data centre has not caught up")
+		return nil, false
 	case v.heard+1 < quorum(v.voters+1):
 		v.waitFor("too few voters are heard")
 		return nil, false
@@ -168,6 +171,17 @@
 	return Change{rlog.ChangeMember{Member: rlog.Member{ID: next.ID, Voter: true}}}, true
 }
 
+// betterComes reports whether next would crowd the voters in one data centre, and a
+// learner that would not is to catch up or to be heard again.
+func (v *view) betterComes(out, next *memberState) bool {
+	if v.zones.mayReplace(v.members, v.voters, out, next) {
+		return false
+	}
+	return slices.ContainsFunc(v.members, func(m *memberState) bool {
+		return !m.Voter && !m.lost && !m.leaving && m.silence < v.limits.CatchUp && v.zones.mayReplace(v.members, v.voters, out, m)
+	})
+}
+
 // finishReplacement removes a voter that leaves once its successor votes, before others
 // that are lost: the successor is in its data centre.
 func (v *view) finishReplacement() (Decision, bool) {
