watch, link: the follower leaves a connection that is silent

Callers were refused with 404 by entries that had a configuration 3.0 to 4.2 s after its acknowledgement, when all keepers had lost power for 2.5 s.

Cause: the entry went on to poll over the connections from before the power loss. A keeper that is back resets them only in answer to packets of more than 42 bytes, and a poll has 30 to 33, so that each poll timed out. What ended a connection was the reset by the finder's next announcement, up to 2 s after the return, and where that was lost, the idle timeout: 6 s, more than the 4 s (bounds.contact_ms) after which an entry is judged.

Now the next poll dials anew when nothing has arrived during one of at least 500 ms. A live keeper acknowledges a poll within a round trip, so that only dead connections are left; other callers of package link are not affected.

--- a/link/call.go
+++ b/link/call.go
@@ -21,8 +21,17 @@
 	Address string
 	// Role is the role that the peer's certificate must have, empty for any.
 	Role keys.Role
+	// RedialSilent makes later calls dial anew when a call has taken at least silentAfter
+	// and nothing has arrived on the connection meanwhile. Otherwise a connection to a peer
+	// that lost power is used until idleTimeout, unless the peer resets it once it is back.
+	// It does so only in answer to packets of more than 42 bytes, and that can be lost.
+	RedialSilent bool
 }
 
+// silentAfter is the time without a packet from the peer after which a connection is taken for
+// dead. A live peer acknowledges a call within a round trip, however long its answer takes.
+const silentAfter = 500 * time.Millisecond
+
 // notSentError wraps the error of a message that was not sent.
 type notSentError struct{ error }
 
@@ -43,9 +52,29 @@
 		return nil, notSentError{err}
 	}
 	defer n.countCall(c)()
+	if to.RedialSilent {
+		defer n.leaveIfSilent(to.Address, c)()
+	}
 	return n.call(ctx, c, m)
 }
 
+// leaveIfSilent returns a function for the end of a call. It makes later calls dial anew when the
+// connection was silent during this one. The connection itself stays open: calls in progress on
+// it may still be answered.
+func (n *Node) leaveIfSilent(addr string, c *quic.Conn) func() {
+	began, before := n.opts.Clock.Now(), c.ConnectionStats().PacketsReceived
+	return func() {
+		if n.opts.Clock.Since(began) < silentAfter || c.ConnectionStats().PacketsReceived > before {
+			return
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if d := n.dialled[addr]; d != nil && d.conn == c {
+			delete(n.dialled, addr)
+		}
+	}
+}
+
 // CallPeer is Call over the connection that the named peer has opened to this node.
 func (n *Node) CallPeer(ctx context.Context, name string, m wire.Message) (wire.Message, error) {
 	n.mu.Lock()
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -41,6 +41,10 @@
 
 // Run implements kernel.Service: it polls the same keeper while that leaves the
 // view fresh, and otherwise asks all to choose another one.
+//
+// The time until an entry has an acknowledged configuration is a sum of time-outs here and in
+// package link, docs/incidents/2026-12-06-configuration-group-without-quorum.md. It has to stay
+// below the bound of the deployment, 2 s to 2.5 s on the users' machines.
 func (f *Follower) Run(ctx context.Context) error {
 	current, answers := "", 0
 	for ctx.Err() == nil {
@@ -98,7 +102,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	sent := f.Clock.Now()
-	a, err := f.Node.Call(callCtx, link.Dest{Address: addr, Role: keys.Keeper}, wire.WatchConfig{
+	a, err := f.Node.Call(callCtx, link.Dest{Address: addr, Role: keys.Keeper, RedialSilent: true}, wire.WatchConfig{
 		Version: f.View.Config().Version(), AllowUnconfirmed: !f.View.Usable(),
 	})
 	if ctx.Err() != nil {
