leader, member: two tests no longer race with their own stand-in

The race detector reported the test's own variables once each, of 5 runs of TestKeepersOfOlderBuildsAreNoticed and of 20 of TestAgentKeepsEntriesThatAKeeperLacks: they are set while the stand-in of a keeper already runs, and what orders them is a packet, which the detector does not see. The stand-in waits for a channel now. Nothing that is checked changes.

--- a/leader/builds_test.go
+++ b/leader/builds_test.go
@@ -27,12 +27,14 @@
 	older.Store(true)
 	var questions atomic.Int32
 	var address string
+	known := make(chan struct{}) // closed once address is set
 	n := d.node("k1", keys.Keeper, func(mx *link.Mux) {
 		link.Handle(mx, func(context.Context, link.Peer, wire.GetKeeperState) wire.Message {
 			questions.Add(1)
 			return wire.KeeperState{Evacuations: !older.Load()}
 		}, keys.Entry)
 		link.Handle(mx, func(context.Context, link.Peer, wire.FindNodes) wire.Message {
+			<-known
 			return wire.Nodes{Digest: 1, Nodes: []wire.Node{
 				{Name: "k1", Address: address, Roles: []string{"keeper"}, Incarnation: 1},
 				{Name: "k2", Address: "127.0.0.1:9", Roles: []string{"keeper"}, Incarnation: 1},
@@ -40,6 +42,7 @@
 		}, keys.Entry)
 	})
 	address = n.Address()
+	close(known)
 	e := d.node("e1", keys.Entry, nil)
 	clock := clockwork.NewRealClock()
 	f := member.NewFinder(e, clock, zap.NewNop(), wire.Node{Name: "e1"}, []string{address})
--- a/member/finder_test.go
+++ b/member/finder_test.go
@@ -50,8 +50,10 @@
 	e2 := wire.Node{Name: "e2", Roles: []string{"entry"}, Incarnation: 1}
 	answers := []wire.Nodes{{Digest: 1}, {Digest: 2}, {Digest: 3}, {Digest: 1}}
 	request, asked := 0, make(chan int, len(answers))
+	known := make(chan struct{}) // closed once the answers are set
 	k := node(t, ca, dir, "k1", keys.Keeper, func(mx *link.Mux) {
 		link.Handle(mx, func(context.Context, link.Peer, wire.FindNodes) wire.Message {
+			<-known
 			a := answers[min(request, len(answers)-1)]
 			asked <- request
 			request++
@@ -62,6 +64,7 @@
 	for i, nodes := range [][]wire.Node{{k1, e1, e2}, {k1}, {k1, e2}, {k1, e1, e2}} {
 		answers[i].Nodes = nodes
 	}
+	close(known)
 	clock := clockwork.NewFakeClock()
 	agent := node(t, ca, dir, "a1", keys.Agent, func(*link.Mux) {})
 	f := member.NewFinder(agent, clock, zap.NewNop(), wire.Node{Name: "a1", Roles: []string{"agent"}}, []string{k1.Address})
