repair: a leaving voter of the largest group is replaced

With a tolerance of three the seven voters are also the most that there may be, and the standby of one that leaves was never promoted: the keeper waited until the end of its shutdown and left the group one voter short (TestLeavingVoterOfTheLargestGroupIsReplaced failed before).

--- a/repair/automatic.go
+++ b/repair/automatic.go
@@ -56,22 +56,22 @@
 // make a quorum. With Limits.SpreadVoters it also stays, for the catch-up time, while the
 // successor would crowd the voters in one data centre.
 type Automatic struct {
-	limits   Limits
-	departed map[rlog.ID]time.Time
-	zones    zones
+	limits    Limits
+	departed  map[rlog.ID]time.Time
+	placement placement
 }
 
 // NewAutomatic returns an Automatic for one group of a deployment with the limits.
 func NewAutomatic(l Limits) *Automatic {
-	return &Automatic{limits: l, departed: map[rlog.ID]time.Time{}, zones: zones{spread: l.SpreadVoters, of: map[string]string{}}}
+	return &Automatic{limits: l, departed: map[rlog.ID]time.Time{}, placement: placement{spread: l.SpreadVoters, dataCentres: map[string]string{}}}
 }
 
 // Next returns the next decision. st is the status of the leader, keepers are the
 // announcements that it has received itself.
 func (a *Automatic) Next(now time.Time, st rlog.Status, keepers []Announced) Decision {
-	a.zones.learn(st.Members, keepers)
+	a.placement.learn(st.Members, keepers)
 	v := newView(a.limits, st, keepers)
-	v.zones = a.zones
+	v.placement = a.placement
 	for _, step := range []func() (Decision, bool){
 		v.dropLearner, v.finishReplacement, v.removeLost, v.promote, v.removeLeaving,
 		func() (Decision, bool) { return a.admit(now, v, keepers) },
--- a/repair/limits.go
+++ b/repair/limits.go
@@ -51,7 +51,7 @@
 // changes.
 func (l Limits) Check() error {
 	if need := electionBound + l.Detection() + changeBound; need > l.CatchUp {
-		return trace.BadParameter("a lost keeper is replaced within %v at the earliest, after the catch-up time of %v", need, l.CatchUp)
+		return trace.BadParameter("a lost keeper may be replaced after %v, later than the catch-up time of %v", need, l.CatchUp)
 	}
 	if l.Tolerance < 0 {
 		return trace.BadParameter("the tolerance is %d keepers", l.Tolerance)
--- a/repair/view.go
+++ b/repair/view.go
@@ -28,11 +28,11 @@
 
 // view is a group as its leader sees it, for one decision.
 type view struct {
-	limits  Limits
-	zones   zones
-	members []*memberState
-	voters  int
-	heard   int // voters that are heard
+	limits    Limits
+	placement placement
+	members   []*memberState
+	voters    int
+	heard     int // voters that are heard
 	// standbys are the learners that can become voters; ready are those of them
 	// whose keeper has no vote yet.
 	standbys, ready []*memberState
@@ -137,25 +137,22 @@
 	}
 	// Where no successor comes that fits, one voter less is the greater risk.
 	anyFits := m.silence >= v.limits.Detection()+v.limits.CatchUp
-	fits := func(s *memberState) bool { return anyFits || v.zones.mayReplace(v.members, v.voters, m, s) }
+	fits := func(s *memberState) bool { return anyFits || v.placement.mayReplace(v.members, v.voters, m, s) }
 	return slices.ContainsFunc(v.standbys, fits) && quorum(v.voters-1) >= min(v.limits.Tolerance+1, quorum(v.voters))
 }
 
 // promote makes a standby a voter: while there are too few voters, in place of one
 // that leaves, or to reach a larger odd number.
 func (v *view) promote() (Decision, bool) {
-	if len(v.ready) == 0 || v.voters >= v.limits.maxVoters() {
+	leaving := v.unreplacedLeaver()
+	leaves := leaving != nil
+	if len(v.ready) == 0 || v.voters >= v.limits.maxVoters() && !leaves {
 		return nil, false
 	}
 	few := v.voters < v.limits.Voters()
-	var leaving *memberState
-	if i := slices.IndexFunc(v.members, func(m *memberState) bool { return m.Voter && m.leaving }); i >= 0 && v.voters == v.limits.Voters() {
-		leaving = v.members[i]
-	}
-	leaves := leaving != nil
-	next := v.zones.best(v.members, leaving, v.ready)
+	next := v.placement.best(v.members, leaving, v.ready)
 	grows := v.voters%2 == 0 || len(v.ready) > 1 && v.voters+2 <= v.limits.maxVoters()
-	grows = grows && v.zones.mayReplace(v.members, v.voters, nil, next)
+	grows = grows && v.placement.mayReplace(v.members, v.voters, nil, next)
 	switch {
 	case !few && !leaves && !grows:
 		return nil, false
@@ -172,21 +169,31 @@
 	return Change{rlog.ChangeMember{Member: rlog.Member{ID: next.ID, Voter: true}}}, true
 }
 
+// unreplacedLeaver returns a voter that leaves and cannot be removed before a standby
+// votes, nil if there is none.
+func (v *view) unreplacedLeaver() *memberState {
+	i := slices.IndexFunc(v.members, func(m *memberState) bool { return m.Voter && m.leaving })
+	if i < 0 || v.voters != v.limits.Voters() {
+		return nil
+	}
+	return v.members[i]
+}
+
 // betterComes reports whether next would crowd the voters in one data centre, and a
 // learner that would not is to catch up or to be heard again.
 func (v *view) betterComes(out, next *memberState) bool {
-	if v.zones.mayReplace(v.members, v.voters, out, next) {
+	if v.placement.mayReplace(v.members, v.voters, out, next) {
 		return false
 	}
 	return slices.ContainsFunc(v.members, func(m *memberState) bool {
-		return !m.Voter && !m.lost && !m.leaving && m.silence < v.limits.CatchUp && v.zones.mayReplace(v.members, v.voters, out, m)
+		return !m.Voter && !m.lost && !m.leaving && m.silence < v.limits.CatchUp && v.placement.mayReplace(v.members, v.voters, out, m)
 	})
 }
 
 // finishReplacement removes a voter that leaves once its successor votes, before others
 // that are lost: the successor is in its data centre.
 func (v *view) finishReplacement() (Decision, bool) {
-	if !v.zones.spread || v.voters <= v.limits.Voters() {
+	if !v.placement.spread || v.voters <= v.limits.Voters() {
 		return nil, false
 	}
 	return v.removeLeaving()
