--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -89,6 +89,10 @@
 	// version desiredVersion.
 	desired        map[string]bool
 	desiredVersion uint64
+	// configVersion is the version of the applied configuration, and configAppliedAt when
+	// it was applied, as now.
+	configVersion   uint64
+	configAppliedAt time.Duration
 }
 
 // New returns a keeper; Start opens its data folder.
--- a/keeper/loop.go
+++ b/keeper/loop.go
@@ -12,6 +12,7 @@
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/rlog"
+	"cyclamenrelay.example/state"
 	"cyclamenrelay.example/wire"
 )
 
@@ -88,7 +89,7 @@
 	case rlog.Apply:
 		r.apply(e)
 		if r.id == 0 {
-			k.notifyConfigWatchers()
+			k.configApplied(r)
 		}
 	case rlog.InstallSnapshot:
 		if err := r.machine.Restore(e.Snapshot.Data); err != nil {
@@ -96,7 +97,7 @@
 		}
 		r.applied = e.Snapshot.Index
 		if r.id == 0 {
-			k.notifyConfigWatchers()
+			k.configApplied(r)
 		}
 	case rlog.ReadReady:
 		r.answerReads(e.IDs)
@@ -110,6 +111,16 @@
 	}
 }
 
+// configApplied notes a new version of the configuration, and wakes the requests that wait
+// for one.
+func (k *Keeper) configApplied(r *replica) {
+	if v := r.machine.(*state.Config).Version(); v != k.configVersion {
+		k.configVersion, k.configAppliedAt = v, k.now()
+		k.opts.Log.Info("configuration applied", zap.Uint64("version", v))
+	}
+	k.notifyConfigWatchers()
+}
+
 func (k *Keeper) notifyConfigWatchers() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -100,6 +100,7 @@
 			age = -1
 		}
 		u.Fresh = model.Freshness{Version: c.Version(), Age: age}
+		u.Held = k.now() - k.configAppliedAt
 		if c.Version() > version {
 			u.Delta = c.Since(version)
 		}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -105,6 +105,25 @@
 // not fit into the free capacity.
 func Backfills() *metrics.Counter { return metrics.GetOrCreateCounter("relay_backfills_total") }
 
+// ConfigRefusals counts the requests refused by the configuration, by status and by what the
+// entry knew of it: current, outdated or unconfirmed.
+func ConfigRefusals(status int, view string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("relay_config_refusals_total{status=\"%d\",view=%q}", status, view))
+}
+
+// ObserveConfigStep records how long one step of a change of the configuration took: accept (at
+// the keeper that acknowledges it), held (at the keeper that sent it to this process), poll
+// (the exchange that brought it, with the wait for a change) or apply (until it is in force).
+func ObserveConfigStep(step string, d time.Duration) {
+	metrics.GetOrCreateHistogram(`relay_config_step_seconds{step="` + step + `"}`).Update(d.Seconds())
+}
+
+// ObserveConfigRefusalAge records the time since the last confirmation of the configuration by
+// which a request was refused.
+func ObserveConfigRefusalAge(d time.Duration) {
+	metrics.GetOrCreateHistogram("relay_config_refusal_age_seconds").Update(d.Seconds())
+}
+
 // ObserveHeadDelay records the time from the first start of another task before a waiting one,
 // by backfill, until the start of the waiting one.
 func ObserveHeadDelay(d time.Duration) {
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -57,6 +57,12 @@
 	b.readyChecks = append(b.readyChecks, b.view.Usable)
 	meter.Gauge("relay_config_version", func() float64 { return float64(b.view.Config().Version()) })
 	meter.Gauge("relay_evacuations", func() float64 { return float64(len(evac.FromConfig(b.view.Config()).Orders())) })
+	meter.Gauge("relay_config_age_seconds", func() float64 {
+		if age := b.view.Status().Age; age >= 0 {
+			return age.Seconds()
+		}
+		return -1
+	})
 	meter.Gauge("relay_config_usable", func() float64 {
 		if b.view.Usable() {
 			return 1
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -11,6 +11,7 @@
 
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/wire"
 )
 
@@ -108,24 +109,33 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	log := f.Log.With(zap.String("address", addr), zap.Duration("took", f.Clock.Since(sent)))
+	took := f.Clock.Since(sent)
+	log := f.Log.With(zap.String("address", addr), zap.Duration("took", took))
 	if err != nil {
 		log.Info("keeper not reachable", zap.Error(err))
+		f.View.pollEnded(addr, err.Error())
 		return false
 	}
 	u, ok := a.(wire.ConfigUpdate)
 	if !ok {
 		r, _ := a.(wire.Refused)
 		log.Info("keeper refused to send its configuration", zap.String("reason", r.Reason))
+		f.View.pollEnded(addr, r.Reason)
 		return false
 	}
+	before := f.View.Status()
 	f.View.Apply(u, sent)
-	if u.Delta.To > 0 {
-		log.Info("configuration updated", zap.Uint64("version", u.Delta.To), zap.Duration("age", u.Fresh.Age))
+	if u.Delta.To > before.Version {
+		meter.ObserveConfigStep("held", u.Held)
+		meter.ObserveConfigStep("poll", took)
+		log.Info("configuration updated", zap.Uint64("version", u.Delta.To), zap.Duration("age", u.Fresh.Age), zap.Duration("held", u.Held),
+			zap.Duration("ageBefore", before.Age), zap.Int("failedPolls", before.FailedPolls))
 	}
 	if !f.View.Fresh() {
 		log.Info("keeper's configuration is not recently confirmed by a quorum", zap.Duration("age", u.Fresh.Age))
+		f.View.pollEnded(addr, "no recent confirmation by a quorum")
 		return false
 	}
+	f.View.pollEnded(addr, "")
 	return true
 }
--- a/watch/view.go
+++ b/watch/view.go
@@ -22,7 +22,16 @@
 	serveStale  bool
 	cfg         model.Config
 	confirmedAt time.Time // when cfg was last known to be the newest
+	updatedAt   time.Time // when cfg was received
 	changed     chan struct{}
+	polls       pollRecord
+}
+
+// pollRecord tells from where a view has its configuration, and why it may be old.
+type pollRecord struct {
+	keeper string // answered last
+	failed int    // polls without a fresh answer since then
+	reason string // of the last one that failed
 }
 
 // NewView returns an empty view. A view is usable for the lease after a quorum
@@ -47,7 +56,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if next, ok := v.cfg.Apply(u.Delta); ok {
-		v.cfg = next
+		v.cfg, v.updatedAt = next, v.clock.Now()
 		close(v.changed)
 		v.changed = make(chan struct{})
 	}
@@ -80,6 +89,48 @@
 	return v.cfg, v.clock.Since(v.confirmedAt)
 }
 
+// Status is what a decision by the configuration was based on.
+type Status struct {
+	Version uint64
+	// UpdatedAt is when the process received the version.
+	UpdatedAt time.Time
+	// Age is the time since a quorum has confirmed the version as the newest, negative when
+	// none has since the process started.
+	Age time.Duration
+	// Keeper is the address of the keeper whose answer left the view fresh last.
+	Keeper string
+	// FailedPolls counts the polls since that answer which left the view not fresh, and
+	// Reason says why the last one did.
+	FailedPolls int
+	Reason      string
+}
+
+// Status returns the state of the view, for log lines.
+func (v *View) Status() Status {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := Status{
+		Version: v.cfg.Version(), UpdatedAt: v.updatedAt, Age: -1,
+		Keeper: v.polls.keeper, FailedPolls: v.polls.failed, Reason: v.polls.reason,
+	}
+	if !v.confirmedAt.Before(v.start) {
+		s.Age = v.clock.Since(v.confirmedAt)
+	}
+	return s
+}
+
+// pollEnded records a poll of the keeper; reason is empty if it left the view fresh.
+func (v *View) pollEnded(keeper, reason string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if reason == "" {
+		v.polls = pollRecord{keeper: keeper}
+		return
+	}
+	v.polls.failed++
+	v.polls.reason = reason
+}
+
 // Changed returns a channel that is closed at the next change of configuration.
 func (v *View) Changed() <-chan struct{} {
 	v.mu.Lock()
--- a/wire/common.go
+++ b/wire/common.go
@@ -1,6 +1,10 @@
 package wire
 
-import "cyclamenrelay.example/model"
+import (
+	"time"
+
+	"cyclamenrelay.example/model"
+)
 
 // Codes 1 to 19: common messages, configuration and membership.
 var (
@@ -47,6 +51,8 @@
 type ConfigUpdate struct {
 	Delta model.Delta     `cbor:"1,keyasint"`
 	Fresh model.Freshness `cbor:"2,keyasint"`
+	// Held is how long the sender has had its newest version, 0 from older builds.
+	Held time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Node is a process of the system, as it announces itself.
