polls, watch: polls of the configuration overlap, by a bound from the settings

Package polls decides which keepers are polled and when, without I/O: polls that are late go on while others are asked, and the first good answer ends the others. How long a message may take follows from freshness.inForce (bounds.configuration_ms behind the users' platform) and keeper.tolerance, as the rest of a sum of written parts, and an entry logs a warning at its start when too little is left. A connection that is silent is left 1 s after a call began, no longer at its end.

TestFollowerTakesALateAnswer failed before.

--- a/link/call.go
+++ b/link/call.go
@@ -21,8 +21,8 @@
 	Address string
 	// Role is the role that the peer's certificate must have, empty for any.
 	Role keys.Role
-	// RedialSilent makes later calls dial anew when a call has taken at least silentAfter
-	// and nothing has arrived on the connection meanwhile. Otherwise a connection to a peer
+	// RedialSilent makes later calls dial anew when nothing has arrived on the connection in
+	// the first silentAfter of a call. Otherwise a connection to a peer
 	// that lost power is used until idleTimeout, unless the peer resets it once it is back.
 	// It does so only in answer to packets of more than 42 bytes, and that can be lost.
 	RedialSilent bool
@@ -30,7 +30,7 @@
 
 // silentAfter is the time without a packet from the peer after which a connection is taken for
 // dead. A live peer acknowledges a call within a round trip, however long its answer takes.
-const silentAfter = 500 * time.Millisecond
+const silentAfter = time.Second
 
 // notSentError wraps the error of a message that was not sent.
 type notSentError struct{ error }
@@ -58,13 +58,13 @@
 	return n.call(ctx, c, m)
 }
 
-// leaveIfSilent returns a function for the end of a call. It makes later calls dial anew when the
-// connection was silent during this one. The connection itself stays open: calls in progress on
+// leaveIfSilent makes later calls dial anew when the connection is silent for silentAfter, unless
+// the returned function is called before. The connection itself stays open: calls in progress on
 // it may still be answered.
-func (n *Node) leaveIfSilent(addr string, c *quic.Conn) func() {
-	began, before := n.opts.Clock.Now(), c.ConnectionStats().PacketsReceived
-	return func() {
-		if n.opts.Clock.Since(began) < silentAfter || c.ConnectionStats().PacketsReceived > before {
+func (n *Node) leaveIfSilent(addr string, c *quic.Conn) (stop func()) {
+	before := c.ConnectionStats().PacketsReceived
+	timer := n.opts.Clock.AfterFunc(silentAfter, func() {
+		if c.ConnectionStats().PacketsReceived > before {
 			return
 		}
 		n.mu.Lock()
@@ -72,7 +72,8 @@
 		if d := n.dialled[addr]; d != nil && d.conn == c {
 			delete(n.dialled, addr)
 		}
-	}
+	})
+	return func() { timer.Stop() }
 }
 
 // CallPeer is Call over the connection that the named peer has opened to this node.
--- a/relayd/platform.go
+++ b/relayd/platform.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"cyclamenrelay.example/assign"
 	"cyclamenrelay.example/broker"
 	"cyclamenrelay.example/conf"
@@ -12,6 +14,7 @@
 	"cyclamenrelay.example/meter"
 	"cyclamenrelay.example/peers"
 	"cyclamenrelay.example/platform"
+	"cyclamenrelay.example/polls"
 	"cyclamenrelay.example/runner"
 	"cyclamenrelay.example/sched"
 	"cyclamenrelay.example/watch"
@@ -109,8 +112,13 @@
 
 // follower returns the service that keeps the local copy of the configuration up to date.
 func (b *builder) follower() *watch.Follower {
+	limits := polls.Limits{InForce: time.Duration(b.settings.Freshness.InForce), Tolerance: b.settings.Keeper.Tolerance, Lease: time.Duration(b.settings.Freshness.Lease)}
+	if err := limits.Check(); err != nil {
+		b.log.Warn("a change of the configuration may be in force too late", zap.Error(err))
+	}
 	return &watch.Follower{
-		View: b.view, Node: b.node, Clock: b.clock, Log: b.log,
+		Limits: limits,
+		View:   b.view, Node: b.node, Clock: b.clock, Log: b.log,
 		Keepers: func() []string { return b.finder.Addresses(keys.Keeper) },
 	}
 }
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
-	"time"
+	"sync"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
@@ -12,116 +10,110 @@
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
 	"cyclamenrelay.example/meter"
+	"cyclamenrelay.example/polls"
 	"cyclamenrelay.example/wire"
 )
 
 // ServiceName is the name under which other services find the follower.
 const ServiceName = "watch"
 
-const (
-	watchTimeout = time.Second
-	retryPause   = 100 * time.Millisecond
-	// answersPerKeeper is the number of answers that an entry takes from one keeper
-	// before it chooses anew, so that a keeper that has come back gets its share of
-	// the load.
-	answersPerKeeper = 500
-)
-
 // Follower keeps an entry's view up to date by long polls at the keepers.
 type Follower struct {
 	View *View
 	// Keepers returns the addresses of the known keepers, in any order.
 	Keepers func() []string
-	Node    *link.Node
-	Clock   clockwork.Clock
-	Log     *zap.Logger
+	// Limits are what the deployment promises.
+	Limits polls.Limits
+	Node   *link.Node
+	Clock  clockwork.Clock
+	Log    *zap.Logger
 }
 
 // Name implements kernel.Service.
 func (f *Follower) Name() string { return ServiceName }
 
-// Run implements kernel.Service: it polls the same keeper while that leaves the
-// view fresh, and otherwise asks all to choose another one.
-//
-// The time until an entry has an acknowledged configuration is a sum of time-outs here and in
-// package link, docs/incidents/2026-12-06-configuration-group-without-quorum.md. It has to stay
-// below the bound of the deployment, 2 s to 2.5 s on the users' machines.
+// openPoll is a poll in progress.
+type openPoll struct {
+	keeper string
+	cancel context.CancelFunc
+	result polls.Result // once it has ended
+}
+
+// Run implements kernel.Service: it polls the keepers that the schedule names. A good answer
+// ends the polls of other keepers, which would bring the same configuration.
 func (f *Follower) Run(ctx context.Context) error {
-	current, answers := "", 0
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	s := polls.NewSchedule(f.Clock.Now())
+	ended := make(chan *openPoll)
+	open := map[*openPoll]bool{}
 	for ctx.Err() == nil {
-		addrs := f.Keepers()
-		if answers < answersPerKeeper && slices.Contains(addrs, current) && f.poll(ctx, current) {
-			answers++
-			continue
-		}
-		if current, answers = f.pollAll(ctx, addrs), 0; current != "" {
-			continue
+		now := f.Clock.Now()
+		for _, k := range s.Next(now, f.Keepers()) {
+			pollCtx, cancel := context.WithCancel(ctx)
+			p := &openPoll{keeper: k, cancel: cancel}
+			open[p] = true
+			wg.Go(func() {
+				p.result = f.poll(pollCtx, k)
+				select {
+				case ended <- p:
+				case <-ctx.Done():
+				}
+			})
 		}
-		pause := retryPause + rand.N(retryPause)
+		timer := f.Clock.NewTimer(s.Wake(now).Sub(now))
 		select {
 		case <-ctx.Done():
-		case <-f.Clock.After(pause):
+		case p := <-ended:
+			p.cancel()
+			delete(open, p)
+			s.Ended(f.Clock.Now(), p.keeper, p.result)
+			if p.result == polls.Good {
+				cancelOthers(open, p.keeper)
+			}
+		case <-timer.Chan():
 		}
+		timer.Stop()
 	}
 	return nil
 }
 
-// pollAll polls all keepers concurrently and returns the address of the first one
-// that left the view fresh, or "". One after the other, each keeper that is down
-// would cost a watchTimeout.
-func (f *Follower) pollAll(ctx context.Context, addrs []string) string {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	fresh := make(chan string, len(addrs))
-	for _, addr := range addrs {
-		go func() {
-			if !f.poll(ctx, addr) {
-				addr = ""
-			}
-			fresh <- addr
-		}()
-	}
-	// A call to an address without a connection can outlast its own timeout.
-	timeout := f.Clock.After(watchTimeout)
-	for range addrs {
-		select {
-		case addr := <-fresh:
-			if addr != "" {
-				return addr
-			}
-		case <-timeout:
-			return ""
+// cancelOthers cancels the polls of all keepers but one.
+func cancelOthers(open map[*openPoll]bool, keeper string) {
+	for p := range open {
+		if p.keeper != keeper {
+			p.cancel()
 		}
 	}
-	return ""
 }
 
-// poll updates the view from one keeper, and reports whether the view is fresh
-// after its answer. A keeper that is cut off from the quorum still answers, but
-// with a confirmation that gets older and older.
-func (f *Follower) poll(ctx context.Context, addr string) bool {
-	callCtx, cancel := context.WithTimeout(ctx, watchTimeout)
+// poll updates the view from one keeper. The answer of a keeper that is cut off from the
+// quorum is not good: its proof gets older and older.
+func (f *Follower) poll(ctx context.Context, addr string) polls.Result {
+	callCtx, cancel := context.WithTimeout(ctx, f.Limits.Timeout())
 	defer cancel()
 	sent := f.Clock.Now()
 	a, err := f.Node.Call(callCtx, link.Dest{Address: addr, Role: keys.Keeper, RedialSilent: true}, wire.WatchConfig{
 		Version: f.View.Config().Version(), AllowUnconfirmed: !f.View.Usable(),
 	})
 	if ctx.Err() != nil {
-		return false
+		return polls.Cancelled
 	}
 	took := f.Clock.Since(sent)
 	log := f.Log.With(zap.String("address", addr), zap.Duration("took", took))
 	if err != nil {
 		log.Info("keeper not reachable", zap.Error(err))
 		f.View.pollEnded(addr, err.Error())
-		return false
+		return polls.Bad
 	}
 	u, ok := a.(wire.ConfigUpdate)
 	if !ok {
 		r, _ := a.(wire.Refused)
 		log.Info("keeper refused to send its configuration", zap.String("reason", r.Reason))
 		f.View.pollEnded(addr, r.Reason)
-		return false
+		return polls.Bad
 	}
 	before := f.View.Status()
 	f.View.Apply(u, sent)
@@ -131,11 +123,11 @@
 		log.Info("configuration updated", zap.Uint64("version", u.Delta.To), zap.Duration("age", u.Fresh.Age), zap.Duration("held", u.Held),
 			zap.Duration("ageBefore", before.Age), zap.Int("failedPolls", before.FailedPolls))
 	}
-	if !f.View.Fresh() {
+	if u.Fresh.Age < 0 || u.Fresh.Age > polls.MaxProofAge {
 		log.Info("keeper's configuration is not recently confirmed by a quorum", zap.Duration("age", u.Fresh.Age))
 		f.View.pollEnded(addr, "no recent confirmation by a quorum")
-		return false
+		return polls.Bad
 	}
 	f.View.pollEnded(addr, "")
-	return true
+	return polls.Good
 }
--- a/watch/follow_test.go
+++ b/watch/follow_test.go
@@ -12,6 +12,7 @@
 
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/polls"
 	"cyclamenrelay.example/watch"
 	"cyclamenrelay.example/wire"
 )
@@ -75,7 +76,8 @@
 // follow starts a follower that gets its keepers' addresses from a function.
 func (c *cluster) follow(clock clockwork.Clock, keepers func() []string) {
 	f := &watch.Follower{
-		View: watch.NewView(clock, time.Hour), Keepers: keepers, Node: c.node("e1", keys.Entry, func(*link.Mux) {}),
+		Limits: polls.Limits{InForce: inForce, Tolerance: 2, Lease: lease},
+		View:   watch.NewView(clock, time.Hour), Keepers: keepers, Node: c.node("e1", keys.Entry, func(*link.Mux) {}),
 		Clock: clock, Log: zap.NewNop(),
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
--- a/watch/late_test.go
+++ b/watch/late_test.go
@@ -11,6 +11,7 @@
 
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/polls"
 	"cyclamenrelay.example/watch"
 	"cyclamenrelay.example/wire"
 )
@@ -33,7 +34,8 @@
 	}
 	clock := clockwork.NewRealClock()
 	f := &watch.Follower{
-		View: watch.NewView(clock, time.Hour), Keepers: func() []string { return q.addrs },
+		Limits: polls.Limits{InForce: inForce, Tolerance: 2, Lease: lease},
+		View:   watch.NewView(clock, time.Hour), Keepers: func() []string { return q.addrs },
 		Node: q.node("e1", keys.Entry, func(*link.Mux) {}), Clock: clock, Log: zap.NewNop(),
 	}
 	ctx, cancel := context.WithCancel(q.ctx)
--- a/watch/restart_test.go
+++ b/watch/restart_test.go
@@ -16,6 +16,7 @@
 	"cyclamenrelay.example/fault"
 	"cyclamenrelay.example/keys"
 	"cyclamenrelay.example/link"
+	"cyclamenrelay.example/polls"
 	"cyclamenrelay.example/watch"
 	"cyclamenrelay.example/wire"
 )
@@ -67,6 +68,7 @@
 	core, logs := observer.New(zapcore.InfoLevel)
 	clock := clockwork.NewRealClock()
 	f := &watch.Follower{
+		Limits:  polls.Limits{InForce: inForce, Tolerance: 2},
 		View:    watch.NewView(clock, time.Hour),
 		Keepers: func() []string { return []string{relay.Addr("k0").String()} },
 		Node:    q.node("e1", keys.Entry, func(*link.Mux) {}), Clock: clock, Log: zap.New(core),
