link, shape: what goes to keepers goes first on a link of a known rate

What exceeds it waits in the QUIC connections, where a cancelled start is dropped, and not in the link's queue; datagrams to keepers are sent at once. Agents and keepers are not shaped.

--- a/conf/limits.go
+++ b/conf/limits.go
@@ -19,6 +19,8 @@
 	// Descriptors is the number of files and connections that the process may have open, 0
 	// if it is unknown.
 	Descriptors Amount `json:"descriptors"`
+	// Link is the rate of the machine's link in Mbit/s, 0 if it is unknown.
+	Link Number `json:"link"`
 }
 
 const (
@@ -26,6 +28,9 @@
 	minDescriptors = 256
 	maxMemory      = 1 << 20
 	maxDescriptors = 1 << 24
+	// minLink and maxLink bound the rate of a link in Mbit/s.
+	minLink = 0.1
+	maxLink = 1e6
 )
 
 func (l Limits) check(c *checker) {
@@ -35,6 +40,7 @@
 	if l.Descriptors != 0 {
 		c.number("limits.descriptors", int(l.Descriptors), minDescriptors, maxDescriptors)
 	}
+	c.optional("limits.link", l.Link, minLink, maxLink)
 }
 
 // assignAmount sets v, an Amount, to the decoded JSON value, or adds a problem at the path.
--- a/conf/limits_test.go
+++ b/conf/limits_test.go
@@ -35,6 +35,10 @@
 	}
 	_, ok := problems(t, withLimits(`{"descriptors": 10}`))["limits.descriptors"]
 	assert.Assert(t, ok)
+	for _, text := range []string{`{"link": "0.01"}`, `{"link": "-1"}`, `{"link": "1e9"}`, `{"link": "fast"}`, `{"link": 25}`} {
+		_, ok := problems(t, withLimits(text))["limits.link"]
+		assert.Assert(t, ok, text)
+	}
 }
 
 // The limits in the platform's template must be valid with and without the machine's values.
@@ -46,8 +50,10 @@
 	for text, want := range map[string]int{"": 0, "184": 184, "144.0": 144} {
 		filled := strings.ReplaceAll(string(limits[1]), "{{limits.memory_mb}}", text)
 		filled = strings.ReplaceAll(filled, "{{limits.file_descriptors}}", "4096")
-		s, err := conf.Parse([]byte(withLimits(filled)))
-		assert.NilError(t, err, filled)
-		assert.Equal(t, s.Limits, conf.Limits{Memory: conf.Amount(want), Descriptors: 4096})
+		for rate, link := range map[string]conf.Number{"": 0, "2.5": 2.5} {
+			s, err := conf.Parse([]byte(withLimits(strings.ReplaceAll(filled, "{{limits.link_mbps}}", rate))))
+			assert.NilError(t, err, filled)
+			assert.Equal(t, s.Limits, conf.Limits{Memory: conf.Amount(want), Descriptors: 4096, Link: link})
+		}
 	}
 }
--- a/link/call.go
+++ b/link/call.go
@@ -193,6 +193,9 @@
 // dial returns the open connection to an address. When there is none, it starts a dial, or
 // waits for that of another caller, until ctx ends.
 func (n *Node) dial(ctx context.Context, to Dest) (*quic.Conn, error) {
+	if n.conn != nil && to.Role == keys.Keeper {
+		n.conn.putFirst(to.Address)
+	}
 	d, isNew := n.connFor(to.Address)
 	if isNew {
 		n.pool.run(func() { n.finishDial(d, to) })
--- a/link/node.go
+++ b/link/node.go
@@ -19,6 +19,7 @@
 	"cyclamenrelay.example/guard"
 	"cyclamenrelay.example/kernel"
 	"cyclamenrelay.example/keys"
+	"cyclamenrelay.example/shape"
 	"cyclamenrelay.example/wire"
 )
 
@@ -59,6 +60,9 @@
 	// CloseWait bounds how long Close waits until the answers in progress are sent and
 	// have arrived, 0 for 2 s.
 	CloseWait time.Duration
+	// Rate is the rate of the host's link in bytes a second, 0 if it is unknown. Messages to
+	// keepers go first on a link with a rate.
+	Rate float64
 	// Messages bounds the memory of messages that are being received, nil for no bound.
 	Messages *guard.Messages
 	Log      *zap.Logger
@@ -71,6 +75,7 @@
 	opts Options
 	mux  *Mux
 	tr   *quic.Transport
+	conn *shapedConn // nil for a link of unknown rate
 	ln   *quic.Listener
 	ctx  context.Context
 	stop context.CancelFunc
@@ -130,6 +135,10 @@
 	}
 	reset := quic.StatelessResetKey(n.opts.Keys.ResetKey())
 	n.tr = &quic.Transport{Conn: pc, StatelessResetKey: &reset}
+	if l := shape.NewLink(n.opts.Rate); l != nil {
+		n.conn = newShapedConn(pc, l, n.opts.Clock)
+		n.tr.Conn = n.conn
+	}
 	n.ln, err = n.tr.Listen(n.opts.Keys.ServerConfig(), n.quicConfig())
 	if err != nil {
 		_ = pc.Close()
--- a/polls/schedule.go
+++ b/polls/schedule.go
@@ -168,10 +168,12 @@
 // Result is how a poll ended.
 type Result int
 
+// Results of polls: Cancelled if the answer was no longer needed, Bad if there was none or its
+// proof was old, and Good if it had the newest configuration and a recent proof of that.
 const (
-	Cancelled Result = iota // its answer is no longer needed
-	Bad                     // no answer, or an old proof
-	Good                    // the newest configuration and a recent proof of that
+	Cancelled Result = iota
+	Bad
+	Good
 )
 
 // Ended notes the end of a poll.
--- a/relayd/build.go
+++ b/relayd/build.go
@@ -51,6 +51,9 @@
 	return !slices.ContainsFunc(b.readyChecks, func(f func() bool) bool { return !f() })
 }
 
+// bytesPerMegabit converts rates of links.
+const bytesPerMegabit = 1e6 / 8
+
 // monitorView makes readiness depend on the local copy of the configuration,
 // which entries and agents act by, and exports its version and usability as metrics.
 func (b *builder) monitorView() {
@@ -71,11 +74,22 @@
 	})
 }
 
+// linkRate returns the rate of an entry's link in bytes a second, 0 if it is unknown. Only
+// entries send so much that what they send waits on the link.
+func linkRate(s conf.Settings) float64 {
+	if !s.Node.Has(keys.Entry) {
+		return 0
+	}
+	return float64(s.Limits.Link) * bytesPerMegabit
+}
+
 // build returns a builder whose kernel holds all services that the settings enable.
 func build(s conf.Settings, id *keys.Identity, plan guard.Plan, log *zap.Logger) *builder {
 	clock := clockwork.NewRealClock()
 	b := &builder{settings: s, id: id, plan: plan, clock: clock, log: log, services: kernel.New(log)}
-	b.node = link.New(link.Options{Address: s.Node.Listen, Keys: id, CloseWait: closeWait(s), Messages: plan.Messages(log), Log: log, Clock: clock})
+	b.node = link.New(link.Options{
+		Address: s.Node.Listen, Keys: id, CloseWait: closeWait(s), Messages: plan.Messages(log), Rate: linkRate(s), Log: log, Clock: clock,
+	})
 	self := wire.Node{
 		Name: s.Node.Name, Address: s.Node.Advertise, DataCentre: s.Node.DataCentre, Roles: s.Node.Roles,
 		Incarnation: uint64(clock.Now().UnixNano()), Size: float64(s.Node.Size),
