--- a/link/full_test.go
+++ b/link/full_test.go
@@ -8,8 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"cyclamenrelay.example/keys"
@@ -102,22 +100,7 @@
 
 // startAt runs a node on a link of the given rate until the test ends.
 func startAt(t *testing.T, id *keys.Identity, rate float64, register func(*link.Mux)) *link.Node {
-	n := link.New(link.Options{Address: "127.0.0.1:0", Keys: id, Rate: rate, CloseWait: time.Millisecond, Log: zap.NewNop(), Clock: clockwork.NewRealClock()})
-	if register != nil {
-		register(n.Mux())
-	}
-	assert.NilError(t, n.Start(nil))
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		_ = n.Run(ctx)
-		close(done)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-	return n
+	return startWith(t, link.Options{Keys: id, Rate: rate, CloseWait: time.Millisecond}, register)
 }
 
 // TestFullLinkDelaysNoPoll guards against polls of the configuration that wait behind an
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -47,7 +47,13 @@
 
 // start runs a node with the handlers that register adds, until the test ends.
 func start(t *testing.T, id *keys.Identity, register func(*link.Mux)) *link.Node {
-	n := link.New(link.Options{Address: "127.0.0.1:0", Keys: id, Log: zap.NewNop(), Clock: clockwork.NewRealClock()})
+	return startWith(t, link.Options{Keys: id}, register)
+}
+
+// startWith is start with further options.
+func startWith(t *testing.T, o link.Options, register func(*link.Mux)) *link.Node {
+	o.Address, o.Log, o.Clock = "127.0.0.1:0", zap.NewNop(), clockwork.NewRealClock()
+	n := link.New(o)
 	if register != nil {
 		register(n.Mux())
 	}
