--- a/guard/conn.go
+++ b/guard/conn.go
@@ -95,7 +95,7 @@
 	case total > maxLines:
 		return c.refuse("headerLines", answerLines)
 	case int64(size) > c.port.maxHead.Load()+headSlop:
-		return c.refuse("headerBytes", answerHead)
+		return c.refuse("headerBytes", c.port.headAnswer())
 	case !c.port.reserve(c, int64(lines*lineBytes+bytes*byteCost)):
 		return c.refuse("", answerBusy)
 	}
--- a/guard/http.go
+++ b/guard/http.go
@@ -31,6 +31,7 @@
 	answerSlow      = "HTTP/1.1 408 Request Timeout\r\n" + answerEnd + `{"error":"the request came too slowly"}`
 	answerLines     = "HTTP/1.1 431 Request Header Fields Too Large\r\n" + answerEnd + `{"error":"the request has more than 256 header lines"}`
 	answerHead      = "HTTP/1.1 431 Request Header Fields Too Large\r\n" + answerEnd + `{"error":"the head of the request is too large"}`
+	answerHeadLater = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + retryAfter + "\r\n" + answerEnd + `{"error":"the head of the request is too large, by a limit that may be outdated"}`
 	answerMalformed = "HTTP/1.1 400 Bad Request\r\n" + answerEnd + `{"error":"empty lines in place of a request"}`
 )
 
--- a/guard/port.go
+++ b/guard/port.go
@@ -57,6 +57,8 @@
 type Port struct {
 	opts    Options
 	maxHead atomic.Int64
+	// headLimitKnown tells whether maxHead is in force, nil if it always is.
+	headLimitKnown atomic.Pointer[func() bool]
 
 	mu     sync.Mutex
 	held   int64 // bytes
@@ -96,6 +98,18 @@
 	p.maxHead.Store(int64(min(n, maxHeadBytes)))
 }
 
+// SetHeadLimitKnown makes heads beyond the limit get 503 in place of 431 while known returns
+// false: the limit may have been raised.
+func (p *Port) SetHeadLimitKnown(known func() bool) { p.headLimitKnown.Store(&known) }
+
+// headAnswer returns the answer to a head beyond the limit.
+func (p *Port) headAnswer() string {
+	if known := p.headLimitKnown.Load(); known != nil && !(*known)() {
+		return answerHeadLater
+	}
+	return answerHead
+}
+
 // Listen listens on a TCP address.
 func (p *Port) Listen(addr string) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr)
