--- a/watch/view.go
+++ b/watch/view.go
@@ -30,7 +30,7 @@
 // pollRecord tells from where a view has its configuration, and why it may be old.
 type pollRecord struct {
 	keeper string // answered last
-	failed int    // polls without a fresh answer since then
+	failed int    // polls without a good answer since then
 	reason string // of the last one that failed
 }
 
@@ -97,10 +97,10 @@
 	// Age is the time since a quorum has confirmed the version as the newest, negative when
 	// none has since the process started.
 	Age time.Duration
-	// Keeper is the address of the keeper whose answer left the view fresh last.
+	// Keeper is the address of the keeper that gave the last good answer.
 	Keeper string
-	// FailedPolls counts the polls since that answer which left the view not fresh, and
-	// Reason says why the last one did.
+	// FailedPolls counts the polls since then that ended without one, and Reason says why the
+	// last one did.
 	FailedPolls int
 	Reason      string
 }
@@ -119,7 +119,7 @@
 	return s
 }
 
-// pollEnded records a poll of the keeper; reason is empty if it left the view fresh.
+// pollEnded records a poll of the keeper; reason is empty if its answer was good.
 func (v *View) pollEnded(keeper, reason string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
