review: a raised fencing token locks agents out after executors restart

Cause: an agent carries its token over to an executor that starts again under its ID with a new clock; an agent that starts later takes its token from that clock and is refused until the clock has caught up. No product code is changed.

--- a/review/_cases/executor.go
+++ b/review/_cases/executor.go
@@ -78,6 +78,8 @@
 	stopBeat chan struct{}
 	beats    int // acknowledged heartbeats of this life
 	dead     bool
+	// upFor is how long the executor had been up when this life began to be seen.
+	upFor time.Duration
 	// late is the share of orders that are left unanswered and carried out 2 to 12 s later.
 	late float64
 }
@@ -93,7 +95,8 @@
 		return err
 	}
 	x.mu.Lock()
-	x.dead, x.started, x.born, x.seq, x.state = false, time.Now(), time.Now().UnixMilli(), 0, "ready"
+	x.dead, x.started, x.seq, x.state = false, time.Now(), int64(x.upFor/(1500*time.Millisecond)), "ready"
+	x.born = time.Now().Add(-x.upFor).UnixMilli()
 	x.until, x.fence, x.running, x.highest, x.ended, x.nextEnd = 0, 0, map[string]*xrun{}, map[string]uint64{}, nil, 0
 	x.changed, x.stopBeat, x.beats = make(chan struct{}), make(chan struct{}), 0
 	mux := http.NewServeMux()
@@ -118,14 +121,14 @@
 	for _, r := range x.running {
 		x.note(r, "crashed")
 	}
-	x.running, x.dead = map[string]*xrun{}, true
+	x.running, x.dead, x.upFor = map[string]*xrun{}, true, 0
 	close(x.stopBeat)
 	srv := x.srv
 	x.mu.Unlock()
 	_ = srv.Close()
 }
 
-func (x *executor) clock() int64 { return time.Since(x.started).Milliseconds() + 1 }
+func (x *executor) clock() int64 { return (x.upFor + time.Since(x.started)).Milliseconds() + 1 }
 
 // note records the end of a run. The caller holds mu.
 func (x *executor) note(r *xrun, how string) {
