review: the fencing case without a former age of the executors

Cause: as in the case itself; here the token is high because the side machines were restarted in turn.

--- a/review/_cases/recover.go
+++ b/review/_cases/recover.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -42,16 +43,29 @@
 }
 
 // recoverFence has executors that were up for 8 minutes crash and start again under their IDs, one
-// after the other, and then kills all processes. TROUBLE=final leaves out the crashes.
+// after the other, and then kills all processes. TROUBLE=final leaves out the crashes. With
+// TROUBLE=young the executors were not up before: the side machines are restarted in turn instead,
+// 35 s after the begin.
 func recoverFence(e *env) error {
 	const recovery = 12 * time.Second
+	young := os.Getenv("TROUBLE") == "young"
 	xs := e.executors()
 	for _, x := range xs {
-		x.upFor = 8 * time.Minute
+		if !young {
+			x.upFor = 8 * time.Minute
+		}
 	}
 	if err := e.begin(xs...); err != nil {
 		return err
 	}
+	pause, measured := 4*time.Second, 10*time.Second
+	if young {
+		pause, measured = time.Second, 5*time.Second
+		e.period(35 * time.Second)
+		if err := e.rollSides(); err != nil {
+			return err
+		}
+	}
 	for _, x := range xs {
 		if e.trouble && os.Getenv("TROUBLE") != "final" {
 			x.crash()
@@ -60,9 +74,9 @@
 				return err
 			}
 		}
-		e.period(4 * time.Second)
+		e.period(pause)
 	}
-	before := e.period(10 * time.Second)
+	before := e.period(measured)
 	e.rec.add("before the final fault: %d of %d requests served", before.ok, before.sent)
 	if e.trouble {
 		var wg sync.WaitGroup
@@ -80,7 +94,7 @@
 	back := time.Now()
 	e.period(recovery)
 	time.Sleep(time.Until(back.Add(recovery)))
-	after := e.period(20 * time.Second)
+	after := e.period(2 * measured)
 	e.rec.add("later than recovery_s after the machines are back: %d of %d requests served", after.ok, after.sent)
 	if 4*before.ok < before.sent {
 		return fmt.Errorf("less than a quarter was served before the final fault")
@@ -90,3 +104,16 @@
 	}
 	return nil
 }
+
+// rollSides stops and starts the processes of the side machines in turn.
+func (e *env) rollSides() error {
+	for _, x := range e.sides {
+		e.signal(x, syscall.SIGTERM)
+		<-x.exited
+		if err := e.start(x); err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+	}
+	return nil
+}
