--- a/review/_cases/recover.go
+++ b/review/_cases/recover.go
@@ -45,7 +45,8 @@
 // recoverFence has executors that were up for 8 minutes crash and start again under their IDs, one
 // after the other, and then kills all processes. TROUBLE=final leaves out the crashes. With
 // TROUBLE=young the executors were not up before: the side machines are restarted in turn instead,
-// 35 s after the begin.
+// 35 s after the begin. With TROUBLE=roll the side machines are restarted in turn in place of the
+// final fault.
 func recoverFence(e *env) error {
 	const recovery = 12 * time.Second
 	young := os.Getenv("TROUBLE") == "young"
@@ -78,7 +79,12 @@
 	}
 	before := e.period(measured)
 	e.rec.add("before the final fault: %d of %d requests served", before.ok, before.sent)
-	if e.trouble {
+	switch {
+	case os.Getenv("TROUBLE") == "roll":
+		if err := e.rollSides(); err != nil {
+			return err
+		}
+	case e.trouble:
 		var wg sync.WaitGroup
 		for _, x := range e.all() {
 			wg.Go(func() { e.kill(x) })
