--- a/review/_cases/heartbeats.go
+++ b/review/_cases/heartbeats.go
@@ -6,16 +6,13 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
 func init() {
 	cases["drain-other-writer"], shapes["drain-other-writer"] = drainOtherWriter, [3]int{3, 3, 3}
-	cases["route-new-kind"], shapes["route-new-kind"] = routeNewKind, [3]int{3, 3, 3}
 }
 
 // load sends a job each interval, to the frontends in turn, until ctx ends.
@@ -109,60 +106,3 @@
 	}
 	return nil
 }
-
-// routeNewKind freezes a side machine; its executor crashes meanwhile and starts again under the
-// same ID, as another kind.
-func routeNewKind(e *env) error {
-	xs := e.executors()
-	for i, x := range xs {
-		x.labels = []string{string(rune('a' + i)), fmt.Sprintf("r%d", i+1)}
-	}
-	if err := e.begin(xs...); err != nil {
-		return err
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	go e.load(ctx, 5*time.Millisecond, job(30, 500, step(1, 500, 30, m{"requirements": "a"})))
-	time.Sleep(time.Second)
-	x := xs[0]
-	freeze := e.trouble && os.Getenv("TROUBLE") != "crash"
-	for range 6 {
-		if !e.trouble {
-			time.Sleep(7 * time.Second)
-			continue
-		}
-		if freeze {
-			e.signal(x.side, syscall.SIGSTOP)
-		}
-		time.Sleep(300 * time.Millisecond)
-		x.crash()
-		time.Sleep(2500 * time.Millisecond)
-		if x.labels[0] == "a" {
-			x.labels = []string{"b", "r1"}
-		} else {
-			x.labels = []string{"a", "r1"}
-		}
-		if err := x.start(); err != nil {
-			return err
-		}
-		time.Sleep(200 * time.Millisecond)
-		if freeze {
-			e.signal(x.side, syscall.SIGCONT)
-		}
-		time.Sleep(4 * time.Second)
-	}
-	stop()
-	time.Sleep(200 * time.Millisecond)
-	begins, _ := e.jr.all()
-	wrong := 0
-	for _, b := range begins {
-		if b.labels[0] != "a" {
-			wrong++
-			e.rec.add("without the label a: %s at %s, labels %v", b.task, b.executor, b.labels)
-		}
-	}
-	if wrong > 0 {
-		return broken{fmt.Sprintf("ROUTE: %d starts on executors without the label", wrong)}
-	}
-	return nil
-}
